Add the mesh between instances over jsonrpc2

Cause: a call that may not be repeated is forwarded to its key's home; a call lost in a silent connection would be an unknown outcome without need. A message that was not written whole is never handled, so a failed write is not run; every other loss is unknown.

--- /dev/null
+++ b/router/instance/network.go
@@ -0,0 +1,200 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"cicadawell.dev/fleet/fault"
+	"golang.org/x/sync/errgroup"
+)
+
+// Network is a Mesh with its life cycle.
+type Network interface {
+	Mesh
+	// Start begins to watch the open connections. It returns at once.
+	Start(ctx context.Context) error
+	// Serve answers the calls that arrive over l, until Close.
+	Serve(l net.Listener) error
+	// Close ends all connections, cancels the handlers that still run and
+	// waits for them.
+	Close() error
+}
+
+// New returns a network with the defaults of this package changed by opts.
+func New(opts ...Option) Network {
+	n := &network{
+		config:    defaults(),
+		handlers:  make(map[string]Handler),
+		listeners: make(map[net.Listener]struct{}),
+		accepted:  make(map[*incoming]struct{}),
+	}
+	for _, opt := range opts {
+		opt(&n.config)
+	}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.peers.Store(&map[string]*peer{})
+	return n
+}
+
+type network struct {
+	config
+	// handlers does not change after Start or the first Serve.
+	handlers map[string]Handler
+	// peers is replaced as a whole by Learn.
+	peers atomic.Pointer[map[string]*peer]
+	// running counts the handlers in progress.
+	running atomic.Int64
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
+
+	mu sync.Mutex
+	// closed is true from the start of Close on; nothing is added after.
+	closed    bool
+	listeners map[net.Listener]struct{}
+	accepted  map[*incoming]struct{}
+}
+
+func (n *network) Handle(method string, h Handler) { n.handlers[method] = h }
+
+func (n *network) Learn(addresses map[string]string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	old := *n.peers.Load()
+	next := make(map[string]*peer, len(addresses))
+	for id, address := range addresses {
+		if p, ok := old[id]; ok && p.address == address {
+			next[id] = p
+			continue
+		}
+		next[id] = newPeer(n, id, address)
+	}
+	n.peers.Store(&next)
+	for id, p := range old {
+		if next[id] != p {
+			p.close()
+		}
+	}
+}
+
+func (n *network) Call(ctx context.Context, to, method string, params, result any) error {
+	if to == n.id {
+		return n.callSelf(ctx, method, params, result)
+	}
+	p, ok := (*n.peers.Load())[to]
+	if !ok {
+		return fault.New(fault.HomeUnsettled, "no address of instance %q is known", to)
+	}
+	c, err := p.connect(ctx)
+	if err != nil {
+		return err
+	}
+	return c.call(ctx, method, params, result)
+}
+
+func (n *network) callSelf(ctx context.Context, method string, params, result any) error {
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "encode parameters of %s", method).WithOutcome(fault.NotRun)
+	}
+	answer, err := n.handle(ctx, n.id, method, raw)
+	if err != nil {
+		return fault.Of(err)
+	}
+	if result == nil {
+		return nil
+	}
+	raw, err = json.Marshal(answer)
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "encode answer of %s", method)
+	}
+	return decodeResult(method, raw, result)
+}
+
+// handle runs the handler of one method.
+func (n *network) handle(ctx context.Context, from, method string, params json.RawMessage) (any, error) {
+	h, ok := n.handlers[method]
+	if !ok {
+		return nil, fault.New(fault.NotFound, "method %q is not known here", method)
+	}
+	if n.running.Add(1) > n.maxRunning {
+		n.running.Add(-1)
+		return nil, fault.New(fault.Overloaded, "%d calls of other instances are in progress", n.maxRunning)
+	}
+	defer n.running.Add(-1)
+	return h(ctx, from, params)
+}
+
+func (n *network) Start(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return net.ErrClosed
+	}
+	n.group.Go(n.watch)
+	return nil
+}
+
+// watch checks the progress of all connections once a period.
+func (n *network) watch() {
+	for n.clock.Sleep(n.ctx, n.checkEvery) == nil {
+		var checks errgroup.Group
+		for _, p := range *n.peers.Load() {
+			checks.Go(func() error {
+				p.check(n.ctx)
+				return nil
+			})
+		}
+		_ = checks.Wait()
+		n.closeSilent()
+	}
+}
+
+func (n *network) closeSilent() {
+	n.mu.Lock()
+	var silent []*incoming
+	for in := range n.accepted {
+		if in.wire.silentFor() > n.silenceLimit {
+			silent = append(silent, in)
+		}
+	}
+	n.mu.Unlock()
+	for _, in := range silent {
+		in.close()
+	}
+}
+
+func (n *network) Close() error {
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return nil
+	}
+	n.closed = true
+	var errs []error
+	for l := range n.listeners {
+		errs = append(errs, l.Close())
+	}
+	open := make([]*incoming, 0, len(n.accepted))
+	for in := range n.accepted {
+		open = append(open, in)
+	}
+	n.mu.Unlock()
+	n.cancel()
+	for _, in := range open {
+		in.close()
+	}
+	for _, p := range *n.peers.Load() {
+		p.close()
+	}
+	n.group.Wait()
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/router/instance/network_test.go
@@ -0,0 +1,228 @@
+package instance_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/instance"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+)
+
+type number struct {
+	N int `json:"n"`
+}
+
+// serve starts a network on a port of the kernel's choice.
+func serve(t *testing.T, n instance.Network) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var group errgroup.Group
+	group.Go(func() error { return n.Serve(l) })
+	t.Cleanup(func() {
+		if err := n.Close(); err != nil {
+			t.Error(err)
+		}
+		if err := group.Wait(); err != nil {
+			t.Error(err)
+		}
+	})
+	return l.Addr().String()
+}
+
+func double(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var in number
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, err
+	}
+	return number{N: 2 * in.N}, nil
+}
+
+func TestCallsAreAnsweredEachWithItsOwn(t *testing.T) {
+	is := is.New(t)
+	b := instance.New(instance.WithID("b"))
+	b.Handle("double", double)
+	a := instance.New(instance.WithID("a"))
+	a.Handle("double", double)
+	serve(t, a)
+	a.Learn(map[string]string{"b": serve(t, b)})
+	is.NoErr(a.Start(t.Context()))
+	for _, to := range []string{"a", "b"} {
+		var group errgroup.Group
+		for i := range 200 {
+			group.Go(func() error {
+				var out number
+				if err := a.Call(t.Context(), to, "double", number{N: i}, &out); err != nil {
+					return err
+				}
+				if out.N != 2*i {
+					t.Errorf("%s answered %d for %d", to, out.N, i)
+				}
+				return nil
+			})
+		}
+		is.NoErr(group.Wait())
+	}
+}
+
+func TestErrorsKeepTheirKind(t *testing.T) {
+	is := is.New(t)
+	b := instance.New(instance.WithID("b"))
+	b.Handle("fail", func(_ context.Context, from string, _ json.RawMessage) (any, error) {
+		return nil, fault.New(fault.Overloaded, "asked by %s", from).
+			WithField("key").WithOutcome(fault.Unknown).WithRetryAfter(7 * time.Second)
+	})
+	a := instance.New(instance.WithID("a"))
+	serve(t, a)
+	a.Learn(map[string]string{"b": serve(t, b), "c": "127.0.0.1:1"})
+
+	e := fault.Of(a.Call(t.Context(), "b", "fail", nil, nil))
+	is.Equal(e.Message(), fault.Message{
+		Kind: fault.Overloaded, Outcome: fault.Unknown, Field: "key",
+		Detail: "asked by a", RetryAfterMillis: 7000,
+	})
+	e = fault.Of(a.Call(t.Context(), "b", "nonsense", nil, nil))
+	is.Equal(e.Outcome(), fault.NotRun) // no handler, nothing ran
+	e = fault.Of(a.Call(t.Context(), "c", "fail", nil, nil))
+	is.Equal(e.Outcome(), fault.NotRun) // nobody listens
+	e = fault.Of(a.Call(t.Context(), "d", "fail", nil, nil))
+	is.Equal(e.Outcome(), fault.NotRun) // no address
+}
+
+func TestAddressOfAnotherInstanceIsRefused(t *testing.T) {
+	is := is.New(t)
+	b := instance.New(instance.WithID("b"))
+	var ran atomic.Bool
+	b.Handle("run", func(context.Context, string, json.RawMessage) (any, error) {
+		ran.Store(true)
+		return nil, nil
+	})
+	a := instance.New(instance.WithID("a"))
+	serve(t, a)
+	a.Learn(map[string]string{"c": serve(t, b)})
+	e := fault.Of(a.Call(t.Context(), "c", "run", nil, nil))
+	is.Equal(e.Outcome(), fault.NotRun)
+	is.True(!ran.Load())
+}
+
+func TestMessageOverTheBoundIsRefused(t *testing.T) {
+	is := is.New(t)
+	b := instance.New(instance.WithID("b"), instance.WithMaxMessage(1000))
+	var ran atomic.Bool
+	b.Handle("run", func(context.Context, string, json.RawMessage) (any, error) {
+		ran.Store(true)
+		return nil, nil
+	})
+	a := instance.New(instance.WithID("a"))
+	serve(t, a)
+	address := serve(t, b)
+	a.Learn(map[string]string{"b": address})
+	err := a.Call(t.Context(), "b", "run", strings.Repeat("x", 2000), nil)
+	is.Equal(fault.Of(err).Outcome(), fault.Unknown) // sent whole, connection closed
+	is.True(!ran.Load())
+	is.NoErr(a.Call(t.Context(), "b", "run", "x", nil)) // over a new connection
+
+	c := instance.New(instance.WithID("c"), instance.WithMaxMessage(1000))
+	serve(t, c)
+	c.Learn(map[string]string{"b": address})
+	err = c.Call(t.Context(), "b", "run", strings.Repeat("x", 2000), nil)
+	is.Equal(fault.Of(err).Kind(), fault.TooLarge) // not sent
+	is.Equal(fault.Of(err).Outcome(), fault.NotRun)
+}
+
+func TestHandlersInProgressAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := instance.New(instance.WithID("b"), instance.WithMaxRunning(1))
+	entered, leave := make(chan struct{}), make(chan struct{})
+	b.Handle("wait", func(context.Context, string, json.RawMessage) (any, error) {
+		close(entered)
+		<-leave
+		return nil, nil
+	})
+	a := instance.New(instance.WithID("a"))
+	serve(t, a)
+	a.Learn(map[string]string{"b": serve(t, b)})
+	var group errgroup.Group
+	group.Go(func() error { return a.Call(t.Context(), "b", "wait", nil, nil) })
+	<-entered
+	e := fault.Of(a.Call(t.Context(), "b", "wait", nil, nil))
+	is.Equal(e.Kind(), fault.Overloaded)
+	is.Equal(e.Outcome(), fault.NotRun)
+	close(leave)
+	is.NoErr(group.Wait())
+}
+
+// cuttable is a connection that can go silent: bytes vanish in both
+// directions and neither end is told.
+type cuttable struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+func (c cuttable) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// silenceable returns a dialer, and a function that silences what it opened.
+func silenceable() (instance.Dialer, func()) {
+	current := new(atomic.Pointer[atomic.Bool])
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		silent := new(atomic.Bool)
+		current.Store(silent)
+		return cuttable{Conn: conn, silent: silent}, nil
+	}
+	return dial, func() { current.Load().Store(true) }
+}
+
+func TestCallAfterSilenceTakesANewConnection(t *testing.T) {
+	is := is.New(t)
+	b := instance.New(instance.WithID("b"))
+	b.Handle("double", double)
+	dial, silence := silenceable()
+	a := instance.New(instance.WithID("a"), instance.WithDialer(dial), instance.WithPing(0, 50*time.Millisecond))
+	serve(t, a)
+	a.Learn(map[string]string{"b": serve(t, b)})
+	var out number
+	is.NoErr(a.Call(t.Context(), "b", "double", number{N: 1}, &out))
+	silence()
+	is.NoErr(a.Call(t.Context(), "b", "double", number{N: 2}, &out))
+	is.Equal(out.N, 4)
+}
+
+func TestCallInFlightOverASilentConnectionEndsAsUnknown(t *testing.T) {
+	is := is.New(t)
+	b := instance.New(instance.WithID("b"))
+	entered := make(chan struct{})
+	b.Handle("wait", func(ctx context.Context, _ string, _ json.RawMessage) (any, error) {
+		close(entered)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	dial, silence := silenceable()
+	a := instance.New(instance.WithID("a"), instance.WithDialer(dial))
+	serve(t, a)
+	a.Learn(map[string]string{"b": serve(t, b)})
+	is.NoErr(a.Start(t.Context()))
+	var group errgroup.Group
+	group.Go(func() error { return a.Call(t.Context(), "b", "wait", nil, nil) })
+	<-entered
+	silence()
+	is.Equal(fault.Of(group.Wait()).Outcome(), fault.Unknown)
+}
