Run calls at most once at the key's home instance

Cause: requests with one key can reach two instances through the balancer; a store write for each call does not fit the store's rate. Ruled out: copies of the keys on other instances, which would be a replicated store of our own. Change: the home by rendezvous hashing over the view joins duplicates in flight, replays answers, and remembers keys by team within bounds; a key older than the window or before the view that this instance vouches for is refused as unknown. Conclusion: go test -race -count=1 ./ledger passes; the roster is fixed as yet.

--- /dev/null
+++ b/router/ledger/run_test.go
@@ -0,0 +1,235 @@
+package ledger_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/callerapi"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/ledger"
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+)
+
+// localMesh joins ledgers in one process.
+type localMesh struct {
+	id  string
+	all map[string]*localMesh
+	// handlers by method.
+	handlers map[string]instance.Handler
+	// lose decides the fate of a call; nil delivers all.
+	lose func(to, method string) error
+}
+
+func newLocalMesh(all map[string]*localMesh, id string) *localMesh {
+	m := &localMesh{id: id, all: all, handlers: make(map[string]instance.Handler)}
+	all[id] = m
+	return m
+}
+
+func (m *localMesh) Handle(method string, h instance.Handler) { m.handlers[method] = h }
+
+func (m *localMesh) Learn(map[string]string) {}
+
+func (m *localMesh) Call(ctx context.Context, to, method string, params, result any) error {
+	if m.lose != nil {
+		if err := m.lose(to, method); err != nil {
+			return err
+		}
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	answer, err := m.all[to].handlers[method](ctx, m.id, raw)
+	if err != nil {
+		return fault.Of(err).Message().Err()
+	}
+	raw, err = json.Marshal(answer)
+	if err != nil || result == nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+// record is a runner that counts what it ran.
+type record struct {
+	mu   sync.Mutex
+	runs map[string]int
+	// answer decides how a run ends; nil echoes the input.
+	answer func(call ledger.Call) (callerapi.Answer, error)
+}
+
+func (r *record) RunOnce(_ context.Context, call ledger.Call, guard func() error) (callerapi.Answer, error) {
+	if err := guard(); err != nil {
+		return callerapi.Answer{}, err
+	}
+	r.mu.Lock()
+	r.runs[call.Team+"/"+call.Key]++
+	r.mu.Unlock()
+	if r.answer != nil {
+		return r.answer(call)
+	}
+	return callerapi.Answer{Request: call.Request, Outcome: fault.Run, Output: call.Input}, nil
+}
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// keyAt mints a key at a time.
+func keyAt(at time.Time, n int) string {
+	var id uuid.UUID
+	ms := uint64(at.UnixMilli())
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	id[6], id[8] = 0x70, 0x80
+	id[14], id[15] = byte(n>>8), byte(n)
+	return id.String()
+}
+
+func callOf(team, key, body string) ledger.Call {
+	input, _ := json.Marshal(body)
+	return ledger.Call{
+		Request: "r-" + team + key, Team: team, Pipeline: "book", Key: key,
+		BodyHash: body, Input: input, RemainingMillis: 1000,
+	}
+}
+
+// three starts ledgers a, b and c with one runner.
+func three(t *testing.T, clk clock.Clock, runner ledger.Runner, opts ...ledger.Option) map[string]ledger.Book {
+	t.Helper()
+	meshes := make(map[string]*localMesh)
+	books := make(map[string]ledger.Book)
+	for _, id := range []string{"a", "b", "c"} {
+		books[id] = ledger.New(append([]ledger.Option{
+			ledger.WithID(id), ledger.WithClock(clk), ledger.WithRunner(runner),
+			ledger.WithMesh(newLocalMesh(meshes, id)), ledger.WithRoster(ledger.FixedRoster("a", "b", "c")),
+		}, opts...)...)
+		t.Cleanup(books[id].Close)
+	}
+	return books
+}
+
+func TestDuplicatesRunOnceWhereverTheyArrive(t *testing.T) {
+	is := is.New(t)
+	r := &record{runs: make(map[string]int)}
+	books := three(t, clock.NewManual(start), r)
+	var group errgroup.Group
+	for n := range 20 {
+		for _, team := range []string{"t1", "t2"} {
+			for id, book := range books {
+				group.Go(func() error {
+					call := callOf(team, keyAt(start, n), fmt.Sprintf("%s-%d", team, n))
+					answer, _, err := book.Do(t.Context(), call)
+					if err == nil && string(answer.Output) != string(call.Input) {
+						t.Errorf("%s answered %s with %s", id, call.Input, answer.Output)
+					}
+					return err
+				})
+			}
+		}
+	}
+	is.NoErr(group.Wait())
+	is.Equal(len(r.runs), 40)
+	for key, n := range r.runs {
+		if n != 1 {
+			t.Errorf("%s ran %d times", key, n)
+		}
+	}
+}
+
+func TestBadKeysAreRefused(t *testing.T) {
+	r := &record{runs: make(map[string]int)}
+	clk := clock.NewManual(start)
+	book := three(t, clk, r, ledger.WithKeyWindow(time.Hour))["a"]
+	for name, test := range map[string]struct {
+		key  string
+		kind fault.Kind
+	}{
+		"empty":       {"", fault.BadKey},
+		"version 4":   {uuid.NewString(), fault.BadKey},
+		"upper case":  {"0190163D-8694-739B-AEA5-966C26F8AD91", fault.BadKey},
+		"the future":  {keyAt(start.Add(time.Minute), 1), fault.BadKey},
+		"too old":     {keyAt(start.Add(-2*time.Hour), 1), fault.OutcomeUnknown},
+		"just in":     {keyAt(start.Add(-time.Minute), 1), ""},
+		"a bit ahead": {keyAt(start.Add(time.Second), 1), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, _, err := book.Do(t.Context(), callOf("t", test.key, "x"))
+			if test.kind == "" {
+				is.NoErr(err)
+				return
+			}
+			is.Equal(fault.Of(err).Kind(), test.kind)
+			is.Equal(fault.Of(err).Field(), "key")
+			is.Equal(r.runs["t/"+test.key], 0)
+		})
+	}
+}
+
+func TestAnotherBodyIsAConflict(t *testing.T) {
+	is := is.New(t)
+	books := three(t, clock.NewManual(start), &record{runs: make(map[string]int)})
+	_, replayed, err := books["a"].Do(t.Context(), callOf("t", keyAt(start, 1), "x"))
+	is.NoErr(err)
+	is.True(!replayed)
+	_, replayed, err = books["b"].Do(t.Context(), callOf("t", keyAt(start, 1), "x"))
+	is.NoErr(err)
+	is.True(replayed)
+	_, _, err = books["c"].Do(t.Context(), callOf("t", keyAt(start, 1), "y"))
+	is.True(fault.Is(err, fault.KeyConflict))
+}
+
+func TestOutcomeDecidesWhetherARepeatRuns(t *testing.T) {
+	is := is.New(t)
+	r := &record{runs: make(map[string]int)}
+	refusal := fault.New(fault.NoRunner, "none free")
+	r.answer = func(ledger.Call) (callerapi.Answer, error) { return callerapi.Answer{}, refusal }
+	books := three(t, clock.NewManual(start), r)
+	call := callOf("t", keyAt(start, 1), "x")
+	for range 2 {
+		_, _, err := books["a"].Do(t.Context(), call)
+		is.Equal(fault.Of(err).Outcome(), fault.NotRun)
+	}
+	is.Equal(r.runs["t/"+call.Key], 2) // not run, hence tried again
+	refusal = fault.New(fault.OutcomeUnknown, "cut")
+	for range 2 {
+		_, _, err := books["a"].Do(t.Context(), call)
+		is.Equal(fault.Of(err).Outcome(), fault.Unknown)
+	}
+	is.Equal(r.runs["t/"+call.Key], 3) // unknown, hence not again
+}
+
+func TestTableIsBounded(t *testing.T) {
+	is := is.New(t)
+	r := &record{runs: make(map[string]int)}
+	clk := clock.NewManual(start)
+	meshes := make(map[string]*localMesh)
+	book := ledger.New(ledger.WithID("a"), ledger.WithClock(clk), ledger.WithRunner(r),
+		ledger.WithMesh(newLocalMesh(meshes, "a")), ledger.WithRoster(ledger.FixedRoster("a")),
+		ledger.WithTable(2, 10), ledger.WithKeyWindow(time.Hour))
+	t.Cleanup(book.Close)
+	do := func(n int) error {
+		_, _, err := book.Do(t.Context(), callOf("t", keyAt(start, n), "123456"))
+		return err
+	}
+	is.NoErr(do(1))
+	is.NoErr(do(2))
+	is.Equal(fault.Of(do(3)).Kind(), fault.Overloaded) // two keys at most
+	is.Equal(fault.Of(do(3)).Outcome(), fault.NotRun)
+	is.Equal(fault.Of(do(1)).Outcome(), fault.Run) // its answer made room for the second
+	is.NoErr(do(2))
+	clk.Advance(2 * time.Hour)
+	_, _, err := book.Do(t.Context(), callOf("t", keyAt(start.Add(2*time.Hour), 1), "x"))
+	is.NoErr(err) // the old ones have left
+	clk.Advance(-2 * time.Hour)
+	is.Equal(fault.Of(do(1)).Outcome(), fault.Unknown) // also by a clock set back
+}
