Add the path of a request: caller, stages, runner client

Cause: nothing carried a request from a caller through its stages. Ruled out: one pooled connection for all calls (a call lost in a silent connection is an unknown that need not be), a forwarding proxy (answers must be checked against their attempt before a caller sees any of them). Change: the interface for callers with its limits, the executor with a budget and an attempt identifier for each stage, the client to runners. A call that may not be repeated goes over a connection opened just now, and the guard stands directly before the write.

--- a/fleet/fault/kind.go
+++ b/fleet/fault/kind.go
@@ -34,6 +34,8 @@
 	TooLarge Kind = "tooLarge"
 	// SlowCaller is a caller that did not deliver its request in time.
 	SlowCaller Kind = "slowCaller"
+	// CallerGone is a caller that left before its answer was there.
+	CallerGone Kind = "callerGone"
 	// Unauthenticated is a missing or unknown key.
 	Unauthenticated Kind = "unauthenticated"
 	// Forbidden is a known caller that may not do this.
@@ -97,6 +99,10 @@
 	RetryAfter time.Duration
 }
 
+// statusCallerGone is in common use for a client that closed its request; no
+// caller ever sees it.
+const statusCallerGone = 499
+
 const (
 	retrySoon     = 200 * time.Millisecond
 	retryLater    = time.Second
@@ -108,6 +114,7 @@
 	BadRequest:       {http.StatusBadRequest, NotRun, 0},
 	TooLarge:         {http.StatusRequestEntityTooLarge, NotRun, 0},
 	SlowCaller:       {http.StatusRequestTimeout, NotRun, retrySoon},
+	CallerGone:       {statusCallerGone, Unknown, 0},
 	Unauthenticated:  {http.StatusUnauthorized, NotRun, 0},
 	Forbidden:        {http.StatusForbidden, NotRun, 0},
 	UnknownPipeline:  {http.StatusNotFound, NotRun, 0},
@@ -133,7 +140,7 @@
 // Kinds returns the closed list in the order of this file.
 func Kinds() []Kind {
 	return []Kind{
-		BadRequest, TooLarge, SlowCaller, Unauthenticated, Forbidden,
+		BadRequest, TooLarge, SlowCaller, CallerGone, Unauthenticated, Forbidden,
 		UnknownPipeline, BadDeadline, BadKey, KeyConflict, NotFound,
 		Overloaded, TeamLimit, Displaced, DeadlineShort, DeadlineMissed,
 		NoRunner, RunnerFailed, HomeUnsettled, OutcomeUnknown, NotReady,
--- /dev/null
+++ b/router/caller/exchange.go
@@ -0,0 +1,108 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/callerapi"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/catalog"
+	"cicadawell.dev/router/journal"
+	"cicadawell.dev/router/pipeline"
+)
+
+// exchange is one request with what was found out about it so far.
+type exchange struct {
+	id       string
+	arrived  time.Time
+	deadline time.Time
+	team     catalog.Team
+	pipeline bundle.Pipeline
+	request  callerapi.Request
+	key      string
+}
+
+// serve answers one request.
+func (s *server) serve(c *gin.Context) {
+	s.underWay.Add(1)
+	defer s.underWay.Add(-1)
+	x := &exchange{id: s.Identifiers.NewRequest(), arrived: s.Clock.Now()}
+	c.Header(callerapi.HeaderRequest, x.id)
+	release, err := s.admit(c, x)
+	defer release()
+	if err != nil {
+		s.refuse(c, x, err)
+		return
+	}
+	s.Journal.Record(journal.Decision{At: x.arrived, Step: journal.Admitted, Request: x.id, Reason: "team " + x.team.ID + ", pipeline " + x.pipeline.ID})
+	switch {
+	case !x.pipeline.Idempotent():
+		s.serveOnce(c, x)
+	case x.request.Stream:
+		s.serveStream(c, x)
+	default:
+		s.serveWhole(c, x)
+	}
+}
+
+func (x *exchange) job() pipeline.Job {
+	return pipeline.Job{
+		Request:  x.id,
+		Team:     x.team,
+		Pipeline: x.pipeline,
+		Input:    x.request.Input,
+		Deadline: x.deadline,
+	}
+}
+
+func (s *server) serveWhole(c *gin.Context, x *exchange) {
+	answer, err := s.Executor.Run(c.Request.Context(), x.job())
+	if err != nil {
+		s.refuse(c, x, err)
+		return
+	}
+	s.answer(c, x, answer)
+}
+
+// answer writes a whole answer and counts it.
+func (s *server) answer(c *gin.Context, x *exchange, answer callerapi.Answer) {
+	s.count(x)
+	s.boundWrite(c)
+	c.JSON(http.StatusOK, answer)
+}
+
+func (s *server) count(x *exchange) {
+	now := s.Clock.Now()
+	s.Meter.Answered(x.team.Tier, x.pipeline.ID, now.Sub(x.arrived), !now.After(x.deadline))
+}
+
+// refuse writes an error with its row of the table from kind to answer.
+func (s *server) refuse(c *gin.Context, x *exchange, err error) {
+	e := fault.Of(err)
+	s.Meter.Refused(x.team.Tier, x.pipeline.ID, e.Kind())
+	s.boundWrite(c)
+	if wait := e.RetryAfter(); wait > 0 {
+		seconds := int64((wait + time.Second - 1) / time.Second)
+		c.Header("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	c.JSON(fault.AnswerOf(e.Kind()).Status, callerapi.Refusal{Request: x.id, Error: e.Message()})
+}
+
+// boundWrite ends the connection of a caller that does not read.
+func (s *server) boundWrite(c *gin.Context) {
+	// Not every writer has deadlines; those of tests do not.
+	_ = http.NewResponseController(c.Writer).SetWriteDeadline(s.Clock.Now().Add(writeTimeout))
+}
+
+func encode(v any) ([]byte, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "encode event")
+	}
+	return data, nil
+}
--- /dev/null
+++ b/router/caller/server.go
@@ -0,0 +1,138 @@
+// Package caller answers the callers of the pipelines, over HTTP with JSON and
+// server-sent events.
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/callerapi"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/catalog"
+	"cicadawell.dev/router/journal"
+	"cicadawell.dev/router/ledger"
+	"cicadawell.dev/router/pipeline"
+)
+
+// Limits of the interface for callers.
+const (
+	maxHeaderBytes    = 16 << 10
+	readHeaderTimeout = 5 * time.Second
+	readBodyTimeout   = 10 * time.Second
+	idleTimeout       = 60 * time.Second
+	// writeTimeout bounds one write to a caller that reads slowly.
+	writeTimeout = 5 * time.Second
+	// maxBodies bounds the request bodies held at once, in bytes.
+	maxBodies = 256 << 20
+	// minDeadline is the shortest deadline that makes sense.
+	minDeadline = time.Millisecond
+)
+
+// Quotas bounds the rate of each team.
+type Quotas interface {
+	Allow(team bundle.Team, now time.Time) (ok bool, retryAfter time.Duration)
+}
+
+// Meter counts what the callers got.
+type Meter interface {
+	// Answered counts a whole answer and whether it met its deadline.
+	Answered(tier, pipeline string, took time.Duration, met bool)
+	// Refused counts a refusal.
+	Refused(tier, pipeline string, kind fault.Kind)
+}
+
+// Identifiers mints identifiers of requests.
+type Identifiers interface {
+	NewRequest() string
+}
+
+// Parts are what a server is built from.
+type Parts struct {
+	Clock       clock.Clock
+	Catalog     *catalog.Current
+	Executor    pipeline.Executor
+	Ledger      ledger.Ledger
+	Quotas      Quotas
+	Journal     journal.Journal
+	Meter       Meter
+	Identifiers Identifiers
+}
+
+// Server answers callers.
+type Server interface {
+	// Handler returns the handler of the interface.
+	Handler() http.Handler
+	// Serve answers connections until Shutdown.
+	Serve(l net.Listener) error
+	// Shutdown takes no new connections and waits for every request under
+	// way; it returns an error when ctx ends first.
+	Shutdown(ctx context.Context) error
+	// UnderWay returns how many requests are being answered.
+	UnderWay() int64
+}
+
+// NewServer returns a server for callers.
+func NewServer(p Parts) Server {
+	gin.SetMode(gin.ReleaseMode)
+	s := &server{Parts: p}
+	engine := gin.New()
+	engine.HandleMethodNotAllowed = true
+	engine.POST(callerapi.PathPipelines+":pipeline", s.serve)
+	engine.GET("/v1/health", s.health)
+	engine.NoRoute(s.noRoute)
+	engine.NoMethod(s.noRoute)
+	s.http = &http.Server{
+		Handler:           engine,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	return s
+}
+
+type server struct {
+	Parts
+	http     *http.Server
+	underWay atomic.Int64
+	// bodies is the sum of the limits of the bodies being read or served;
+	// it never exceeds maxBodies.
+	bodies atomic.Int64
+}
+
+// Handler returns the handler of the interface.
+func (s *server) Handler() http.Handler { return s.http.Handler }
+
+// Serve answers connections until Shutdown.
+func (s *server) Serve(l net.Listener) error {
+	err := s.http.Serve(l)
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return err
+}
+
+// Shutdown waits for every request under way.
+func (s *server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+
+// UnderWay returns how many requests are being answered.
+func (s *server) UnderWay() int64 { return s.underWay.Load() }
+
+func (s *server) health(c *gin.Context) {
+	if s.Catalog.Version() == 0 {
+		c.JSON(http.StatusServiceUnavailable, gin.H{"ready": false})
+		return
+	}
+	c.JSON(http.StatusOK, gin.H{"ready": true})
+}
+
+func (s *server) noRoute(c *gin.Context) {
+	e := fault.New(fault.NotFound, "found %s %q, allowed is POST %s{pipeline}", c.Request.Method, c.Request.URL.Path, callerapi.PathPipelines)
+	s.refuse(c, &exchange{}, e)
+}
--- a/router/journal/journal.go
+++ b/router/journal/journal.go
@@ -31,6 +31,7 @@
 	Replayed  Step = "replayed"
 	Finished  Step = "finished"
 	Placed    Step = "placed"
+	Cancelled Step = "cancelled"
 )
 
 // Decision is one routing or placement decision. Empty fields do not apply.
--- /dev/null
+++ b/router/pipeline/affinity.go
@@ -0,0 +1,18 @@
+package pipeline
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// prefixBytes is how much of a request's input decides which engine's prefix
+// cache may hold it.
+const prefixBytes = 256
+
+// affinityOf returns a hash of the start of the input, scoped by team, so that
+// no team can learn from timing what another asked.
+func affinityOf(job Job) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(job.Team.ID)
+	_, _ = d.Write(job.Input[:min(len(job.Input), prefixBytes)])
+	return d.Sum64()
+}
--- /dev/null
+++ b/router/pipeline/ending.go
@@ -0,0 +1,122 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/router/journal"
+	"cicadawell.dev/router/pool"
+	"cicadawell.dev/router/runner"
+)
+
+// watchDisplaced ends the attempt when a paying caller needs its place. The
+// returned function ends the watch.
+func (s *stageRun) watchDisplaced(ctx context.Context, place pool.Place, giveWay context.CancelCauseFunc) func() {
+	if s.job.Team.Paying {
+		return func() {}
+	}
+	ended, stop := context.WithCancel(ctx)
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		select {
+		case <-place.Displaced():
+			giveWay(errDisplaced)
+		case <-ended.Done():
+		}
+	})
+	return func() {
+		stop()
+		watch.Wait()
+	}
+}
+
+// cancelAt tells the runner that nobody waits for the attempt any more. The
+// context of the request has ended, so the cancellation has one of its own.
+func (s *stageRun) cancelAt(to bundle.Runner, id string) {
+	s.cancellations.Go(func() {
+		reason := "nobody waits for the attempt"
+		if err := s.Runners.Cancel(context.Background(), to, id); err != nil {
+			reason = err.Error()
+		}
+		s.record(journal.Cancelled, id, to.ID, reason, 0)
+	})
+}
+
+// causeOf returns the kind of what ended ctx. A context that was cancelled
+// without a cause of ours belonged to a caller that left.
+func causeOf(ctx context.Context) fault.Kind {
+	var e *fault.Error
+	switch cause := context.Cause(ctx); {
+	case errors.As(cause, &e):
+		return e.Kind()
+	case errors.Is(cause, context.DeadlineExceeded):
+		return fault.DeadlineMissed
+	}
+	return fault.CallerGone
+}
+
+// endingOf classifies an attempt for the pools.
+func endingOf(ctx context.Context, err error) pool.Ending {
+	var refused *runner.RefusedError
+	switch e := fault.Of(err); {
+	case e == nil:
+		return pool.Completed
+	case e.Kind() == fault.Displaced, errors.Is(ctx.Err(), context.Canceled):
+		return pool.Cancelled
+	case e.Kind() == fault.DeadlineMissed:
+		return pool.TimedOut
+	case errors.As(err, &refused):
+		return pool.Refused
+	case e.Kind() == fault.HomeUnsettled, e.Kind() == fault.NoRunner, e.Kind() == fault.DeadlineShort:
+		return pool.Unsent
+	}
+	return pool.Failed
+}
+
+// loadOf returns the load report that came with an answer or a refusal.
+func loadOf(result runnerapi.RunResult, err error) *runnerapi.Load {
+	var refused *runner.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Refusal.Load
+	}
+	return result.Load
+}
+
+// again reports whether the stage may be tried again after err.
+func (s *stageRun) again(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || s.delivered || s.attempts >= maxAttempts {
+		return false
+	}
+	e := fault.Of(err)
+	if !s.stage().Idempotent && e.Outcome() != fault.NotRun {
+		return false
+	}
+	switch e.Kind() {
+	case fault.RunnerFailed, fault.Internal:
+		return s.Retries.Allow(s.stage().Service)
+	case fault.Displaced:
+		return true
+	case fault.NoRunner:
+		// A runner that was taken out between the choice and the write;
+		// without any attempt there is none to choose.
+		return len(s.exclude) == 0 && s.attempts > 0
+	}
+	return false
+}
+
+// final turns the last error of a stage into the answer to the caller.
+func (s *stageRun) final(ctx context.Context, err error) error {
+	e := fault.Of(err)
+	var foreign *runner.ForeignError
+	if errors.As(err, &foreign) {
+		e = fault.Wrap(fault.RunnerFailed, err, "stage %s", s.stage().Name)
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && e.Outcome() == fault.Unknown && s.stage().Idempotent {
+		e = fault.Wrap(fault.DeadlineMissed, err, "stage %s", s.stage().Name)
+	}
+	return e
+}
--- /dev/null
+++ b/router/pipeline/stage.go
@@ -0,0 +1,224 @@
+package pipeline
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/callerapi"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/router/journal"
+	"cicadawell.dev/router/pool"
+	"cicadawell.dev/router/runner"
+)
+
+// maxAttempts bounds the attempts of one stage of one request.
+const maxAttempts = 3
+
+var (
+	// errDeadline ends the contexts of a request whose deadline passed.
+	errDeadline = fault.New(fault.DeadlineMissed, "the deadline passed")
+	// errDisplaced ends the attempt of free work that gave way.
+	errDisplaced = fault.New(fault.Displaced, "a paying caller needed the place")
+)
+
+// stageRun is one stage of one request.
+type stageRun struct {
+	*executor
+	job      Job
+	index    int
+	guard    func() error
+	input    json.RawMessage
+	affinity uint64
+	// attempts counts the dispatches so far.
+	attempts int
+	// exclude are the runners that failed this stage.
+	exclude []string
+	// delivered is true once a token reached the caller: from then on no
+	// other attempt may take over, since its tokens could differ.
+	delivered bool
+	// touched is true once an attempt may have run.
+	touched bool
+}
+
+func (s *stageRun) stage() bundle.Stage { return s.job.Pipeline.Stages[s.index] }
+
+func (s *stageRun) record(step journal.Step, attempt, runnerID, reason string, took time.Duration) {
+	s.Journal.Record(journal.Decision{
+		At:      s.Clock.Now(),
+		Step:    step,
+		Request: s.job.Request,
+		Stage:   s.stage().Name,
+		Attempt: attempt,
+		Runner:  runnerID,
+		Reason:  reason,
+		Took:    took,
+	})
+}
+
+// run tries the stage until it has a result, may not be tried again, or is out
+// of time.
+func (s *stageRun) run(ctx context.Context) (json.RawMessage, callerapi.Stage, error) {
+	start := s.Clock.Now()
+	deadline, err := s.Budgets.Plan(s.job.Pipeline, s.index, start, s.job.Deadline)
+	if err != nil {
+		return nil, callerapi.Stage{}, err
+	}
+	for {
+		result, runnerID, err := s.attempt(ctx, deadline)
+		if err == nil {
+			took := s.Clock.Now().Sub(start)
+			s.Budgets.Observe(s.job.Pipeline.ID, s.index, took)
+			return result.Output, s.report(runnerID, took, result), nil
+		}
+		if !s.again(ctx, err) {
+			return nil, callerapi.Stage{}, s.final(ctx, err)
+		}
+		s.record(journal.Retried, "", runnerID, err.Error(), 0)
+	}
+}
+
+func (s *stageRun) report(runnerID string, took time.Duration, result runnerapi.RunResult) callerapi.Stage {
+	return callerapi.Stage{
+		Name:     s.stage().Name,
+		Runner:   runnerID,
+		Attempts: s.attempts,
+		Micros:   took.Microseconds(),
+		Tokens:   result.Tokens,
+	}
+}
+
+// attempt takes a place and sends one attempt to its runner.
+func (s *stageRun) attempt(ctx context.Context, deadline time.Time) (runnerapi.RunResult, string, error) {
+	place, err := s.Pools.Acquire(ctx, s.ask(deadline))
+	if err != nil {
+		return runnerapi.RunResult{}, "", err
+	}
+	to := place.Runner()
+	if err := place.Check(); err != nil {
+		place.Done(pool.Result{Ending: pool.Unsent})
+		return runnerapi.RunResult{}, to.ID, err
+	}
+	s.attempts++
+	id := s.Identifiers.NewAttempt()
+	s.record(journal.Chosen, id, to.ID, place.Reason(), 0)
+	sent := s.Clock.Now()
+	result, err := s.send(ctx, place, id, deadline)
+	took := s.Clock.Now().Sub(sent)
+	if fault.Of(err) == nil || fault.Of(err).Outcome() != fault.NotRun {
+		s.touched = true
+	}
+	ending := endingOf(ctx, err)
+	place.Done(pool.Result{Ending: ending, Latency: took, Load: loadOf(result, err)})
+	s.Meter.Attempt(s.job.Pipeline.ID, s.stage().Name, s.job.Team.Paying, ending, took, result.Tokens)
+	s.noteAnswer(id, to.ID, took, err)
+	return result, to.ID, err
+}
+
+func (s *stageRun) noteAnswer(attempt, runnerID string, took time.Duration, err error) {
+	var foreign *runner.ForeignError
+	switch {
+	case err == nil:
+		s.Retries.Success(s.stage().Service)
+		s.record(journal.Answered, attempt, runnerID, "whole", took)
+	case errors.As(err, &foreign):
+		s.Meter.Foreign()
+		s.record(journal.Dropped, attempt, runnerID, err.Error(), took)
+		s.exclude = append(s.exclude, runnerID)
+	default:
+		s.record(journal.Answered, attempt, runnerID, err.Error(), took)
+		s.exclude = append(s.exclude, runnerID)
+	}
+}
+
+func (s *stageRun) ask(deadline time.Time) pool.Ask {
+	stage := s.stage()
+	ask := pool.Ask{
+		Service:  stage.Service,
+		Model:    stage.Model,
+		Team:     s.job.Team.ID,
+		Weight:   s.job.Team.Weight,
+		Paying:   s.job.Team.Paying,
+		Deadline: deadline,
+		Exclude:  s.exclude,
+	}
+	if stage.Streams {
+		ask.Affinity = s.affinity
+	}
+	return ask
+}
+
+// send sends the attempt, over a fresh connection when it may not be repeated.
+func (s *stageRun) send(ctx context.Context, place pool.Place, id string, deadline time.Time) (runnerapi.RunResult, error) {
+	stage := s.stage()
+	ctx, cancel := context.WithDeadlineCause(ctx, deadline, errDeadline)
+	defer cancel()
+	req := s.message(id, deadline)
+	if !stage.Idempotent {
+		return s.Runners.RunOnce(ctx, place.Runner(), req, stage.MaxResultBytes, func() error { return s.last(place) })
+	}
+	ctx, giveWay := context.WithCancelCause(ctx)
+	defer giveWay(nil)
+	stop := s.watchDisplaced(ctx, place, giveWay)
+	defer stop()
+	result, err := s.Runners.Run(ctx, place.Runner(), req, stage.MaxResultBytes, s.sink())
+	if err != nil && ctx.Err() != nil {
+		s.cancelAt(place.Runner(), id)
+		return result, fault.Wrap(causeOf(ctx), err, "attempt given up")
+	}
+	return result, err
+}
+
+// last is the check directly before the write of a call that may not be
+// repeated.
+func (s *stageRun) last(place pool.Place) error {
+	if err := place.Check(); err != nil {
+		return err
+	}
+	if s.guard == nil {
+		return fault.New(fault.Internal, "stage %s without a guard", s.stage().Name).WithOutcome(fault.NotRun)
+	}
+	return s.guard()
+}
+
+func (s *stageRun) message(id string, deadline time.Time) runnerapi.RunRequest {
+	stage := s.stage()
+	req := runnerapi.RunRequest{
+		Attempt:         id,
+		Request:         s.job.Request,
+		Pipeline:        s.job.Pipeline.ID,
+		Stage:           stage.Name,
+		Team:            s.job.Team.ID,
+		Model:           stage.Model,
+		Priority:        runnerapi.PriorityFree,
+		RemainingMillis: runner.TimeLeft(s.Clock.Now(), deadline),
+		Stream:          stage.Streams && s.job.Stream != nil,
+		From:            s.Instance,
+		Input:           s.input,
+	}
+	if s.job.Team.Paying {
+		req.Priority = runnerapi.PriorityPaying
+	}
+	if !stage.Idempotent {
+		req.IdempotencyKey = s.job.Key
+	}
+	return req
+}
+
+// sink passes tokens on and notes that the caller has seen some.
+func (s *stageRun) sink() runner.Sink {
+	if s.job.Stream == nil || !s.stage().Streams {
+		return nil
+	}
+	return sinkFunc(func(t runnerapi.Token) error {
+		s.delivered = true
+		return s.job.Stream.Token(t)
+	})
+}
+
+type sinkFunc func(runnerapi.Token) error
+
+func (f sinkFunc) Token(t runnerapi.Token) error { return f(t) }
--- /dev/null
+++ b/router/runner/once.go
@@ -0,0 +1,105 @@
+package runner
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/runnerapi"
+)
+
+// RunOnce sends an attempt that may not be repeated. The request is encoded and
+// the connection opened before guard is called, so that nothing but the write
+// itself stands behind the last check.
+func (c *client) RunOnce(ctx context.Context, to bundle.Runner, req runnerapi.RunRequest, limit int64, guard func() error) (runnerapi.RunResult, error) {
+	var none runnerapi.RunResult
+	httpReq, data, err := encodeOnce(ctx, to, req)
+	if err != nil {
+		return none, err
+	}
+	conn, err := c.dialer.DialContext(ctx, "tcp", to.Address)
+	if err != nil {
+		return none, fault.Wrap(fault.RunnerFailed, err, "connect to runner %s", to.ID).WithOutcome(fault.NotRun)
+	}
+	stop := context.AfterFunc(ctx, func() { closeConn(conn) })
+	defer stop()
+	defer closeConn(conn)
+	if err := c.bound(ctx, conn); err != nil {
+		return none, err
+	}
+	if err := guard(); err != nil {
+		return none, err
+	}
+	if n, err := conn.Write(data); err != nil {
+		return none, unsent(err, to, n)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), httpReq)
+	if err != nil {
+		return none, fault.Wrap(fault.OutcomeUnknown, err, "no answer from runner %s", to.ID)
+	}
+	defer closeBody(resp)
+	result, err := c.read(ctx, resp, to, req, limit, nil)
+	return result, once(err)
+}
+
+func encodeOnce(ctx context.Context, to bundle.Runner, req runnerapi.RunRequest) (*http.Request, []byte, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, nil, fault.Wrap(fault.Internal, err, "encode attempt").WithOutcome(fault.NotRun)
+	}
+	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.Address+runnerapi.PathRun, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, fault.Wrap(fault.Internal, err, "build attempt").WithOutcome(fault.NotRun)
+	}
+	httpReq.Header.Set("Content-Type", "application/json")
+	httpReq.Close = true
+	var data bytes.Buffer
+	if err := httpReq.Write(&data); err != nil {
+		return nil, nil, fault.Wrap(fault.Internal, err, "build attempt").WithOutcome(fault.NotRun)
+	}
+	return httpReq, data.Bytes(), nil
+}
+
+// bound sets the connection's deadline to that of ctx.
+func (c *client) bound(ctx context.Context, conn net.Conn) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return fault.New(fault.Internal, "attempt without a deadline").WithOutcome(fault.NotRun)
+	}
+	if !deadline.After(c.clk.Now().Add(time.Millisecond)) {
+		return fault.New(fault.DeadlineShort, "no time left to send")
+	}
+	if err := conn.SetDeadline(deadline); err != nil {
+		return fault.Wrap(fault.Internal, err, "set deadline").WithOutcome(fault.NotRun)
+	}
+	return nil
+}
+
+// unsent describes a failed write of which n bytes left.
+func unsent(err error, to bundle.Runner, n int) error {
+	if n == 0 {
+		return fault.Wrap(fault.RunnerFailed, err, "send to runner %s", to.ID).WithOutcome(fault.NotRun)
+	}
+	return fault.Wrap(fault.OutcomeUnknown, err, "send to runner %s cut after %d bytes", to.ID, n)
+}
+
+// once gives a failure whose outcome is unknown the kind that forbids a repeat.
+func once(err error) error {
+	if err == nil {
+		return nil
+	}
+	e := fault.Of(err)
+	if e.Outcome() != fault.Unknown {
+		return e
+	}
+	return fault.Wrap(fault.OutcomeUnknown, e, "call that may not be repeated")
+}
+
+// closeConn closes a connection whose state no longer matters.
+func closeConn(conn net.Conn) { _ = conn.Close() }
