--- a/router/caller/admit.go
+++ b/router/caller/admit.go
@@ -125,7 +125,11 @@
 func decode(data []byte, into *callerapi.Request) error {
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.DisallowUnknownFields()
-	if err := d.Decode(into); err != nil {
+	err := d.Decode(into)
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		return fault.Wrap(fault.BadRequest, err, "at byte %d", len(data)).WithField("body")
+	}
+	if err != nil {
 		return fault.Wrap(fault.BadRequest, err, "at byte %d", d.InputOffset()).WithField("body")
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
