--- /dev/null
+++ b/ctl/bundle.go
@@ -0,0 +1,299 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"time"
+
+	"cicadawell.dev/ctl/client"
+	"cicadawell.dev/ctl/difference"
+	"cicadawell.dev/ctl/table"
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/operatorapi"
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+	"github.com/tailscale/hujson"
+)
+
+// addBundle adds the commands on bundles.
+func addBundle(a *app) {
+	b := a.Command("bundle", "Write, sign off and roll the configuration.")
+	addWrite(a, b)
+	addSteps(a, b)
+	a.on(b, "bundle status", "Show the versions and the roll.", showBundle)
+	a.on(b, "bundle history", "Show who wrote, signed off and rolled each version.", showHistory)
+	var of uint64
+	show := a.on(b, "bundle show", "Print a version's content.", func(s *session) error { return showContent(s, of) })
+	show.Arg("version", "Version.").Required().Uint64Var(&of)
+	var from, to string
+	diff := a.on(b, "bundle diff", "Compare two versions or files.", func(s *session) error { return showDiff(s, from, to) })
+	diff.Arg("a", "Version or file.").Required().StringVar(&from)
+	diff.Arg("b", "Version or file.").Required().StringVar(&to)
+}
+
+func addWrite(a *app, b *kingpin.CmdClause) {
+	var file, note string
+	write := a.on(b, "bundle write", "Store a draft from a file in JSON with comments.", func(s *session) error {
+		return writeBundle(s, file, note)
+	})
+	write.Arg("file", "File; - is the standard input. Its version is the one it was made from.").Required().StringVar(&file)
+	write.Flag("note", "What the draft is for.").StringVar(&note)
+}
+
+// stepFlags are the arguments of a step on a version.
+type stepFlags struct {
+	version uint64
+	base    uint64
+	based   bool
+	follow  bool
+}
+
+func addSteps(a *app, b *kingpin.CmdClause) {
+	steps := []struct{ name, help, path, done string }{
+		{"sign", "Sign a version off.", operatorapi.PathSign, "signed off"},
+		{"roll", "Roll a version across the fleet.", operatorapi.PathRoll, "rolling"},
+		{"cancel", "End a roll that is not decided.", operatorapi.PathCancel, "cancelled"},
+		{"discard", "Remove a version that was never rolled.", operatorapi.PathDiscard, "discarded"},
+	}
+	for _, step := range steps {
+		f := &stepFlags{}
+		c := a.on(b, "bundle "+step.name, step.help, func(s *session) error {
+			return stepBundle(s, step.path, step.done, *f)
+		})
+		c.Arg("version", "Version.").Required().Uint64Var(&f.version)
+		c.Flag("base", "The version in force that you saw; without it, the one in force now.").
+			IsSetByUser(&f.based).Uint64Var(&f.base)
+		if step.name == "roll" {
+			c.Flag("follow", "Show progress until the version is accepted.").BoolVar(&f.follow)
+		}
+	}
+}
+
+// readBundle reads a bundle from a file in JSON with comments.
+func readBundle(s *session, file string) (bundle.Bundle, []byte, error) {
+	var data []byte
+	var err error
+	if file == "-" {
+		data, err = io.ReadAll(s.env.In)
+	} else {
+		data, err = os.ReadFile(file)
+	}
+	if err != nil {
+		return bundle.Bundle{}, nil, &usageError{cause: eris.Wrap(err, "read bundle")}
+	}
+	plain, err := hujson.Standardize(data)
+	if err != nil {
+		return bundle.Bundle{}, nil, &usageError{cause: eris.Wrapf(err, "%s", file)}
+	}
+	var b bundle.Bundle
+	if err := json.Unmarshal(plain, &b); err != nil {
+		return bundle.Bundle{}, nil, &usageError{cause: eris.Wrapf(err, "%s", file)}
+	}
+	return b, plain, nil
+}
+
+func writeBundle(s *session, file, note string) error {
+	b, plain, err := readBundle(s, file)
+	if err != nil {
+		return err
+	}
+	if err := b.Check(); err != nil {
+		return &usageError{cause: err}
+	}
+	id, err := newID()
+	if err != nil {
+		return err
+	}
+	var v operatorapi.Version
+	w := operatorapi.WriteRequest{Write: id, Note: note, Bundle: plain}
+	if err := s.client.Post(s.ctx, operatorapi.PathDrafts, w, &v); err != nil {
+		return err
+	}
+	return s.print(v, func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "version %d written, made from version %d, digest %s\n", v.Version, v.Base, short(v.Digest))
+		return err
+	})
+}
+
+func stepBundle(s *session, path, done string, f stepFlags) error {
+	st, err := bundleStatus(s)
+	if err != nil {
+		return err
+	}
+	v, ok := st.Find(f.version)
+	if !ok {
+		return fault.New(fault.NotFound, "no version %d", f.version).WithField("version")
+	}
+	seen := st.Seen
+	if f.based {
+		seen.InForce = f.base
+	}
+	r := operatorapi.StepRequest{Digest: v.Digest, Seen: seen}
+	var after operatorapi.Version
+	at := client.Path(path, strconv.FormatUint(f.version, 10))
+	if err := s.client.Post(s.ctx, at, r, &after); err != nil {
+		return err
+	}
+	if f.follow {
+		return followRoll(s, f.version)
+	}
+	return s.print(after, func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "version %d %s\n", after.Version, done)
+		return err
+	})
+}
+
+func followRoll(s *session, version uint64) error {
+	var st operatorapi.BundleStatus
+	err := s.follow(func() (string, bool, error) {
+		var err error
+		if st, err = bundleStatus(s); err != nil {
+			return "", false, err
+		}
+		v, ok := st.Find(version)
+		if !ok || v.Phase == operatorapi.Signed {
+			return "", false, fault.New(fault.Conflict, "the roll of version %d was cancelled", version)
+		}
+		if v.Phase == operatorapi.Accepted || st.InForce > version {
+			return fmt.Sprintf("version %d accepted: in force on every instance", version), true, nil
+		}
+		line := fmt.Sprintf("version %d %s, not yet accepted", version, v.Phase)
+		if text := waitingText(st.Waiting); text != "" {
+			line += "; waiting for " + text
+		}
+		return line, false, nil
+	})
+	if err != nil {
+		return err
+	}
+	return s.print(st, func(w io.Writer) error { return printBundle(w, st) })
+}
+
+func bundleStatus(s *session) (operatorapi.BundleStatus, error) {
+	var st operatorapi.BundleStatus
+	err := s.client.Get(s.ctx, operatorapi.PathBundle, &st)
+	return st, err
+}
+
+func showBundle(s *session) error {
+	st, err := bundleStatus(s)
+	if err != nil {
+		return err
+	}
+	return s.print(st, func(w io.Writer) error { return printBundle(w, st) })
+}
+
+func printBundle(w io.Writer, st operatorapi.BundleStatus) error {
+	_, err := fmt.Fprintf(w, "in force: version %d%s\n", st.InForce, rollingText(st))
+	if err != nil {
+		return eris.Wrap(err, "print")
+	}
+	for _, x := range st.Waiting {
+		_, _ = fmt.Fprintf(w, "waiting for %s: %s\n", x.Instance, x.Reason)
+	}
+	t := table.New("VERSION", "PHASE", "BASE", "WRITER", "SIGNER", "ROLLER", "DIGEST", "NOTE")
+	for _, v := range st.Versions {
+		t.Add(number(v.Version), string(v.Phase), number(v.Base), v.Writer, v.Signer, v.Roller, short(v.Digest), v.Note)
+	}
+	_, err = t.WriteTo(w)
+	return err
+}
+
+func rollingText(st operatorapi.BundleStatus) string {
+	if st.Rolling == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", not yet accepted: version %d", st.Rolling)
+}
+
+func showHistory(s *session) error {
+	st, err := bundleStatus(s)
+	if err != nil {
+		return err
+	}
+	return s.print(st.Versions, func(w io.Writer) error {
+		t := table.New("VERSION", "PHASE", "WRITTEN", "SIGNED", "ROLLED", "DECIDED", "ACCEPTED", "MEMBERS")
+		for _, v := range st.Versions {
+			t.Add(number(v.Version), string(v.Phase), when(v.Writer, v.WrittenAt), when(v.Signer, v.SignedAt),
+				when(v.Roller, v.RolledAt), when("", v.DecidedAt), when("", v.AcceptedAt), strconv.Itoa(len(v.Members)))
+		}
+		_, err := t.WriteTo(w)
+		return err
+	})
+}
+
+// when names who did a step and at what time.
+func when(who string, at time.Time) string {
+	if at.IsZero() {
+		return ""
+	}
+	stamp := at.UTC().Format(time.DateTime)
+	if who == "" {
+		return stamp
+	}
+	return who + " " + stamp
+}
+
+func showContent(s *session, version uint64) error {
+	b, err := content(s, version)
+	if err != nil {
+		return err
+	}
+	e := json.NewEncoder(s.env.Out)
+	e.SetIndent("", "  ")
+	if err := e.Encode(b); err != nil {
+		return eris.Wrap(err, "print bundle")
+	}
+	return nil
+}
+
+func content(s *session, version uint64) (bundle.Bundle, error) {
+	var b bundle.Bundle
+	at := client.Path(operatorapi.PathVersion, strconv.FormatUint(version, 10))
+	err := s.client.Get(s.ctx, at, &b)
+	return b, err
+}
+
+func showDiff(s *session, from, to string) error {
+	a, err := versionOrFile(s, from)
+	if err != nil {
+		return err
+	}
+	b, err := versionOrFile(s, to)
+	if err != nil {
+		return err
+	}
+	all, err := difference.Between(a, b)
+	if err != nil {
+		return err
+	}
+	return s.print(all, func(w io.Writer) error {
+		t := table.New("PART", "ID", "CHANGE", "FIELD", "BEFORE", "AFTER")
+		for _, d := range all {
+			t.Add(d.Part, d.ID, string(d.Change), d.Field, d.Before, d.After)
+		}
+		_, err := t.WriteTo(w)
+		return err
+	})
+}
+
+// versionOrFile fetches a version when name is a number, or reads a file.
+func versionOrFile(s *session, name string) (bundle.Bundle, error) {
+	if v, err := strconv.ParseUint(name, 10, 64); err == nil {
+		return content(s, v)
+	}
+	b, _, err := readBundle(s, name)
+	return b, err
+}
+
+func number(n uint64) string { return strconv.FormatUint(n, 10) }
+
+// short returns the start of a digest.
+func short(digest string) string {
+	const shown = 12
+	return digest[:min(shown, len(digest))]
+}
--- /dev/null
+++ b/ctl/fleet.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"cicadawell.dev/ctl/client"
+	"cicadawell.dev/ctl/table"
+	"cicadawell.dev/fleet/operatorapi"
+	"github.com/rotisserie/eris"
+)
+
+// addFleet adds the commands that show instances and explain requests.
+func addFleet(a *app) {
+	request := new(string)
+	explain := a.on(a, "explain", "Tell which runners a request was sent to and why.", func(s *session) error {
+		return showExplanation(s, *request)
+	})
+	explain.Arg("request", "Identifier from the header X-Request-Id.").Required().StringVar(request)
+	a.on(a, "instances", "Show the instances.", showInstances)
+}
+
+func showExplanation(s *session, request string) error {
+	var e operatorapi.Explanation
+	if err := s.client.Get(s.ctx, client.Path(operatorapi.PathRequest, request), &e); err != nil {
+		return err
+	}
+	return s.print(e, func(w io.Writer) error { return printExplanation(w, e) })
+}
+
+func printExplanation(w io.Writer, e operatorapi.Explanation) error {
+	t := table.New("TIME", "INSTANCE", "STEP", "STAGE", "RUNNER", "TOOK", "REASON")
+	for _, d := range e.Decisions {
+		took := ""
+		if d.Micros > 0 {
+			took = (time.Duration(d.Micros) * time.Microsecond).String()
+		}
+		t.Add(d.At.UTC().Format("15:04:05.000"), d.Instance, d.Step, d.Stage, d.Runner, took, d.Reason)
+	}
+	if _, err := t.WriteTo(w); err != nil {
+		return err
+	}
+	if len(e.Silent) == 0 {
+		return nil
+	}
+	if _, err := fmt.Fprintf(w, "no answer from %s: decisions made there are missing\n", strings.Join(e.Silent, ", ")); err != nil {
+		return eris.Wrap(err, "print")
+	}
+	return nil
+}
+
+func showInstances(s *session) error {
+	var l operatorapi.InstanceList
+	if err := s.client.Get(s.ctx, operatorapi.PathInstances, &l); err != nil {
+		return err
+	}
+	return s.print(l.Rows, func(w io.Writer) error {
+		t := table.New("INSTANCE", "ZONE", "ADDRESS", "STATE", "BUNDLE")
+		for _, r := range l.Rows {
+			t.Add(r.ID, r.Zone, r.Address, r.State, number(r.Bundle))
+		}
+		_, err := t.WriteTo(w)
+		return err
+	})
+}
