Add the router's client of the platform's services

Cause: every package that agrees or keeps something needs the store. Ruled out: a generic retry inside the client; only the caller of a write knows how to resolve a lost answer. Weights in fleet/platformapi is new.

--- a/fleet/platformapi/platformapi.go
+++ b/fleet/platformapi/platformapi.go
@@ -138,3 +138,11 @@
 type InstancesResponse struct {
 	Instances []Instance `json:"instances"`
 }
+
+// Weights describes what the weight store holds for a model. A store whose
+// rate is used up answers with status 429 and the header Retry-After.
+type Weights struct {
+	Model  string `json:"model"`
+	Digest string `json:"digest"`
+	Bytes  int64  `json:"bytes"`
+}
--- /dev/null
+++ b/router/platform/list.go
@@ -0,0 +1,29 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+
+	"cicadawell.dev/fleet/platformapi"
+)
+
+// List is the platform's list of instances, which lags.
+type List interface {
+	// Instances returns the rows as the platform shows them now.
+	Instances(ctx context.Context) ([]platformapi.Instance, error)
+}
+
+// NewList returns the client of the list at address.
+func NewList(address string, opts ...Option) List {
+	return &list{client: newClient(address, opts)}
+}
+
+type list struct{ client *client }
+
+func (l *list) Instances(ctx context.Context) ([]platformapi.Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.client.timeout)
+	defer cancel()
+	var res platformapi.InstancesResponse
+	err := l.client.send(ctx, callInstances, http.MethodGet, platformapi.PathInstances, nil, &res)
+	return res.Instances, err
+}
