Add the stand-ins for the platform and the runners

Cause: the thin path needs a store, lists and back ends as processes. Ruled out: etcd or another ready-made store as the stand-in; its faults (lost answers, silent connections, late effects) cannot be switched on by a test. Change: standin platform (key-value service with revisions, compare-and-swap, leases, watches; lagging list; rate-limited weights) and standin runner (batching engine with a prefix cache, pools, plain services; cold start that collapses; records; orders with fencing).

--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,66 @@
-// Command standin is part of cicadawell.
+// Command standin holds the small stand-ins for the platform and the runners,
+// and the tools that try the system against them.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/standin/platform"
+	"cicadawell.dev/standin/runner"
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// version is that of all programs of the workspace.
+const version = "0.1.0"
+
+func main() {
+	app := kingpin.New("standin", "Stand-ins for the platform and the runners, and tools to try the system.")
+	app.Version(version)
+	actions := map[string]func(context.Context) error{}
+	addPlatform(app, actions)
+	addRunner(app, actions)
+	name := kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := actions[name](context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(1)
+	}
+}
+
+func addPlatform(app *kingpin.Application, actions map[string]func(context.Context) error) {
+	var cfg platform.Config
+	cmd := app.Command("platform", "Serve the key-value service, the list of instances and the weight store.")
+	cmd.Flag("listen", "Address to listen at.").Default("127.0.0.1:0").StringVar(&cfg.Listen)
+	cmd.Flag("list-lag", "Age of the list of instances.").Default("2s").DurationVar(&cfg.ListLag)
+	cmd.Flag("reads", "Reads per second of the key-value service.").Default("2000").Float64Var(&cfg.ReadsPerSecond)
+	cmd.Flag("writes", "Writes per second of the key-value service.").Default("400").Float64Var(&cfg.WritesPerSecond)
+	cmd.Flag("weights", "Loads per second of the weight store.").Default("2").Float64Var(&cfg.WeightsPerSecond)
+	actions[cmd.FullCommand()] = func(ctx context.Context) error {
+		return platform.New(cfg, clock.System()).Run(ctx, os.Stdout)
+	}
+}
+
+func addRunner(app *kingpin.Application, actions map[string]func(context.Context) error) {
+	var cfg runner.Config
+	cmd := app.Command("runner", "Serve one encoder, retriever, reranker, model engine or plain service.")
+	cmd.Flag("id", "Identifier.").Required().StringVar(&cfg.ID)
+	cmd.Flag("zone", "Availability zone.").Required().StringVar(&cfg.Zone)
+	cmd.Flag("service", "Service.").Required().StringVar(&cfg.Service)
+	cmd.Flag("listen", "Address to listen at.").Default("127.0.0.1:0").StringVar(&cfg.Listen)
+	cmd.Flag("model", "Loaded model; may be repeated.").StringsVar(&cfg.Models)
+	cmd.Flag("engine", "Generate tokens.").BoolVar(&cfg.Engine)
+	cmd.Flag("slots", "Work that runs at once.").Default("8").IntVar(&cfg.Slots)
+	cmd.Flag("cold-slots", "Work borne at once in cold start.").Default("2").IntVar(&cfg.ColdSlots)
+	cmd.Flag("warmup", "Length of a cold start.").Default("2s").DurationVar(&cfg.Warmup)
+	cmd.Flag("start-cold", "Begin in cold start.").BoolVar(&cfg.StartCold)
+	cmd.Flag("latency", "Time of one run, or of one token of an engine.").Default("10ms").DurationVar(&cfg.Latency)
+	cmd.Flag("reports-load", "Report the load.").BoolVar(&cfg.ReportsLoad)
+	cmd.Flag("load-lag", "Age that load reports reach.").Default("500ms").DurationVar(&cfg.LoadLag)
+	cmd.Flag("cached-prefixes", "Prefixes that the engine's cache holds.").Default("32").IntVar(&cfg.CachedPrefixes)
+	cmd.Flag("checks-fencing", "Refuse orders with an old fencing number.").BoolVar(&cfg.ChecksFencing)
+	actions[cmd.FullCommand()] = func(ctx context.Context) error {
+		return runner.New(cfg, clock.System()).Run(ctx, os.Stdout)
+	}
+}
--- /dev/null
+++ b/standin/runner/work.go
@@ -0,0 +1,96 @@
+package runner
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"cicadawell.dev/fleet/callerapi"
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+)
+
+// defaultTokens is how many tokens an engine generates where the input does
+// not say.
+const defaultTokens = 16
+
+// Work is what a caller asks for and what each stage makes of it. A stage's
+// output is a function of its input alone, so that anyone can check it.
+type Work struct {
+	// Stage and InputHash are empty in a caller's input.
+	Stage     string `json:"stage,omitempty"`
+	InputHash string `json:"inputHash,omitempty"`
+	// Text is carried through, but for engines: theirs is the sum of the
+	// tokens.
+	Text string `json:"text"`
+	// Prefix names the part of the prompt that other requests share.
+	Prefix string `json:"prefix,omitempty"`
+	// Tokens is how many tokens an engine generates; zero takes a default.
+	Tokens int `json:"tokens,omitempty"`
+}
+
+// Output returns what a stage makes of input, and the tokens that add up to
+// its text when an engine runs it.
+func Output(stage string, engine bool, input json.RawMessage) (output json.RawMessage, tokens []string, err error) {
+	var w Work
+	if err := json.Unmarshal(input, &w); err != nil {
+		return nil, nil, eris.Wrapf(err, "input of stage %s", stage)
+	}
+	hash, err := hashOf(input)
+	if err != nil {
+		return nil, nil, err
+	}
+	w.Stage, w.InputHash = stage, hash
+	if engine {
+		tokens = tokensOf(w)
+		w.Text = strings.Join(tokens, "")
+	}
+	output, err = json.Marshal(w)
+	return output, tokens, eris.Wrapf(err, "output of stage %s", stage)
+}
+
+// hashOf returns the hex hash of the compact form of input.
+func hashOf(input json.RawMessage) (string, error) {
+	var buf bytes.Buffer
+	if err := json.Compact(&buf, input); err != nil {
+		return "", eris.Wrap(err, "compact the input")
+	}
+	return strconv.FormatUint(xxhash.Sum64(buf.Bytes()), 16), nil
+}
+
+func tokensOf(w Work) []string {
+	n := w.Tokens
+	if n <= 0 {
+		n = defaultTokens
+	}
+	tokens := make([]string, n)
+	for i := range tokens {
+		sum := xxhash.Sum64String(w.InputHash + "/" + strconv.Itoa(i))
+		tokens[i] = fmt.Sprintf("%04x ", sum&0xffff)
+	}
+	return tokens
+}
+
+// CheckAnswer compares an answer with what its own request must give, where
+// each stage's input is the output of the stage before. last tells whether an
+// engine runs the last stage.
+func CheckAnswer(input json.RawMessage, answer callerapi.Answer, engine bool) error {
+	want := input
+	for i, s := range answer.Stages {
+		var err error
+		want, _, err = Output(s.Name, engine && i == len(answer.Stages)-1, want)
+		if err != nil {
+			return err
+		}
+	}
+	var got bytes.Buffer
+	if err := json.Compact(&got, answer.Output); err != nil {
+		return eris.Wrap(err, "the answer's output")
+	}
+	if got.String() != string(want) {
+		return eris.Errorf("found output %.200s, want %.200s", got.String(), want)
+	}
+	return nil
+}
