--- /dev/null
+++ b/fleet/config/config_test.go
@@ -0,0 +1,109 @@
+package config_test
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/config"
+	"cicadawell.dev/fleet/fault"
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+type part struct {
+	Name  string `json:"name"`
+	Count uint8  `json:"count"`
+}
+
+type whole struct {
+	Title string            `json:"title"`
+	Share float64           `json:"share"`
+	On    bool              `json:"on"`
+	Parts []part            `json:"parts"`
+	ByID  map[string]part   `json:"byId"`
+	Free  json.RawMessage   `json:"free"`
+	Maybe *part             `json:"maybe"`
+	Bytes []byte            `json:"bytes"`
+	Inner struct{ N int64 } `json:"inner"`
+}
+
+// Check refuses an empty title, so that a test sees both sorts of problems.
+func (w *whole) Check(r *config.Report) {
+	if w.Title == "" {
+		r.Add("title", `""`, "a title")
+	}
+	if w.Share > 1 {
+		r.Add("share", "more than 1", "0 to 1")
+	}
+}
+
+func TestErrorsNameEveryBadField(t *testing.T) {
+	inputs, err := filepath.Glob("testdata/*.json")
+	is := is.New(t)
+	is.NoErr(err)
+	is.True(len(inputs) > 0)
+	for _, in := range inputs {
+		t.Run(filepath.Base(in), func(t *testing.T) {
+			is := is.New(t)
+			_, err := config.Read(in, whole{})
+			is.True(fault.Is(err, fault.BadRequest))
+			compare(t, strings.TrimSuffix(in, ".json")+".golden", err.Error()+"\n")
+		})
+	}
+}
+
+func TestCommentsAndDefaults(t *testing.T) {
+	is := is.New(t)
+	text := `{ // a comment
+		"title": "x", "inner": {"N": 3,}, /* more */ "bytes": "AQI=",
+		"free": {"any": [1, "thing"]}, "maybe": null, "byId": {"a": {"count": 255}},
+	}`
+	got, err := config.Decode("text", []byte(text), whole{On: true, Share: 0.5})
+	is.NoErr(err)
+	is.Equal(got.Title, "x")
+	is.Equal(got.On, true) // kept from the defaults
+	is.Equal(got.Share, 0.5)
+	is.Equal(got.Inner.N, int64(3))
+	is.Equal(got.Bytes, []byte{1, 2})
+	is.Equal(got.ByID["a"].Count, uint8(255))
+	is.True(got.Maybe == nil)
+}
+
+func TestReadsEveryFieldOfABundle(t *testing.T) {
+	is := is.New(t)
+	b := bundle.Bundle{
+		Version:   3,
+		Runners:   []bundle.Runner{{ID: "a", ReportsLoad: true, ChecksFencing: true, WarmupMillis: 1, Models: []string{"m"}}},
+		Pipelines: []bundle.Pipeline{{ID: "p", Stages: []bundle.Stage{{Name: "s", Streams: true}}}},
+	}
+	data, err := json.Marshal(b)
+	is.NoErr(err)
+	got, err := config.Decode("bundle", []byte(strings.ReplaceAll(string(data), "null", "[]")), bundle.Bundle{})
+	is.NoErr(err)
+	is.Equal(got.Runners, b.Runners)
+	is.Equal(got.Pipelines, b.Pipelines)
+}
+
+func TestMissingFileIsNamed(t *testing.T) {
+	is := is.New(t)
+	_, err := config.Read("testdata/none", whole{})
+	is.True(fault.Is(err, fault.NotFound))
+	is.Equal(fault.Of(err).Field(), "testdata/none")
+}
+
+func compare(t *testing.T, path, got string) {
+	t.Helper()
+	is := is.New(t)
+	if *update {
+		is.NoErr(os.WriteFile(path, []byte(got), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.Equal(got, string(want))
+}
