Count attainment, cost and refusals in metrics

Cause: deadline attainment by tier, pipeline and zone, cost by stage, refusals by kind and the state of the pools have to be seen from outside.

Ruled out: a series for each team or runner (41,000 teams by 17 pipelines are 700,000 series on each of 450 instances; the package comment works it out); the library's histogram, which takes a lock at each update.

Change: router/gauge keeps counters of VictoriaMetrics/metrics in tables that are read without a lock and replaced when a label is new; 4,096 rows a table, further labels share one row so that no count is lost. Histograms are atomic counters with fixed bounds. Runner rows are summed by service and zone at the scrape.

Figures: no allocation for a full set of counts once the labels are known (TestCountingAllocationsBound).

Conclusion: testdata/series.golden lists every series.

--- /dev/null
+++ b/router/gauge/gauge_test.go
@@ -0,0 +1,108 @@
+package gauge_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/gauge"
+	"cicadawell.dev/router/pool"
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+func TestSeries(t *testing.T) {
+	is := is.New(t)
+	m := gauge.New()
+	fill(m)
+	m.Watch("cicadawell_bundle_version", func() float64 { return 7 })
+	m.WatchPools(func() []pool.Status {
+		return []pool.Status{
+			{Runner: "b1", Service: "booking", Zone: "b", InFlight: 2, Limit: 4, Queued: 3},
+			{Runner: "g1", Service: "generate", Zone: "a", InFlight: 1, Limit: 8, Permits: 1, Cold: true},
+			{Runner: "g2", Service: "generate", Zone: "a", InFlight: 5, Limit: 8, Permits: 9, Out: true},
+		}
+	})
+	var out bytes.Buffer
+	m.WritePrometheus(&out)
+	golden(t, "testdata/series.golden", own(out.String()))
+	rec := httptest.NewRecorder()
+	m.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	is.Equal(own(rec.Body.String()), own(out.String()))
+}
+
+// fill calls each counting method.
+func fill(m gauge.Metrics) {
+	for range 2 {
+		m.Finished(gauge.Request{
+			Tier: "paying", Pipeline: "summary", Zone: "a", Attainment: gauge.Met,
+			Took: 3 * time.Millisecond, FirstToken: time.Millisecond, Spent: 2 * time.Millisecond,
+		})
+	}
+	m.Finished(gauge.Request{Tier: "free", Pipeline: "summary", Zone: "a", Attainment: gauge.Missed, Took: time.Hour})
+	m.Refused(fault.Overloaded, fault.NotRun)
+	m.Attempted(gauge.Attempt{
+		Pipeline: "summary", Stage: "generate", Zone: "b", Ending: pool.TimedOut,
+		Busy: 21 * time.Millisecond, Tokens: 5, CachedTokens: 2,
+	})
+	m.Dropped("generate")
+	m.Replayed("booking")
+	m.StoreCalled(gauge.StoreCall{Call: "put", Failed: true, Took: time.Second})
+}
+
+// own returns the sorted lines of this program's metrics that are not empty
+// buckets.
+func own(text string) string {
+	lines := slices.DeleteFunc(strings.Split(text, "\n"), func(l string) bool {
+		return !strings.HasPrefix(l, "cicadawell_") || strings.HasSuffix(l, "} 0") && strings.Contains(l, "_bucket")
+	})
+	slices.Sort(lines)
+	return strings.Join(lines, "\n") + "\n"
+}
+
+func TestLabelsAreBounded(t *testing.T) {
+	is := is.New(t)
+	m := gauge.New()
+	var group sync.WaitGroup
+	for g := range 4 {
+		group.Go(func() {
+			for i := range 2000 {
+				m.Dropped(fmt.Sprintf("service%d-%d", g, i))
+			}
+		})
+	}
+	group.Wait()
+	var out bytes.Buffer
+	m.WritePrometheus(&out)
+	lines := strings.Count(out.String(), "cicadawell_dropped_answers_total{")
+	is.True(lines <= 4097)
+	is.True(strings.Contains(out.String(), fmt.Sprintf("cicadawell_dropped_answers_total{service=\"\"} %d", 8000-4096))) // nothing is lost
+}
+
+func TestCountingAllocationsBound(t *testing.T) {
+	is := is.New(t)
+	m := gauge.New()
+	fill(m)
+	is.Equal(testing.AllocsPerRun(1000, func() { fill(m) }), 0.0)
+}
+
+func golden(t *testing.T, path, got string) {
+	t.Helper()
+	is := is.New(t)
+	if *update {
+		is.NoErr(os.WriteFile(path, []byte(got), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.Equal(got, string(want))
+}
--- /dev/null
+++ b/router/gauge/histogram.go
@@ -0,0 +1,67 @@
+package gauge
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// bounds are the upper bounds of the buckets of all histograms.
+var bounds = [...]time.Duration{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond,
+	10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
+	100 * time.Millisecond, 200 * time.Millisecond, 460 * time.Millisecond,
+	time.Second, 2 * time.Second, 4 * time.Second, 10 * time.Second,
+	30 * time.Second, 2 * time.Minute, 10 * time.Minute,
+}
+
+// histogram counts durations in fixed buckets. The library's own histogram
+// takes a lock at each update; this one is on the path of every request.
+type histogram struct {
+	name   string
+	labels string
+	// counts has a place for each bound and one for what lies above all.
+	counts [len(bounds) + 1]atomic.Uint64
+	micros atomic.Uint64
+}
+
+// newHistogram registers a histogram whose name and labels are given apart.
+func newHistogram(set *metrics.Set, name, labels string) *histogram {
+	h := &histogram{name: name, labels: labels}
+	set.RegisterMetricsWriter(h.write)
+	return h
+}
+
+func (h *histogram) observe(d time.Duration) {
+	i := 0
+	for i < len(bounds) && d > bounds[i] {
+		i++
+	}
+	h.counts[i].Add(1)
+	h.micros.Add(uint64(max(0, d.Microseconds())))
+}
+
+func (h *histogram) write(w io.Writer) {
+	var total uint64
+	for i := range h.counts {
+		total += h.counts[i].Load()
+		metrics.WriteCounterUint64(w, h.series("_bucket", fmt.Sprintf("le=%q", boundText(i))), total)
+	}
+	metrics.WriteCounterFloat64(w, h.series("_sum", ""), float64(h.micros.Load())/1e6)
+	metrics.WriteCounterUint64(w, h.series("_count", ""), total)
+}
+
+func boundText(i int) string {
+	if i == len(bounds) {
+		return "+Inf"
+	}
+	return fmt.Sprint(bounds[i].Seconds())
+}
+
+func (h *histogram) series(suffix, label string) string {
+	return h.name + suffix + "{" + strings.Trim(h.labels+","+label, ",") + "}"
+}
