Add the policy and the balancer's lag to the settings

Cause: comparisons need a baseline policy, and a graceful stop must outlast the balancer's lag. Ruled out: a flag (settings are checked as a whole).

--- a/router/caller/caller_test.go
+++ b/router/caller/caller_test.go
@@ -70,12 +70,14 @@
 
 func (f *fakes) Answered(string, string, time.Duration, bool) {}
 
-func (f *fakes) Refused(_, _ string, k fault.Kind) {
+func (f *fakes) Refused(_, _ string, e *fault.Error, _ time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.refusals[k]++
+	f.refusals[e.Kind()]++
 }
 
+func (f *fakes) Replayed(string) {}
+
 func (f *fakes) NewRequest() string { return "i1-1" }
 
 func testCatalog() *catalog.Current {
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -81,10 +81,14 @@
 	s.Meter.Answered(x.team.Tier, x.pipeline.ID, now.Sub(x.arrived), !now.After(x.deadline))
 }
 
+func (s *server) countRefusal(x *exchange, e *fault.Error) {
+	s.Meter.Refused(x.team.Tier, x.pipeline.ID, e, s.Clock.Now().Sub(x.arrived))
+}
+
 // refuse writes an error with its row of the table from kind to answer.
 func (s *server) refuse(c *gin.Context, x *exchange, err error) {
 	e := fault.Of(err)
-	s.Meter.Refused(x.team.Tier, x.pipeline.ID, e.Kind())
+	s.countRefusal(x, e)
 	s.boundWrite(c)
 	if wait := e.RetryAfter(); wait > 0 {
 		seconds := int64((wait + time.Second - 1) / time.Second)
--- a/router/caller/once.go
+++ b/router/caller/once.go
@@ -31,6 +31,7 @@
 		return
 	}
 	if replayed {
+		s.Meter.Replayed(x.pipeline.ID)
 		c.Header(callerapi.HeaderReplayed, "true")
 	}
 	s.answer(c, x, answer)
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -44,8 +44,11 @@
 type Meter interface {
 	// Answered counts a whole answer and whether it met its deadline.
 	Answered(tier, pipeline string, took time.Duration, met bool)
-	// Refused counts a refusal.
-	Refused(tier, pipeline string, kind fault.Kind)
+	// Refused counts a refusal; tier and pipeline are empty where they were
+	// not found out.
+	Refused(tier, pipeline string, e *fault.Error, took time.Duration)
+	// Replayed counts an answer that an earlier call had produced.
+	Replayed(pipeline string)
 }
 
 // Identifiers mints identifiers of requests.
@@ -71,6 +74,9 @@
 	Handler() http.Handler
 	// Serve answers connections until Shutdown.
 	Serve(l net.Listener) error
+	// Leave asks callers, with each answer, to open no further request on
+	// their connection.
+	Leave()
 	// Shutdown takes no new connections and waits for every request under
 	// way; it returns an error when ctx ends first.
 	Shutdown(ctx context.Context) error
@@ -84,6 +90,7 @@
 	s := &server{Parts: p}
 	engine := gin.New()
 	engine.HandleMethodNotAllowed = true
+	engine.Use(s.closing)
 	engine.POST(callerapi.PathPipelines+":pipeline", s.serve)
 	engine.GET("/v1/health", s.health)
 	engine.NoRoute(s.noRoute)
@@ -101,6 +108,7 @@
 	Parts
 	http     *http.Server
 	underWay atomic.Int64
+	leaving  atomic.Bool
 	// bodies is the sum of the limits of the bodies being read or served;
 	// it never exceeds maxBodies.
 	bodies atomic.Int64
@@ -118,6 +126,16 @@
 	return err
 }
 
+// Leave asks callers to close their connections.
+func (s *server) Leave() { s.leaving.Store(true) }
+
+// closing asks the caller to close its connection when this instance leaves.
+func (s *server) closing(c *gin.Context) {
+	if s.leaving.Load() {
+		c.Header("Connection", "close")
+	}
+}
+
 // Shutdown waits for every request under way.
 func (s *server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
 
@@ -134,5 +152,5 @@
 
 func (s *server) noRoute(c *gin.Context) {
 	e := fault.New(fault.NotFound, "found %s %q, allowed is POST %s{pipeline}", c.Request.Method, c.Request.URL.Path, callerapi.PathPipelines)
-	s.refuse(c, &exchange{}, e)
+	s.refuse(c, &exchange{arrived: s.Clock.Now()}, e)
 }
--- a/router/caller/stream.go
+++ b/router/caller/stream.go
@@ -24,7 +24,7 @@
 	}
 	if err != nil {
 		e := fault.Of(err)
-		s.Meter.Refused(x.team.Tier, x.pipeline.ID, e.Kind())
+		s.countRefusal(x, e)
 		w.last(callerapi.EventError, callerapi.Refusal{Request: x.id, Error: e.Message()})
 		return
 	}
--- /dev/null
+++ b/router/meter.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"time"
+
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/gauge"
+	"cicadawell.dev/router/pool"
+)
+
+// callerMeter counts what callers got.
+type callerMeter struct {
+	metrics gauge.Metrics
+	zone    string
+}
+
+// Answered counts a whole answer.
+func (m callerMeter) Answered(tier, pipeline string, took time.Duration, met bool) {
+	attainment := gauge.Met
+	if !met {
+		attainment = gauge.Missed
+	}
+	m.finished(tier, pipeline, took, attainment)
+}
+
+// Refused counts a refusal. Bad input says nothing about the service, so that
+// only refusals of known pipelines count towards attainment.
+func (m callerMeter) Refused(tier, pipeline string, e *fault.Error, took time.Duration) {
+	m.metrics.Refused(e.Kind(), e.Outcome())
+	if pipeline == "" {
+		return
+	}
+	attainment := gauge.Unserved
+	if e.Kind() == fault.DeadlineMissed {
+		attainment = gauge.Missed
+	}
+	m.finished(tier, pipeline, took, attainment)
+}
+
+// Replayed counts an answer that an earlier call had produced.
+func (m callerMeter) Replayed(pipeline string) { m.metrics.Replayed(pipeline) }
+
+func (m callerMeter) finished(tier, pipeline string, took time.Duration, a gauge.Attainment) {
+	m.metrics.Finished(gauge.Request{
+		Tier:       tier,
+		Pipeline:   pipeline,
+		Zone:       m.zone,
+		Attainment: a,
+		Took:       took,
+	})
+}
+
+// stageMeter counts what stages cost.
+type stageMeter struct{ metrics gauge.Metrics }
+
+// Attempt counts one attempt.
+func (m stageMeter) Attempt(pipeline, stage, zone string, ending pool.Ending, held time.Duration, tokens, cached int) {
+	m.metrics.Attempted(gauge.Attempt{
+		Pipeline:     pipeline,
+		Stage:        stage,
+		Zone:         zone,
+		Ending:       ending,
+		Busy:         held,
+		Tokens:       tokens,
+		CachedTokens: cached,
+	})
+}
+
+// Foreign counts an answer to another attempt.
+func (m stageMeter) Foreign(service string) { m.metrics.Dropped(service) }
--- a/router/pipeline/executor.go
+++ b/router/pipeline/executor.go
@@ -58,11 +58,11 @@
 
 // Meter counts what the stages cost.
 type Meter interface {
-	// Attempt counts the time that an attempt held its runner and the
-	// tokens that it brought.
-	Attempt(pipeline, stage string, paying bool, ending pool.Ending, held time.Duration, tokens int)
+	// Attempt counts the time that an attempt held its runner, which
+	// stands in zone, and the tokens that it brought.
+	Attempt(pipeline, stage, zone string, ending pool.Ending, held time.Duration, tokens, cached int)
 	// Foreign counts an answer that belonged to another attempt.
-	Foreign()
+	Foreign(service string)
 }
 
 // Identifiers mints identifiers of attempts.
--- a/router/pipeline/stage.go
+++ b/router/pipeline/stage.go
@@ -113,7 +113,7 @@
 	}
 	ending := endingOf(ctx, err)
 	place.Done(pool.Result{Ending: ending, Latency: took, Load: loadOf(result, err)})
-	s.Meter.Attempt(s.job.Pipeline.ID, s.stage().Name, s.job.Team.Paying, ending, took, result.Tokens)
+	s.Meter.Attempt(s.job.Pipeline.ID, s.stage().Name, to.Zone, ending, took, result.Tokens, result.CachedTokens)
 	s.noteAnswer(id, to.ID, took, err)
 	return result, to.ID, err
 }
@@ -125,7 +125,7 @@
 		s.Retries.Success(s.stage().Service)
 		s.record(journal.Answered, attempt, runnerID, "whole", took)
 	case errors.As(err, &foreign):
-		s.Meter.Foreign()
+		s.Meter.Foreign(s.stage().Service)
 		s.record(journal.Dropped, attempt, runnerID, err.Error(), took)
 		s.exclude = append(s.exclude, runnerID)
 	default:
--- a/router/settings/check.go
+++ b/router/settings/check.go
@@ -48,6 +48,12 @@
 	if s.StopGraceMillis < 1 || s.StopGraceMillis > maxStopGraceMillis {
 		r.Add("stopGraceMillis", fmt.Sprint(s.StopGraceMillis), fmt.Sprintf("1 to %d", maxStopGraceMillis))
 	}
+	if s.BalancerLagMillis < 0 || s.BalancerLagMillis > s.StopGraceMillis {
+		r.Add("balancerLagMillis", fmt.Sprint(s.BalancerLagMillis), "0 to stopGraceMillis")
+	}
+	if !slices.Contains(policies, s.Policy) {
+		r.Add("policy", quote(string(s.Policy)), fmt.Sprintf("one of %q", policies))
+	}
 	if !slices.Contains(logLevels, s.LogLevel) {
 		r.Add("logLevel", quote(s.LogLevel), "one of "+strings.Join(logLevels, ", "))
 	}
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -25,10 +25,29 @@
 	// StopGraceMillis bounds a graceful shutdown. It is longer than the
 	// longest deadline and the lag of the platform's list together.
 	StopGraceMillis int64 `json:"stopGraceMillis"`
+	// BalancerLagMillis is how long the platform's balancer may go on
+	// sending callers to an instance that has said that it leaves.
+	BalancerLagMillis int64 `json:"balancerLagMillis"`
+	// Policy is empty, or one of the policies that comparisons use.
+	Policy Policy `json:"policy"`
 	// LogLevel is trace, debug, info, warn or error.
 	LogLevel string `json:"logLevel"`
 }
 
+// Policy names a way to choose runners and to admit work.
+type Policy string
+
+// The policies. Those after the first serve comparisons.
+const (
+	PolicyDefault       Policy = ""
+	PolicyRoundRobin    Policy = "roundRobin"
+	PolicyLeastReported Policy = "leastReported"
+	PolicyNoAdmission   Policy = "noAdmission"
+	PolicyNoBudgets     Policy = "noBudgets"
+)
+
+var policies = []Policy{PolicyDefault, PolicyRoundRobin, PolicyLeastReported, PolicyNoAdmission, PolicyNoBudgets}
+
 // Listen has the addresses to listen at, each an IP address with a port. Port 0
 // leaves the choice of the port to the system.
 type Listen struct {
@@ -61,8 +80,9 @@
 // Defaults returns the values of the fields that a file may leave out.
 func Defaults() Settings {
 	return Settings{
-		StopGraceMillis: 660_000,
-		LogLevel:        "info",
+		StopGraceMillis:   660_000,
+		BalancerLagMillis: 3_000,
+		LogLevel:          "info",
 	}
 }
 
@@ -74,3 +94,8 @@
 func (s Settings) StopGrace() time.Duration {
 	return time.Duration(s.StopGraceMillis) * time.Millisecond
 }
+
+// BalancerLag returns how long the balancer may lag.
+func (s Settings) BalancerLag() time.Duration {
+	return time.Duration(s.BalancerLagMillis) * time.Millisecond
+}
