Test the executor: retries, outcomes, guards, streams, displacement

Cause: the stage loop decides what may be repeated; nothing held it to that. Ruled out: real runners here (the runner client's tests have them). Change: nine cases over a scripted runner, two of them under synctest. Conclusion: a stream that began is not spliced, a call that may not be repeated is tried again only after a proven not-run.

--- /dev/null
+++ b/router/pipeline/pipeline_test.go
@@ -0,0 +1,306 @@
+package pipeline_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/router/catalog"
+	"cicadawell.dev/router/journal"
+	"cicadawell.dev/router/ledger"
+	"cicadawell.dev/router/pipeline"
+	"cicadawell.dev/router/pool"
+	"cicadawell.dev/router/runner"
+)
+
+// scene stands in for all that an executor is built from. Its methods are
+// called from one request at a time.
+type scene struct {
+	clock.Clock
+	mu sync.Mutex
+	// answers are what the runner does with each attempt, in order; after
+	// the last each attempt succeeds.
+	answers []answer
+	// sent are the attempts that reached the runner.
+	sent      []runnerapi.RunRequest
+	cancelled []string
+	endings   []pool.Ending
+	steps     []journal.Step
+	foreign   int
+	budget    int
+	displaced chan struct{}
+	// taken makes the last check of a place fail.
+	taken bool
+}
+
+type answer func(ctx context.Context, req runnerapi.RunRequest, sink runner.Sink) (runnerapi.RunResult, error)
+
+func newScene(answers ...answer) *scene {
+	return &scene{Clock: clock.System(), answers: answers, budget: 10, displaced: make(chan struct{})}
+}
+
+func (s *scene) executor() pipeline.Executor {
+	return pipeline.NewExecutor(pipeline.Parts{
+		Instance: "i1", Clock: s, Catalog: testCatalog(), Pools: s, Budgets: s, Retries: s,
+		Runners: s, Journal: s, Meter: s, Identifiers: s,
+	})
+}
+
+func (s *scene) Update(pool.Topology)               {}
+func (s *scene) Report(string, runnerapi.Load)      {}
+func (s *scene) Status() []pool.Status              { return nil }
+func (s *scene) Observe(string, int, time.Duration) {}
+func (s *scene) Success(string)                     {}
+func (s *scene) Close()                             {}
+func (s *scene) Explain(string) []journal.Decision  { return nil }
+func (s *scene) Foreign(string)                     { s.foreign++ }
+
+func (s *scene) Acquire(_ context.Context, ask pool.Ask) (pool.Place, error) {
+	return &place{scene: s, runner: bundle.Runner{ID: fmt.Sprintf("r%d", len(ask.Exclude)+1)}}, nil
+}
+
+func (s *scene) Plan(_ bundle.Pipeline, _ int, now, deadline time.Time) (time.Time, error) {
+	if !deadline.After(now) {
+		return now, fault.New(fault.DeadlineShort, "no time left")
+	}
+	return deadline, nil
+}
+
+func (s *scene) Allow(string) bool {
+	s.budget--
+	return s.budget >= 0
+}
+
+func (s *scene) Record(d journal.Decision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.steps = append(s.steps, d.Step)
+}
+
+func (s *scene) Attempt(_, _, _ string, ending pool.Ending, _ time.Duration, _, _ int) {
+	s.endings = append(s.endings, ending)
+}
+
+func (s *scene) NewAttempt() string { return fmt.Sprintf("a%d", len(s.sent)+1) }
+
+func (s *scene) Run(ctx context.Context, _ bundle.Runner, req runnerapi.RunRequest, _ int64, sink runner.Sink) (runnerapi.RunResult, error) {
+	s.sent = append(s.sent, req)
+	if n := len(s.sent) - 1; n < len(s.answers) {
+		return s.answers[n](ctx, req, sink)
+	}
+	return succeed(ctx, req, sink)
+}
+
+func (s *scene) RunOnce(ctx context.Context, to bundle.Runner, req runnerapi.RunRequest, limit int64, guard func() error) (runnerapi.RunResult, error) {
+	if err := guard(); err != nil {
+		return runnerapi.RunResult{}, err
+	}
+	return s.Run(ctx, to, req, limit, nil)
+}
+
+func (s *scene) Cancel(_ context.Context, _ bundle.Runner, attempt string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancelled = append(s.cancelled, attempt)
+	return nil
+}
+
+func (s *scene) Load(context.Context, bundle.Runner) (runnerapi.Load, error) {
+	return runnerapi.Load{}, nil
+}
+
+type place struct {
+	scene  *scene
+	runner bundle.Runner
+}
+
+func (p *place) Runner() bundle.Runner      { return p.runner }
+func (p *place) Reason() string             { return "test" }
+func (p *place) Displaced() <-chan struct{} { return p.scene.displaced }
+func (p *place) Done(pool.Result)           {}
+
+func (p *place) Check() error {
+	if p.scene.taken {
+		return fault.New(fault.NoRunner, "runner %s was taken out", p.runner.ID)
+	}
+	return nil
+}
+
+func succeed(_ context.Context, req runnerapi.RunRequest, sink runner.Sink) (runnerapi.RunResult, error) {
+	if sink != nil {
+		if err := sink.Token(runnerapi.Token{Attempt: req.Attempt}); err != nil {
+			return runnerapi.RunResult{}, err
+		}
+	}
+	return runnerapi.RunResult{Attempt: req.Attempt, Output: json.RawMessage(`"` + req.Stage + `"`)}, nil
+}
+
+func failWith(o fault.Outcome) answer {
+	return func(context.Context, runnerapi.RunRequest, runner.Sink) (runnerapi.RunResult, error) {
+		return runnerapi.RunResult{}, fault.New(fault.RunnerFailed, "no answer").WithOutcome(o)
+	}
+}
+
+func answerForeign(context.Context, runnerapi.RunRequest, runner.Sink) (runnerapi.RunResult, error) {
+	return runnerapi.RunResult{}, &runner.ForeignError{Runner: "r1", Want: "a", Got: "b"}
+}
+
+func cutAfterToken(ctx context.Context, req runnerapi.RunRequest, sink runner.Sink) (runnerapi.RunResult, error) {
+	if _, err := succeed(ctx, req, sink); err != nil {
+		return runnerapi.RunResult{}, err
+	}
+	return runnerapi.RunResult{}, fault.New(fault.RunnerFailed, "cut")
+}
+
+func hang(ctx context.Context, _ runnerapi.RunRequest, _ runner.Sink) (runnerapi.RunResult, error) {
+	<-ctx.Done()
+	return runnerapi.RunResult{}, fault.Wrap(fault.RunnerFailed, ctx.Err(), "no answer")
+}
+
+func stages(idempotent ...bool) bundle.Pipeline {
+	p := bundle.Pipeline{ID: "p"}
+	for i, yes := range idempotent {
+		p.Stages = append(p.Stages, bundle.Stage{Name: fmt.Sprintf("s%d", i), Service: "s", Idempotent: yes, MaxResultBytes: 100, Streams: i == len(idempotent)-1})
+	}
+	return p
+}
+
+func testCatalog() *catalog.Current {
+	book := stages(true, false)
+	book.ID = "book"
+	c := &catalog.Current{}
+	c.Advance(catalog.New(bundle.Bundle{
+		Version: 1, Tiers: []bundle.Tier{{ID: "gold", Paying: true}},
+		Teams: []bundle.Team{{ID: "t1", Tier: "gold"}}, Pipelines: []bundle.Pipeline{book},
+	}))
+	return c
+}
+
+func (s *scene) job(p bundle.Pipeline, paying bool) pipeline.Job {
+	return pipeline.Job{
+		Request: "q1", Team: catalog.Team{Team: bundle.Team{ID: "t1"}, Paying: paying}, Pipeline: p,
+		Input: json.RawMessage(`"in"`), Deadline: s.Now().Add(time.Second),
+	}
+}
+
+func call() ledger.Call {
+	return ledger.Call{Request: "q1", Team: "t1", Pipeline: "book", Key: "k1", Input: json.RawMessage(`1`), RemainingMillis: 1000}
+}
+
+func allow() error { return nil }
+
+func TestEachStageTakesTheResultBefore(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	a, err := s.executor().Run(t.Context(), s.job(stages(true, true, true), true))
+	is.NoErr(err)
+	is.Equal(string(a.Output), `"s2"`)
+	is.Equal(string(s.sent[0].Input), `"in"`)
+	is.Equal(string(s.sent[2].Input), `"s1"`)
+	is.Equal(len(a.Stages), 3)
+}
+
+func TestIdempotentStageIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	s := newScene(failWith(fault.Unknown), answerForeign)
+	a, err := s.executor().Run(t.Context(), s.job(stages(true), true))
+	is.NoErr(err)
+	is.Equal(a.Stages[0].Attempts, 3)
+	is.Equal(a.Stages[0].Runner, "r3") // those that failed are left out
+	is.Equal(s.foreign, 1)
+}
+
+func TestRetriesEnd(t *testing.T) {
+	is := is.New(t)
+	s := newScene(failWith(fault.Unknown), failWith(fault.NotRun))
+	s.budget = 1
+	_, err := s.executor().Run(t.Context(), s.job(stages(true), true))
+	is.True(fault.Is(err, fault.RunnerFailed))
+	is.Equal(len(s.sent), 2)
+	is.Equal(fault.Of(err).Outcome(), fault.Unknown) // the first attempt may have run
+}
+
+func TestOnceIsRepeatedOnlyWhenNotRun(t *testing.T) {
+	is := is.New(t)
+	s := newScene(succeed, failWith(fault.NotRun), failWith(fault.Unknown))
+	_, err := s.executor().RunOnce(t.Context(), call(), allow)
+	is.Equal(fault.Of(err).Outcome(), fault.Unknown)
+	is.Equal(len(s.sent), 3) // the repeatable stage, and two attempts of the other
+	is.Equal(s.sent[2].IdempotencyKey, "k1")
+}
+
+func TestOnceIsNotSentWithoutItsGuard(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	lapsed := fault.New(fault.HomeUnsettled, "hold lapsed")
+	_, err := s.executor().RunOnce(t.Context(), call(), func() error { return lapsed })
+	is.True(fault.Is(err, fault.HomeUnsettled))
+	is.Equal(fault.Of(err).Outcome(), fault.NotRun)
+	is.Equal(len(s.sent), 1) // only the repeatable stage
+}
+
+func TestTakenOutRunnerReceivesNothing(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.taken = true
+	_, err := s.executor().Run(t.Context(), s.job(stages(true), true))
+	is.True(fault.Is(err, fault.NoRunner))
+	is.Equal(len(s.sent), 0)
+}
+
+// tokenCount counts the tokens that reached the caller.
+type tokenCount int
+
+func (n *tokenCount) Token(runnerapi.Token) error {
+	*n++
+	return nil
+}
+
+func TestStreamThatBeganIsNotSpliced(t *testing.T) {
+	is := is.New(t)
+	s := newScene(cutAfterToken)
+	var n tokenCount
+	job := s.job(stages(true), true)
+	job.Stream = &n
+	_, err := s.executor().Run(t.Context(), job)
+	is.True(fault.Is(err, fault.RunnerFailed))
+	is.Equal(len(s.sent), 1) // no other runner's tokens follow the first's
+	is.Equal(int(n), 1)
+}
+
+func TestDeadlineEndsTheAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene(hang)
+		x := s.executor()
+		_, err := x.Run(t.Context(), s.job(stages(true), true))
+		x.Close()
+		is.True(fault.Is(err, fault.DeadlineMissed))
+		is.Equal(s.cancelled, []string{"a1"}) // the runner is told
+		is.Equal(s.endings, []pool.Ending{pool.TimedOut})
+	})
+}
+
+func TestFreeWorkGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene(hang)
+		close(s.displaced)
+		x := s.executor()
+		a, err := x.Run(t.Context(), s.job(stages(true), false))
+		x.Close()
+		is.NoErr(err) // it ran elsewhere
+		is.Equal(a.Stages[0].Attempts, 2)
+		is.Equal(s.endings, []pool.Ending{pool.Cancelled, pool.Completed})
+	})
+}
