Test the platform's client and the stand-ins

Cause: proofs rest on the stand-ins' records and faults, so these need proof themselves. Change: a property test drives the store against a map; lost answers, silent connections, ended leases, rates and cold collapse each have a test. Conclusion: the stand-ins do what their control paths say.

--- /dev/null
+++ b/router/platform/platform_test.go
@@ -0,0 +1,164 @@
+package platform_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/platformapi"
+	"cicadawell.dev/router/platform"
+	"github.com/matryer/is"
+)
+
+// serve starts a server whose answer to each call is h, and returns its
+// address.
+func serve(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// drop closes the connection without an answer.
+func drop(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }
+
+func answer(status int, body any) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(body)
+	}
+}
+
+func TestConflictCarriesTheCurrentEntry(t *testing.T) {
+	is := is.New(t)
+	standing := &platformapi.Entry{Key: "k", Value: []byte("theirs"), Revision: 7}
+	store := platform.NewStore(serve(t, answer(http.StatusConflict, platformapi.WriteResponse{Revision: 9, Current: standing})))
+	want := uint64(3)
+	_, err := store.Put(t.Context(), platformapi.PutRequest{Key: "k", IfRevision: &want})
+	is.True(fault.Is(err, fault.Conflict))
+	is.Equal(fault.Of(err).Outcome(), fault.NotRun)
+	current, conflict := platform.Current(err)
+	is.True(conflict)
+	is.Equal(current, standing)
+}
+
+func TestOutcomeOfCallsWithoutAnAnswer(t *testing.T) {
+	closed := httptest.NewServer(http.HandlerFunc(drop))
+	nobody := strings.TrimPrefix(closed.URL, "http://")
+	closed.Close()
+	truncated := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte(`{"revision":`))
+	}
+	put := func(s platform.Store) error {
+		_, err := s.Put(t.Context(), platformapi.PutRequest{Key: "k"})
+		return err
+	}
+	get := func(s platform.Store) error {
+		_, _, err := s.Get(t.Context(), "k")
+		return err
+	}
+	keepAlive := func(s platform.Store) error { return s.KeepAlive(t.Context(), 1) }
+	for _, tc := range []struct {
+		name    string
+		address string
+		call    func(platform.Store) error
+		kind    fault.Kind
+		outcome fault.Outcome
+	}{
+		{"write, nobody listens", nobody, put, fault.StoreUnavailable, fault.NotRun},
+		{"write, answer lost", serve(t, drop), put, fault.StoreUnavailable, fault.Unknown},
+		{"write, answer cut", serve(t, truncated), put, fault.StoreUnavailable, fault.Unknown},
+		{"write, server error", serve(t, answer(500, "")), put, fault.StoreUnavailable, fault.Unknown},
+		{"write, rate used up", serve(t, answer(429, "")), put, fault.StoreUnavailable, fault.NotRun},
+		{"read, answer lost", serve(t, drop), get, fault.StoreUnavailable, fault.NotRun},
+		{"renewal, answer lost", serve(t, drop), keepAlive, fault.StoreUnavailable, fault.Unknown},
+		{"renewal, lease ended", serve(t, answer(404, "")), keepAlive, fault.NotFound, fault.NotRun},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			err := tc.call(platform.NewStore(tc.address))
+			is.Equal(fault.Of(err).Kind(), tc.kind)
+			is.Equal(fault.Of(err).Outcome(), tc.outcome)
+		})
+	}
+}
+
+func TestSilentServerIsLeftAndANewConnectionUsed(t *testing.T) {
+	is := is.New(t)
+	var silent atomic.Value // the remote address of the first connection
+	release := make(chan struct{})
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if first := silent.CompareAndSwap(nil, r.RemoteAddr); first || silent.Load() == r.RemoteAddr {
+			<-release
+			return
+		}
+		answer(http.StatusOK, platformapi.WriteResponse{Revision: 2})(w, r)
+	})
+	defer close(release)
+	store := platform.NewStore(address, platform.WithTimeout(50*time.Millisecond))
+	_, err := store.Put(t.Context(), platformapi.PutRequest{Key: "k"})
+	is.Equal(fault.Of(err).Outcome(), fault.Unknown)
+	revision, err := store.Put(t.Context(), platformapi.PutRequest{Key: "k"})
+	is.NoErr(err)
+	is.Equal(revision, uint64(2))
+	for _, row := range store.Calls() {
+		if row.Kind == "put" {
+			is.Equal(row, platform.Calls{Kind: "put", Made: 2, Failed: 1})
+		}
+	}
+}
+
+func TestLargeValueIsNotSent(t *testing.T) {
+	is := is.New(t)
+	store := platform.NewStore(serve(t, drop))
+	value := make([]byte, platformapi.MaxValueBytes+1)
+	_, err := store.Put(t.Context(), platformapi.PutRequest{Key: "k", Value: value})
+	is.True(fault.Is(err, fault.TooLarge))
+	is.Equal(fault.Of(err).Field(), "k")
+}
+
+// sleeps records how long it was asked to wait, and does not.
+type sleeps struct {
+	clock.Clock
+	asked []time.Duration
+}
+
+func (s *sleeps) Sleep(_ context.Context, d time.Duration) error {
+	s.asked = append(s.asked, d)
+	return nil
+}
+
+func TestWeightsWaitForTheRate(t *testing.T) {
+	is := is.New(t)
+	var n atomic.Int64
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if n.Add(1) == 1 {
+			w.Header().Set("Retry-After", "0.250")
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		answer(http.StatusOK, platformapi.Weights{Model: strings.TrimPrefix(r.URL.Path, platformapi.PathWeights)})(w, r)
+	})
+	clk := &sleeps{Clock: clock.System()}
+	res, err := platform.NewWeights(address, clk).Fetch(t.Context(), "m1")
+	is.NoErr(err)
+	is.Equal(res.Model, "m1")
+	is.Equal(clk.asked, []time.Duration{250 * time.Millisecond})
+}
+
+func TestListOfInstances(t *testing.T) {
+	is := is.New(t)
+	rows := []platformapi.Instance{{ID: "i1", Address: "127.0.0.1:1", Zone: "z1", State: platformapi.Leaving}}
+	address := serve(t, answer(http.StatusOK, platformapi.InstancesResponse{Instances: rows}))
+	got, err := platform.NewList(address).Instances(t.Context())
+	is.NoErr(err)
+	is.Equal(got, rows)
+}
--- /dev/null
+++ b/standin/runner/runner_test.go
@@ -0,0 +1,138 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadawell.dev/fleet/callerapi"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/runnerapi"
+	"github.com/matryer/is"
+)
+
+func TestColdStartCollapsesWhenOverfed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newModel(Config{Slots: 4, ColdSlots: 1, Warmup: time.Second, StartCold: true}, clock.System())
+		first, err := m.enter(t.Context(), true)
+		is.NoErr(err)
+		is.True(first.cold && !m.overload(first))
+		_ = clock.System().Sleep(t.Context(), 900*time.Millisecond)
+		second, err := m.enter(t.Context(), true)
+		is.NoErr(err)
+		is.True(m.overload(second))
+		<-first.collapsed // fails with its runner
+		_ = clock.System().Sleep(t.Context(), 500*time.Millisecond)
+		is.True(m.cold()) // the cold start began again
+		_ = clock.System().Sleep(t.Context(), 500*time.Millisecond)
+		is.True(!m.cold())
+	})
+}
+
+func TestPayingWorkGetsTheNextSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newModel(Config{Slots: 1, ColdSlots: 1}, clock.System())
+		_, err := m.enter(t.Context(), false)
+		is.NoErr(err)
+		order := make(chan string, 2)
+		enter := func(paying bool, name string) {
+			if _, err := m.enter(t.Context(), paying); err == nil {
+				order <- name
+				m.leave()
+			}
+		}
+		go enter(false, "free")
+		synctest.Wait()
+		go enter(true, "paying")
+		synctest.Wait()
+		gone, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err = m.enter(gone, true)
+		is.True(errors.Is(err, context.Canceled)) // gives its place in the queue up
+		m.leave()
+		is.Equal(<-order, "paying")
+		is.Equal(<-order, "free")
+		synctest.Wait()
+		is.Equal(m.running, 0)
+	})
+}
+
+func TestTokensSlowDownAsTheBatchGrows(t *testing.T) {
+	is := is.New(t)
+	m := newModel(Config{Slots: 4, ColdSlots: 4, CachedPrefixes: 1}, clock.System())
+	_, _ = m.enter(t.Context(), true)
+	alone := m.stretch(time.Second)
+	_, _ = m.enter(t.Context(), true)
+	is.True(m.stretch(time.Second) > alone)
+	_, cached := m.prefill("p")
+	is.True(!cached)
+	_, cached = m.prefill("p")
+	is.True(cached)
+	_, _ = m.prefill("q") // drives p out
+	_, cached = m.prefill("p")
+	is.True(!cached)
+}
+
+func TestAnswerIsCheckedAgainstItsRequest(t *testing.T) {
+	is := is.New(t)
+	input := json.RawMessage(`{"text": "hello", "tokens": 3}`)
+	encoded, _, err := Output("encode", false, input)
+	is.NoErr(err)
+	generated, tokens, err := Output("generate", true, encoded)
+	is.NoErr(err)
+	is.Equal(len(tokens), 3)
+	answer := callerapi.Answer{Output: generated, Stages: []callerapi.Stage{{Name: "encode"}, {Name: "generate"}}}
+	is.NoErr(CheckAnswer(input, answer, true))
+	is.True(CheckAnswer(json.RawMessage(`{"text": "other", "tokens": 3}`), answer, true) != nil) // crossed
+	cut := answer
+	cut.Output = json.RawMessage(strings.Replace(string(generated), strings.TrimSpace(tokens[2])+" ", "", 1))
+	is.True(CheckAnswer(input, cut, true) != nil)
+}
+
+// post sends a body to a path of r and returns the status and the answer.
+func post(t *testing.T, r *Runner, path string, body any) (int, string) {
+	t.Helper()
+	data, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(string(data))))
+	return w.Code, w.Body.String()
+}
+
+func TestOldFencingNumberIsRefused(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		is := is.New(t)
+		r := New(Config{Slots: 1, ColdSlots: 1, ChecksFencing: checks, Models: []string{"a"}}, clock.System())
+		status, _ := post(t, r, runnerapi.PathOrders, runnerapi.Order{Fencing: 5, Models: []string{"b"}})
+		is.Equal(status, http.StatusOK)
+		status, _ = post(t, r, runnerapi.PathOrders, runnerapi.Order{Fencing: 4, Models: []string{"c"}})
+		is.Equal(status == http.StatusConflict, checks)
+		is.Equal(r.serves("b"), checks)
+		is.Equal(r.recorder.rec.Orders[1].Accepted, !checks)
+	}
+}
+
+func TestRefusalIsTrueAndRunsAreRecorded(t *testing.T) {
+	is := is.New(t)
+	r := New(Config{Slots: 1, ColdSlots: 1, Models: []string{"m"}}, clock.System())
+	req := runnerapi.RunRequest{Attempt: "a1", Stage: "book", Model: "none", Input: json.RawMessage(`{"text":"x"}`)}
+	status, body := post(t, r, runnerapi.PathRun, req)
+	is.Equal(status, http.StatusNotFound)
+	is.True(strings.Contains(body, `"ran":false`))
+	is.Equal(len(r.recorder.rec.Runs), 0)
+	req.Model, req.IdempotencyKey = "m", "k"
+	status, _ = post(t, r, runnerapi.PathRun, req)
+	is.Equal(status, http.StatusOK)
+	is.Equal(r.recorder.rec.Runs[0].Key, "k")
+	is.Equal(r.recorder.rec.Runs[0].Ending, Done)
+}
--- /dev/null
+++ b/standin/store/store_test.go
@@ -0,0 +1,145 @@
+package store_test
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/platformapi"
+	"cicadawell.dev/standin/store"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+// reference is what the store must hold, without leases' times.
+type reference struct {
+	entries map[string]platformapi.Entry
+	events  []platformapi.Event
+}
+
+// TestStoreFollowsItsReferenceProperty drives the store through any order of
+// writes, comparisons, leases and time, and compares it with a plain map and
+// with what a watch from any revision shows.
+func TestStoreFollowsItsReferenceProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clk := clock.NewManual(time.Unix(1, 0))
+		s := store.New(clk)
+		ref := &reference{entries: map[string]platformapi.Entry{}}
+		keys := rapid.SampledFrom([]string{"a/1", "a/2", "b/1"})
+		ends := map[uint64]time.Time{}
+		const ttl = 100 * time.Millisecond
+		drop := func(key string, revision uint64) {
+			e := ref.entries[key]
+			delete(ref.entries, key)
+			gone := platformapi.Entry{Key: key, Revision: revision, Lease: e.Lease}
+			ref.events = append(ref.events, platformapi.Event{Entry: gone, Deleted: true})
+		}
+		endLeases := func() {
+			for key, e := range ref.entries {
+				if e.Lease != 0 && !ends[e.Lease].After(clk.Now()) {
+					delete(ref.entries, key)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				endLeases()
+				key := keys.Draw(t, "key")
+				req := platformapi.PutRequest{Key: key, Value: []byte{rapid.Byte().Draw(t, "value")}}
+				if rapid.Bool().Draw(t, "compare") {
+					revision := ref.entries[key].Revision + rapid.Uint64Range(0, 1).Draw(t, "off")
+					req.IfRevision = &revision
+				}
+				req.Lease = rapid.Uint64Range(0, uint64(len(ends))).Draw(t, "lease")
+				res, verdict := s.Put(req)
+				switch {
+				case req.Lease != 0 && !ends[req.Lease].After(clk.Now()):
+					if verdict != store.LeaseEnded {
+						t.Fatalf("put under an ended lease: %v", verdict)
+					}
+				case req.IfRevision != nil && *req.IfRevision != ref.entries[key].Revision:
+					if verdict != store.Differs {
+						t.Fatalf("put over another revision: %v", verdict)
+					}
+				default:
+					if verdict != store.Written {
+						t.Fatalf("put not written: %v", verdict)
+					}
+					e := platformapi.Entry{Key: key, Value: req.Value, Revision: res.Revision, Lease: req.Lease}
+					ref.entries[key] = e
+					ref.events = append(ref.events, platformapi.Event{Entry: e})
+				}
+			},
+			"delete": func(t *rapid.T) {
+				endLeases()
+				key := keys.Draw(t, "key")
+				_, stood := ref.entries[key]
+				res, verdict := s.Delete(platformapi.DeleteRequest{Key: key})
+				if verdict != store.Written {
+					t.Fatalf("delete not written: %v", verdict)
+				}
+				if stood {
+					drop(key, res.Revision)
+				}
+			},
+			"grant":   func(*rapid.T) { ends[s.Grant(ttl)] = clk.Now().Add(ttl) },
+			"advance": func(*rapid.T) { clk.Advance(ttl / 3) },
+			"": func(t *rapid.T) {
+				endLeases()
+				list := s.List("")
+				if len(list.Entries) != len(ref.entries) {
+					t.Fatalf("found %d entries, want %d", len(list.Entries), len(ref.entries))
+				}
+				for _, e := range list.Entries {
+					if want := ref.entries[e.Key]; want.Revision != e.Revision || string(want.Value) != string(e.Value) {
+						t.Fatalf("found %v, want %v", e, want)
+					}
+				}
+				checkWatch(t, s, ref, list.Revision)
+			},
+		})
+	})
+}
+
+// checkWatch compares what a watch shows with the writes of the reference;
+// removals by ended leases come between them.
+func checkWatch(t *rapid.T, s *store.Store, ref *reference, revision uint64) {
+	after := rapid.Uint64Range(1, revision).Draw(t, "after")
+	res := s.Watch(t.Context(), platformapi.WatchRequest{Prefix: "a/", After: after})
+	seen := map[uint64]bool{}
+	last := after
+	for _, e := range res.Events {
+		if e.Entry.Revision <= last || !strings.HasPrefix(e.Entry.Key, "a/") {
+			t.Fatalf("found event %v after revision %d", e, last)
+		}
+		last = e.Entry.Revision
+		seen[last] = true
+	}
+	for _, e := range ref.events {
+		if e.Entry.Revision > after && strings.HasPrefix(e.Entry.Key, "a/") && !seen[e.Entry.Revision] {
+			t.Fatalf("watch lacks %v", e)
+		}
+	}
+}
+
+func TestWatchTellsThatChangesAreLost(t *testing.T) {
+	is := is.New(t)
+	s := store.New(clock.NewManual(time.Unix(1, 0)))
+	for range 5000 {
+		s.Put(platformapi.PutRequest{Key: "k"})
+	}
+	is.True(s.Watch(t.Context(), platformapi.WatchRequest{After: 1}).Lost)
+	is.True(s.Watch(t.Context(), platformapi.WatchRequest{After: 99999}).Lost) // of another life of the store
+	is.True(!s.Watch(t.Context(), platformapi.WatchRequest{After: 5000}).Lost)
+}
