--- /dev/null
+++ b/router/deadline/deadline_test.go
@@ -0,0 +1,62 @@
+package deadline_test
+
+import (
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/deadline"
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var pipeline = bundle.Pipeline{ID: "p", Stages: make([]bundle.Stage, 3)}
+
+func observed(clk clock.Clock, took ...time.Duration) deadline.Budgets {
+	b := deadline.New(clk)
+	for i, d := range took {
+		for range 32 {
+			b.Observe("p", i, d)
+		}
+	}
+	return b
+}
+
+func TestPlanKeepsTheTimeOfTheStagesAhead(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(start)
+	b := observed(clk, 100*time.Millisecond, 200*time.Millisecond, 300*time.Millisecond)
+	at, err := b.Plan(pipeline, 0, start, start.Add(time.Second))
+	is.NoErr(err)
+	is.True(at.Before(start.Add(500 * time.Millisecond)))
+	is.True(at.After(start.Add(400 * time.Millisecond)))
+	at, err = b.Plan(pipeline, 2, start, start.Add(time.Second))
+	is.NoErr(err)
+	is.Equal(at, start.Add(time.Second))
+}
+
+func TestPlanRefusesWhatCannotMakeItsDeadline(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(start)
+	b := observed(clk, 100*time.Millisecond, 200*time.Millisecond, 300*time.Millisecond)
+	_, err := b.Plan(pipeline, 0, start, start.Add(550*time.Millisecond))
+	is.True(fault.Is(err, fault.DeadlineShort))
+	_, err = b.Plan(pipeline, 2, start, start.Add(550*time.Millisecond))
+	is.NoErr(err)
+	_, err = b.Plan(pipeline, 2, start, start)
+	is.True(fault.Is(err, fault.DeadlineShort))
+}
+
+func TestRefusalsEndWithTheMeasurement(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(start)
+	b := observed(clk, time.Hour, time.Hour, time.Hour)
+	_, err := b.Plan(pipeline, 0, clk.Now(), clk.Now().Add(time.Second))
+	is.True(fault.Is(err, fault.DeadlineShort))
+	clk.Advance(11 * time.Second)
+	_, err = b.Plan(pipeline, 0, clk.Now(), clk.Now().Add(time.Second))
+	is.NoErr(err)
+}
--- a/router/pool/pool.go
+++ b/router/pool/pool.go
@@ -24,6 +24,24 @@
 	// Status returns a row for each runner, in the order of their
 	// identifiers.
 	Status() []Status
+	// Digest returns what this instance knows at first hand of runners whose
+	// state changed or was confirmed since the given time, for its peers.
+	Digest(since time.Time) Digest
+	// Learn takes in the digest of a peer that was made delay ago.
+	Learn(d Digest, delay time.Duration)
+}
+
+// Digest is what an instance tells its peers of the runners.
+type Digest struct {
+	Entries []DigestEntry `json:"entries"`
+}
+
+// DigestEntry is what an instance knows of one runner.
+type DigestEntry struct {
+	Runner string `json:"runner"`
+	Cold   bool   `json:"cold"`
+	// AgeMillis is how old the knowledge is.
+	AgeMillis int64 `json:"ageMillis"`
 }
 
 // Topology is what the pools choose from. It is immutable.
@@ -40,8 +58,14 @@
 	Instances []string
 	Self      string
 	// Settled is false while the view is changing: cold permits then take
-	// the smaller of the shares that either view gives.
+	// the smaller of the shares that either view gives. When Instances are
+	// still those of the last settled view, the next view is not known, and
+	// cold runners receive nothing from this instance.
 	Settled bool
+	// Longest is the longest time that one attempt may run; zero means
+	// DefaultLongest. A share of a cold runner that a new view grants is
+	// used when the work of its former owners has ended.
+	Longest time.Duration
 }
 
 // Ask describes one attempt of a stage.
--- /dev/null
+++ b/router/pool/pool_test.go
@@ -0,0 +1,148 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/runnerapi"
+	"github.com/matryer/is"
+)
+
+// engines returns n runners of the service "generate" over four zones.
+func engines(n, slots, coldSlots int) []bundle.Runner {
+	list := make([]bundle.Runner, n)
+	for i := range list {
+		list[i] = bundle.Runner{
+			ID: fmt.Sprintf("engine-%03d", i), Zone: fmt.Sprintf("zone-%d", i%4),
+			Service: "generate", Models: []string{"m"},
+			Slots: slots, ColdSlots: coldSlots, ReportsLoad: true,
+		}
+	}
+	return list
+}
+
+// alone is the topology of a lone instance.
+func alone(runners []bundle.Runner) Topology {
+	return Topology{
+		Runners: runners, Zone: "zone-0", Self: "a", Instances: []string{"a"}, Settled: true,
+		Longest: time.Millisecond,
+	}
+}
+
+// warmAll reports every runner warm.
+func warmAll(p Pools, runners []bundle.Runner) {
+	for _, r := range runners {
+		p.Report(r.ID, runnerapi.Load{})
+	}
+}
+
+func payingAsk(within time.Duration) Ask {
+	return Ask{
+		Service: "generate", Model: "m", Team: "p", Paying: true,
+		Deadline: clock.System().Now().Add(within),
+	}
+}
+
+func freeAsk(within time.Duration) Ask {
+	a := payingAsk(within)
+	a.Team, a.Paying = "f", false
+	return a
+}
+
+func TestPayingAskDisplacesFreeWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := New(clock.System())
+		runners := engines(1, 2, 1)
+		p.Update(alone(runners))
+		warmAll(p, runners)
+		var held []Place
+		for range 2 {
+			pl, err := p.Acquire(t.Context(), freeAsk(time.Second))
+			if err != nil {
+				break
+			}
+			held = append(held, pl)
+			pl.Done(Result{Ending: Completed, Latency: time.Millisecond, Load: &runnerapi.Load{}})
+		}
+		is.True(len(held) > 0)
+		first, err := p.Acquire(t.Context(), freeAsk(time.Second))
+		is.NoErr(err)
+		second, err := p.Acquire(t.Context(), payingAsk(time.Second))
+		is.NoErr(err) // the headroom
+		got := make(chan Place, 1)
+		go func() {
+			pl, err := p.Acquire(t.Context(), payingAsk(time.Second))
+			is.NoErr(err)
+			got <- pl
+		}()
+		<-first.Displaced()
+		is.Equal(len(got), 0)
+		first.Done(Result{Ending: Cancelled})
+		third := <-got
+		is.NoErr(third.Check())
+		is.True(second.Displaced() == nil)
+		second.Done(Result{Ending: Completed, Latency: time.Millisecond})
+		third.Done(Result{Ending: Completed, Latency: time.Millisecond})
+		for _, row := range p.Status() {
+			is.Equal(row.InFlight, 0)
+			is.Equal(row.Queued, 0)
+		}
+	})
+}
+
+func TestAskWithoutPlaceIsRefusedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := New(clock.System())
+		p.Update(alone(engines(1, 1, 1)))
+		began := clock.System().Now()
+		held, err := p.Acquire(t.Context(), payingAsk(time.Second))
+		is.NoErr(err)
+		is.Equal(clock.System().Now().Sub(began), time.Millisecond) // the share's grant
+		began = clock.System().Now()
+		_, err = p.Acquire(t.Context(), payingAsk(time.Second))
+		is.True(fault.Is(err, fault.Overloaded))
+		is.Equal(clock.System().Now().Sub(began), time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err = p.Acquire(ctx, payingAsk(time.Second))
+		is.True(errors.Is(err, context.Canceled))
+		is.Equal(fault.Of(err).Outcome(), fault.NotRun)
+		held.Done(Result{Ending: Completed, Latency: time.Millisecond})
+	})
+}
+
+func TestRunnerTakenOutIsNeitherChosenNorChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := New(clock.System())
+		runners := engines(2, 4, 4)
+		p.Update(alone(runners))
+		warmAll(p, runners)
+		pl, err := p.Acquire(t.Context(), payingAsk(time.Second))
+		is.NoErr(err)
+		is.Equal(pl.Runner().Zone, "zone-0")
+		next := alone(runners)
+		next.ZonesOut = map[string]bool{"zone-0": true}
+		p.Update(next)
+		is.True(fault.Is(pl.Check(), fault.NoRunner))
+		for range 3 {
+			other, err := p.Acquire(t.Context(), payingAsk(time.Second))
+			is.NoErr(err)
+			is.Equal(other.Runner().Zone, "zone-1")
+			other.Done(Result{Ending: Unsent})
+		}
+		pl.Done(Result{Ending: Unsent})
+		p.Update(Topology{})
+		_, err = p.Acquire(t.Context(), payingAsk(time.Second))
+		is.True(fault.Is(err, fault.NoRunner))
+	})
+}
--- /dev/null
+++ b/router/quota/quota_test.go
@@ -0,0 +1,31 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/router/quota"
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestTeamIsHeldToItsShare(t *testing.T) {
+	is := is.New(t)
+	q := quota.New()
+	q.Update([]string{"a", "b"}, "a")
+	limited := bundle.Team{ID: "t", RatePerSecond: 20}
+	admitted := 0
+	for i := range 10_000 {
+		now := start.Add(time.Duration(i) * time.Millisecond)
+		if ok, after := q.Allow(limited, now); ok {
+			admitted++
+		} else {
+			is.True(after > 0)
+		}
+	}
+	is.True(admitted >= 100 && admitted <= 111) // ten seconds and the burst
+	ok, _ := q.Allow(bundle.Team{ID: "u"}, start)
+	is.True(ok)
+}
