Pass JSON on without reading it again

Cause: a profile of one-stage calls shows 1.0 of 2.25 s in the router's handler spent in encoding/json, most of it compacting input and output that were checked when they were read. Ruled out: another JSON library (the time is in reading twice, not in the library). Change: the input is spliced into the attempt, the output into the answer.

--- a/fleet/callerapi/callerapi.go
+++ b/fleet/callerapi/callerapi.go
@@ -46,7 +46,7 @@
 	Request  string          `json:"request"`
 	Pipeline string          `json:"pipeline"`
 	Outcome  fault.Outcome   `json:"outcome"`
-	Output   json.RawMessage `json:"output"`
+	Output   json.RawMessage `json:"output,omitempty"`
 	Stages   []Stage         `json:"stages"`
 }
 
--- a/fleet/runnerapi/runnerapi.go
+++ b/fleet/runnerapi/runnerapi.go
@@ -43,7 +43,7 @@
 	Stream         bool   `json:"stream,omitempty"`
 	// From is the instance that sends.
 	From  string          `json:"from"`
-	Input json.RawMessage `json:"input"`
+	Input json.RawMessage `json:"input,omitempty"`
 }
 
 // RunResult is a whole result. In a streamed result it is the data of
--- /dev/null
+++ b/fleet/splice/splice_test.go
@@ -0,0 +1,25 @@
+package splice_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/fleet/splice"
+)
+
+func TestFieldDecodesToTheSameMessage(t *testing.T) {
+	for _, raw := range []string{`"x"`, `{"a":[1, 2]}`, `null`, `7`, ``} {
+		is := is.New(t)
+		m := runnerapi.RunRequest{Attempt: "a", Stage: "s", RemainingMillis: 5}
+		data, err := splice.Field(m, "input", json.RawMessage(raw))
+		is.NoErr(err)
+		var back runnerapi.RunRequest
+		is.NoErr(json.Unmarshal(data, &back))
+		is.Equal(string(back.Input), raw)
+		back.Input = nil
+		is.Equal(back, m)
+	}
+}
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -11,6 +11,7 @@
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/splice"
 	"cicadawell.dev/router/catalog"
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/pipeline"
@@ -72,8 +73,15 @@
 // answer writes a whole answer and counts it.
 func (s *server) answer(c *gin.Context, x *exchange, answer callerapi.Answer) {
 	s.count(x)
+	output := answer.Output
+	answer.Output = nil
+	data, err := splice.Field(answer, "output", output)
+	if err != nil {
+		s.refuse(c, x, fault.Wrap(fault.Internal, err, "encode answer").WithOutcome(fault.Run))
+		return
+	}
 	s.boundWrite(c)
-	c.JSON(http.StatusOK, answer)
+	c.Data(http.StatusOK, "application/json; charset=utf-8", data)
 }
 
 func (s *server) count(x *exchange) {
--- a/router/pipeline/pipeline_test.go
+++ b/router/pipeline/pipeline_test.go
@@ -56,6 +56,8 @@
 	})
 }
 
+func (s *scene) Digest(time.Time) pool.Digest       { return pool.Digest{} }
+func (s *scene) Learn(pool.Digest, time.Duration)   {}
 func (s *scene) Update(pool.Topology)               {}
 func (s *scene) Report(string, runnerapi.Load)      {}
 func (s *scene) Status() []pool.Status              { return nil }
--- a/router/runner/once.go
+++ b/router/runner/once.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"time"
@@ -49,9 +48,9 @@
 }
 
 func encodeOnce(ctx context.Context, to bundle.Runner, req runnerapi.RunRequest) (*http.Request, []byte, error) {
-	body, err := json.Marshal(req)
+	body, err := encodeAttempt(req)
 	if err != nil {
-		return nil, nil, fault.Wrap(fault.Internal, err, "encode attempt").WithOutcome(fault.NotRun)
+		return nil, nil, err
 	}
 	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.Address+runnerapi.PathRun, bytes.NewReader(body))
 	if err != nil {
--- a/router/runner/pooled.go
+++ b/router/runner/pooled.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"net/http/httptrace"
@@ -12,13 +11,14 @@
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/fleet/splice"
 )
 
 // Run sends an attempt that may be repeated, over a pooled connection.
 func (c *client) Run(ctx context.Context, to bundle.Runner, req runnerapi.RunRequest, limit int64, sink Sink) (runnerapi.RunResult, error) {
-	body, err := json.Marshal(req)
+	body, err := encodeAttempt(req)
 	if err != nil {
-		return runnerapi.RunResult{}, fault.Wrap(fault.Internal, err, "encode attempt").WithOutcome(fault.NotRun)
+		return runnerapi.RunResult{}, err
 	}
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -37,6 +37,18 @@
 	return result, err
 }
 
+// encodeAttempt returns the body of an attempt. Its input was checked when it
+// was read, so it is not read again.
+func encodeAttempt(req runnerapi.RunRequest) ([]byte, error) {
+	input := req.Input
+	req.Input = nil
+	body, err := splice.Field(req, "input", input)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "encode attempt").WithOutcome(fault.NotRun)
+	}
+	return body, nil
+}
+
 // distrust closes the pooled connections after a sign that one went silent,
 // so that the next attempt opens a new one.
 func (c *client) distrust(address string, err error) {
