Add bundle rolls with a state in the store and acknowledgements by peers

Cause: a bundle has to come in force on every instance or stay unaccepted, also when operators race, instances die and the store is out. Ruled out: a lease for the driver (steps are compare-and-swap and may be repeated, so two drivers do no harm); one store write an instance. Change: router/roll with pure transitions of the state, a driver that any instance can take over, peers as sources of contents, joins with and without the store, and a check after pauses of the process.

--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -128,11 +128,14 @@
 	if !ok {
 		return fault.New(fault.NotFound, "no version %d", f.version).WithField("version")
 	}
-	seen := st.Seen
+	id, err := newID()
+	if err != nil {
+		return err
+	}
+	r := operatorapi.StepRequest{Step: id, Digest: v.Digest, Seen: st.InForce}
 	if f.based {
-		seen.InForce = f.base
+		r.Seen = f.base
 	}
-	r := operatorapi.StepRequest{Digest: v.Digest, Seen: seen}
 	var after operatorapi.Version
 	at := client.Path(path, strconv.FormatUint(f.version, 10))
 	if err := s.client.Post(s.ctx, at, r, &after); err != nil {
@@ -158,9 +161,12 @@
 		if !ok || v.Phase == operatorapi.Signed {
 			return "", false, fault.New(fault.Conflict, "the roll of version %d was cancelled", version)
 		}
-		if v.Phase == operatorapi.Accepted || st.InForce > version {
+		if v.Phase == operatorapi.Accepted {
 			return fmt.Sprintf("version %d accepted: in force on every instance", version), true, nil
 		}
+		if st.InForce > version {
+			return "", false, fault.New(fault.Conflict, "version %d replaced version %d before it was accepted", st.InForce, version)
+		}
 		line := fmt.Sprintf("version %d %s, not yet accepted", version, v.Phase)
 		if text := waitingText(st.Waiting); text != "" {
 			line += "; waiting for " + text
@@ -192,6 +198,9 @@
 	if err != nil {
 		return eris.Wrap(err, "print")
 	}
+	if st.Stale {
+		_, _ = fmt.Fprintf(w, "the store does not answer; %s knew this before\n", st.Instance)
+	}
 	for _, x := range st.Waiting {
 		_, _ = fmt.Fprintf(w, "waiting for %s: %s\n", x.Instance, x.Reason)
 	}
@@ -219,7 +228,7 @@
 		t := table.New("VERSION", "PHASE", "WRITTEN", "SIGNED", "ROLLED", "DECIDED", "ACCEPTED", "MEMBERS")
 		for _, v := range st.Versions {
 			t.Add(number(v.Version), string(v.Phase), when(v.Writer, v.WrittenAt), when(v.Signer, v.SignedAt),
-				when(v.Roller, v.RolledAt), when("", v.DecidedAt), when("", v.AcceptedAt), strconv.Itoa(len(v.Members)))
+				when(v.Roller, v.RolledAt), when("", v.DecidedAt), when("", v.AcceptedAt), strconv.Itoa(v.MemberCount))
 		}
 		_, err := t.WriteTo(w)
 		return err
--- a/fleet/operatorapi/bundle.go
+++ b/fleet/operatorapi/bundle.go
@@ -20,6 +20,9 @@
 	Decided Phase = "decided"
 	// Accepted is a version that is in force on every instance.
 	Accepted Phase = "accepted"
+	// Superseded is a version that a later one replaced before it was
+	// accepted.
+	Superseded Phase = "superseded"
 )
 
 // Version is the record of one version of the bundle.
@@ -49,24 +52,15 @@
 	RolledAt   time.Time `json:"rolledAt,omitzero"`
 	DecidedAt  time.Time `json:"decidedAt,omitzero"`
 	AcceptedAt time.Time `json:"acceptedAt,omitzero"`
-	// Members are the instances that were recorded with the decision.
-	Members []Member `json:"members,omitempty"`
-}
-
-// Member is one run of the program on an instance.
-type Member struct {
-	ID string `json:"id"`
-	// Incarnation differs between two runs of one instance.
-	Incarnation string `json:"incarnation,omitempty"`
-}
-
-// Seen is the state that an operator saw before a step. The step is refused
-// as a conflict when another state stands.
-type Seen struct {
-	// InForce is the version that was decided last.
-	InForce uint64 `json:"inForce"`
-	// Rolling is the version being rolled; zero means none.
-	Rolling uint64 `json:"rolling"`
+	// Step is the identifier of the roll that was started last.
+	Step string `json:"step,omitempty"`
+	// Driver is the instance that the roll was started over.
+	Driver string `json:"driver,omitempty"`
+	// Members are the instances that were recorded with the decision; only
+	// the version decided last carries them.
+	Members []string `json:"members,omitempty"`
+	// MemberCount is how many there were.
+	MemberCount int `json:"memberCount,omitempty"`
 }
 
 // Waiting is an instance that holds a roll.
@@ -77,7 +71,13 @@
 
 // BundleStatus is the state of the bundle and of its versions.
 type BundleStatus struct {
-	Seen
+	// InForce is the version that was decided last; zero means none.
+	InForce uint64 `json:"inForce"`
+	// Rolling is the version that is not yet accepted; zero means none.
+	Rolling uint64 `json:"rolling"`
+	// Stale tells that the store does not answer, so that this is what the
+	// instance knew before.
+	Stale bool `json:"stale,omitempty"`
 	// InForceHere is the version in force on the instance that answers.
 	InForceHere uint64 `json:"inForceHere"`
 	// Instance is the one that answers.
@@ -110,7 +110,11 @@
 
 // StepRequest moves a version one step on.
 type StepRequest struct {
+	// Step is a UUID of version 7 that repeats of the step share.
+	Step string `json:"step"`
 	// Digest is that of the content that the operator means.
 	Digest string `json:"digest"`
-	Seen   Seen   `json:"seen"`
+	// Seen is the version in force that the operator saw. The step is
+	// refused as a conflict when another one is in force.
+	Seen uint64 `json:"seen"`
 }
--- a/router/operator/bundle.go
+++ b/router/operator/bundle.go
@@ -46,6 +46,9 @@
 		if err := decode(c, operatorapi.MaxBodyBytes, &r); err != nil {
 			return nil, err
 		}
+		if err := checkUUID("step", r.Step); err != nil {
+			return nil, err
+		}
 		return do(s.services.Bundles, c.ctx, c.by.Name, v, r)
 	}
 }
--- /dev/null
+++ b/router/roll/driver.go
@@ -0,0 +1,389 @@
+package roll
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/operatorapi"
+	"golang.org/x/sync/errgroup"
+)
+
+// maxDrivePause bounds the time between two passes of a roll that is held.
+const maxDrivePause = 5 * time.Second
+
+// drive moves the roll on whenever it is this instance's turn.
+func (n *node) drive(ctx context.Context) error {
+	d := &driver{node: n}
+	pause := n.cfg.drivePeriod
+	for {
+		select {
+		case <-n.known:
+			pause = n.cfg.drivePeriod
+		case <-n.clock.After(pause):
+		case <-ctx.Done():
+			return nil
+		}
+		r, ok := n.knownState().moving()
+		if !ok || !n.turn(ctx, r) {
+			n.setDriving(0, nil)
+			continue
+		}
+		moved := d.pass(ctx, r)
+		pause = nextPause(pause, moved, n.cfg.drivePeriod)
+		if moved {
+			n.wake()
+		}
+	}
+}
+
+// nextPause lengthens the pause of a roll that is held.
+func nextPause(pause time.Duration, moved bool, first time.Duration) time.Duration {
+	if moved {
+		return first
+	}
+	return min(pause*3/2, maxDrivePause)
+}
+
+// moving returns the version that a driver has to move on.
+func (s State) moving() (operatorapi.Version, bool) {
+	r, ok := s.Find(s.Rolling)
+	return r, ok && (r.Phase == operatorapi.Staging || r.Phase == operatorapi.Decided)
+}
+
+func (n *node) setDriving(version uint64, held []waiting) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.driving = version
+	n.waiting = held
+}
+
+// turn reports whether this instance drives r: the roll was started here, it
+// drives it already, or the roll stands still and no instance before this one
+// among the watchers answers.
+func (n *node) turn(ctx context.Context, r operatorapi.Version) bool {
+	n.mu.Lock()
+	mine := n.asked == r.Version || n.driving == r.Version
+	still := n.clock.Now().Sub(n.seenAt)
+	n.mu.Unlock()
+	if mine {
+		return true
+	}
+	if still < n.cfg.takeOverAfter {
+		return false
+	}
+	before := []string{r.Driver}
+	for _, w := range n.watchers(ctx) {
+		if w.ID == n.self.ID {
+			break
+		}
+		before = append(before, w.ID)
+	}
+	return !n.anyDrives(ctx, before, r.Version)
+}
+
+// anyDrives reports whether one of ids drives the version or is about to.
+func (n *node) anyDrives(ctx context.Context, ids []string, version uint64) bool {
+	for _, id := range ids {
+		if id == "" || id == n.self.ID {
+			continue
+		}
+		s, err := n.statusOf(ctx, id)
+		if err != nil {
+			continue
+		}
+		if s.Driving == version || (id != ids[0] && s.Stored) {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *node) statusOf(ctx context.Context, id string) (Status, error) {
+	call, cancel := context.WithTimeout(ctx, n.cfg.callTimeout)
+	defer cancel()
+	var s Status
+	err := n.mesh.Call(call, id, methodStatus, statusRequest{InForce: n.version()}, &s)
+	return s, err
+}
+
+// driver moves one roll on. All that it remembers are acknowledgements, so
+// that another one can go on at any point.
+type driver struct {
+	*node
+	version uint64
+	step    string
+	phase   operatorapi.Phase
+	// acked tells when each instance acknowledged the phase.
+	acked map[string]time.Time
+	// guests are instances that acknowledgements named.
+	named map[string]bool
+}
+
+// pass tries to move the roll one phase on. moved tells that it did.
+func (d *driver) pass(ctx context.Context, known operatorapi.Version) (moved bool) {
+	call, cancel := context.WithTimeout(ctx, d.cfg.stageTimeout)
+	defer cancel()
+	d.remember(known.Version)
+	v, err := d.readState(call)
+	if err != nil {
+		d.log.Info("state not read; leaving the roll to others", "version", known.Version, "error", err)
+		d.leave()
+		return false
+	}
+	r, ok := v.moving()
+	if !ok {
+		return false
+	}
+	if r.Version != d.version || r.Step != d.step || r.Phase != d.phase {
+		d.version, d.step, d.phase = r.Version, r.Step, r.Phase
+		d.acked = map[string]time.Time{}
+		d.named = map[string]bool{}
+	}
+	w, held, err := d.collect(ctx, r)
+	if err != nil {
+		held = append(held, waiting{Instance: d.self.ID, Reason: err.Error()})
+	}
+	d.hold(r.Version, held)
+	if len(held) > 0 {
+		return false
+	}
+	return d.advance(ctx, v, r, w)
+}
+
+// remember marks the version as driven here before the first pass ends.
+func (d *driver) remember(version uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.driving = version
+}
+
+// leave lets another instance drive.
+func (d *driver) leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.driving, d.asked, d.waiting = 0, 0, nil
+	d.seenAt = d.clock.Now()
+}
+
+func (d *driver) hold(version uint64, held []waiting) {
+	slices.SortFunc(held, func(a, b waiting) int { return compareStrings(a.Instance, b.Instance) })
+	d.setDriving(version, held)
+}
+
+// advance writes the next phase. The state must not have changed since it was
+// read, which was before the instances were listed: one that registers later
+// reads the state later and finds what is written here.
+func (d *driver) advance(ctx context.Context, v versioned, r operatorapi.Version, w wantedSet) bool {
+	now := d.clock.Now()
+	var next State
+	var err error
+	if r.Phase == operatorapi.Staging {
+		next, err = v.WithDecision(r.Version, r.Step, w.members(), now)
+	} else {
+		next, err = v.WithAcceptance(r.Version, now)
+	}
+	if err != nil {
+		d.log.Warn("roll cannot move on", "version", r.Version, "error", err)
+		return false
+	}
+	written, err := d.document.write(ctx, v, next)
+	if err != nil {
+		d.log.Info("state not written; reading it back", "version", r.Version, "error", err)
+		return fault.Is(err, fault.Conflict)
+	}
+	d.learn(written)
+	record, _ := written.Find(r.Version)
+	d.log.Info("roll moved on", "version", r.Version, "phase", record.Phase, "members", record.MemberCount)
+	return true
+}
+
+// members returns the instances in ascending order.
+func (w wantedSet) members() []string {
+	ids := make([]string, 0, len(w))
+	for id := range w {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// collect asks every wanted instance for its acknowledgement until all that
+// are wanted have given it, and returns those that hold the roll. Instances
+// are listed again after the last acknowledgement.
+func (d *driver) collect(ctx context.Context, r operatorapi.Version) (wantedSet, []waiting, error) {
+	for {
+		w, err := d.wanted(ctx, r)
+		if err != nil {
+			return w, nil, err
+		}
+		missing := d.missing(w)
+		if len(missing) == 0 {
+			return w, nil, nil
+		}
+		held := d.ask(ctx, r, w, missing)
+		if len(held) > 0 || ctx.Err() != nil {
+			return w, held, ctx.Err()
+		}
+	}
+}
+
+// wantedSet are the instances whose acknowledgement a phase needs. The value
+// is false for one that counts as gone when it does not answer.
+type wantedSet map[string]bool
+
+// wanted lists the instances: those registered, those that the platform's list
+// shows, those that acknowledgements named, and those that were recorded with
+// the decision. Of the last, one that is neither registered nor listed and
+// does not answer is gone.
+func (d *driver) wanted(ctx context.Context, r operatorapi.Version) (wantedSet, error) {
+	call, cancel := context.WithTimeout(ctx, d.cfg.stageTimeout)
+	defer cancel()
+	registered, err := d.fleet.Registered(call)
+	if err != nil {
+		return nil, fault.Wrap(fault.StoreUnavailable, err, "registered instances")
+	}
+	listed, err := d.fleet.Listed(call)
+	if err != nil {
+		return nil, fault.Wrap(fault.StoreUnavailable, err, "platform's list of instances")
+	}
+	w := wantedSet{}
+	for _, id := range r.Members {
+		w[id] = false
+	}
+	for _, id := range registered {
+		w[id] = true
+	}
+	for _, p := range listed {
+		w[p.ID] = true
+	}
+	for id := range d.named {
+		w[id] = true
+	}
+	return w, nil
+}
+
+// missing returns the wanted instances without a fresh acknowledgement.
+func (d *driver) missing(w wantedSet) []string {
+	now := d.clock.Now()
+	var ids []string
+	for id := range w {
+		at, ok := d.acked[id]
+		if !ok || (d.phase == operatorapi.Staging && now.Sub(at) > d.cfg.ackAge) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// answer is what one instance said.
+type answer struct {
+	id  string
+	ack Ack
+	err error
+}
+
+// ask calls the missing instances and takes in their acknowledgements.
+func (d *driver) ask(ctx context.Context, r operatorapi.Version, w wantedSet, missing []string) []waiting {
+	var answers []answer
+	if r.Phase == operatorapi.Staging {
+		answers = d.stageAll(ctx, reference(r), missing)
+	} else {
+		answers = d.applyAll(ctx, reference(r), missing)
+	}
+	now := d.clock.Now()
+	var held []waiting
+	for _, a := range answers {
+		if a.err != nil {
+			delete(d.acked, a.id)
+			if w[a.id] {
+				held = append(held, waiting{Instance: a.id, Reason: reason(a.err)})
+			} else {
+				d.acked[a.id] = now
+				d.log.Info("member is gone", "instance", a.id, "version", r.Version)
+			}
+			continue
+		}
+		d.acked[a.id] = now
+		for _, g := range a.ack.Guests {
+			d.named[g] = true
+		}
+	}
+	return held
+}
+
+// reason tells operators why an instance holds a roll.
+func reason(err error) string {
+	e := fault.Of(err)
+	switch e.Kind() {
+	case fault.BadRequest:
+		return "refuses the bundle: " + e.Error()
+	case fault.NotFound, fault.StoreUnavailable:
+		return "cannot fetch the bundle: " + e.Error()
+	default:
+		return "neither acknowledged nor known gone: " + e.Error()
+	}
+}
+
+// applyAll brings ref in force on each of ids.
+func (d *driver) applyAll(ctx context.Context, ref Reference, ids []string) []answer {
+	answers := make([]answer, len(ids))
+	var g errgroup.Group
+	g.SetLimit(d.cfg.fanOut)
+	for i, id := range ids {
+		g.Go(func() error {
+			answers[i] = d.send(ctx, id, methodApply, ref.WithSource(d.self.ID))
+			return nil
+		})
+	}
+	_ = g.Wait() // each answer carries its own error
+	return answers
+}
+
+// stageAll lets each of ids fetch and check ref. Those that hold it become
+// sources for the others, so that no instance sends it to all.
+func (d *driver) stageAll(ctx context.Context, ref Reference, ids []string) []answer {
+	answers := make([]answer, len(ids))
+	sources := make(chan string, (len(ids)+1)*(d.cfg.perSource+1))
+	offer := func(id string) {
+		for range d.cfg.perSource {
+			sources <- id
+		}
+	}
+	offer(d.self.ID)
+	var wg sync.WaitGroup
+	for i, id := range ids {
+		wg.Go(func() {
+			source := <-sources
+			answers[i] = d.send(ctx, id, methodStage, ref.WithSource(source))
+			sources <- source
+			if answers[i].err == nil && id != d.self.ID {
+				offer(id)
+			}
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+// send calls one instance, or this one without the mesh.
+func (d *driver) send(ctx context.Context, id, method string, ref Reference) answer {
+	call, cancel := context.WithTimeout(ctx, d.cfg.stageTimeout)
+	defer cancel()
+	a := answer{id: id}
+	switch {
+	case id != d.self.ID:
+		a.err = d.mesh.Call(call, id, method, ref, &a.ack)
+	case method == methodStage:
+		a.ack, a.err = d.onStage(call, id, ref.WithSource(""))
+	default:
+		a.ack, a.err = d.onApply(call, id, ref.WithSource(""))
+	}
+	if a.err == nil && method == methodApply {
+		a.err = a.ack.covers(ref)
+	}
+	return a
+}
--- /dev/null
+++ b/router/roll/option.go
@@ -0,0 +1,75 @@
+package roll
+
+import "time"
+
+// config holds the periods and bounds of rolls.
+type config struct {
+	// watchWait bounds one watch of the store.
+	watchWait time.Duration
+	// retryPause follows a failed call to the store.
+	retryPause time.Duration
+	// exchangePeriod is the time between two questions to another instance.
+	exchangePeriod time.Duration
+	// drivePeriod is the time between two passes of a roll that is held.
+	drivePeriod time.Duration
+	// takeOverAfter is how long a roll stands still before another instance
+	// drives it.
+	takeOverAfter time.Duration
+	// listAge is how old the platform's list may be outside of a roll.
+	listAge time.Duration
+	// ackAge is how long an acknowledgement of a staged version counts.
+	ackAge time.Duration
+	// callTimeout bounds a call to another instance, and stageTimeout one
+	// that may fetch a content.
+	callTimeout, stageTimeout time.Duration
+	// joinPatience is how long a starting instance waits for a majority of
+	// the listed instances.
+	joinPatience time.Duration
+	// pauseLimit is how long the process may stand still without asking
+	// what it missed.
+	pauseLimit time.Duration
+	// guestPatience is how long an instance that joined is named in
+	// acknowledgements while the platform's list does not show it.
+	guestPatience time.Duration
+	// watchersPerZone is how many instances of a zone watch the store.
+	watchersPerZone int
+	// fanOut is how many instances are called at once, and perSource how
+	// many fetch from the same instance at once.
+	fanOut, perSource int
+}
+
+func defaults() config {
+	return config{
+		watchWait:       10 * time.Second,
+		retryPause:      500 * time.Millisecond,
+		exchangePeriod:  time.Second,
+		drivePeriod:     500 * time.Millisecond,
+		takeOverAfter:   2 * time.Second,
+		listAge:         5 * time.Second,
+		ackAge:          10 * time.Second,
+		callTimeout:     time.Second,
+		stageTimeout:    10 * time.Second,
+		joinPatience:    3 * time.Second,
+		pauseLimit:      time.Second,
+		guestPatience:   time.Minute,
+		watchersPerZone: 2,
+		fanOut:          64,
+		perSource:       4,
+	}
+}
+
+// Option changes a period or bound of rolls.
+type Option func(*config)
+
+// WithExchangePeriod sets the time between two questions to another instance.
+func WithExchangePeriod(d time.Duration) Option { return func(c *config) { c.exchangePeriod = d } }
+
+// WithTakeOverAfter sets how long a roll stands still before another instance
+// drives it.
+func WithTakeOverAfter(d time.Duration) Option { return func(c *config) { c.takeOverAfter = d } }
+
+// WithCallTimeouts bounds calls to other instances, and those that may fetch
+// a content.
+func WithCallTimeouts(call, stage time.Duration) Option {
+	return func(c *config) { c.callTimeout, c.stageTimeout = call, stage }
+}
--- /dev/null
+++ b/router/roll/state.go
@@ -0,0 +1,323 @@
+package roll
+
+import (
+	"slices"
+	"time"
+
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/operatorapi"
+)
+
+// maxVersions bounds the records that a state keeps.
+const maxVersions = 200
+
+// State is the state of the bundle over the whole fleet. It is one value in
+// the store, changed only by compare-and-swap. Values are immutable: the With
+// methods return changed copies, and return the state as it is when the step
+// was done before, so that every step may be repeated.
+type State struct {
+	// Last is the highest version number that was given out; it only grows.
+	Last uint64 `json:"last"`
+	// InForce is the version that was decided last; it only grows.
+	InForce uint64 `json:"inForce"`
+	// Rolling is the version that is staged, or decided and not accepted;
+	// zero means none. It is never below InForce.
+	Rolling uint64 `json:"rolling"`
+	// Versions are in ascending order.
+	Versions []operatorapi.Version `json:"versions"`
+}
+
+// Find returns the record of version v.
+func (s State) Find(v uint64) (operatorapi.Version, bool) {
+	i := s.index(v)
+	if i < 0 {
+		return operatorapi.Version{}, false
+	}
+	return s.Versions[i], true
+}
+
+func (s State) index(v uint64) int {
+	return slices.IndexFunc(s.Versions, func(r operatorapi.Version) bool { return r.Version == v })
+}
+
+// with returns a copy with r in place of the record of the same version.
+func (s State) with(r operatorapi.Version) State {
+	s.Versions = slices.Clone(s.Versions)
+	if i := s.index(r.Version); i >= 0 {
+		s.Versions[i] = r
+		return s
+	}
+	s.Versions = append(s.Versions, r)
+	return s
+}
+
+// without returns a copy without the record of version v.
+func (s State) without(v uint64) State {
+	s.Versions = slices.DeleteFunc(slices.Clone(s.Versions), func(r operatorapi.Version) bool {
+		return r.Version == v
+	})
+	return s
+}
+
+// WithDraft returns the state with a new version made of r, whose Write, Base,
+// Digest, content and writer are set.
+func (s State) WithDraft(r operatorapi.Version) (State, operatorapi.Version, error) {
+	for _, old := range s.Versions {
+		if old.Write == r.Write {
+			return s, old, sameWrite(old, r)
+		}
+	}
+	s = s.withRoom()
+	if len(s.Versions) >= maxVersions {
+		return s, r, fault.New(fault.Overloaded, "found %d versions that were never rolled; discard some", len(s.Versions))
+	}
+	s.Last++
+	r.Version = s.Last
+	r.Phase = operatorapi.Draft
+	return s.with(r), r, nil
+}
+
+func sameWrite(old, r operatorapi.Version) error {
+	if old.Digest != r.Digest || old.Writer != r.Writer {
+		return fault.New(fault.Conflict, "version %d was written with the same identifier", old.Version).WithField("write")
+	}
+	return nil
+}
+
+// withRoom forgets the oldest version that is past when the state is full.
+func (s State) withRoom() State {
+	if len(s.Versions) < maxVersions {
+		return s
+	}
+	for _, r := range s.Versions {
+		if r.Version < s.InForce && rolled(r.Phase) {
+			return s.without(r.Version)
+		}
+	}
+	return s
+}
+
+// rolled reports whether a version was decided at some time.
+func rolled(p operatorapi.Phase) bool {
+	return p == operatorapi.Decided || p == operatorapi.Accepted || p == operatorapi.Superseded
+}
+
+// Step is an operator's step on one version.
+type Step struct {
+	Version uint64
+	By      string
+	At      time.Time
+	// Instance is the one that the operator called.
+	Instance string
+	operatorapi.StepRequest
+}
+
+// check returns the version's record, or an error when it is not what the
+// operator meant.
+func (s State) check(p Step) (operatorapi.Version, error) {
+	r, ok := s.Find(p.Version)
+	if !ok {
+		return r, fault.New(fault.NotFound, "no version %d", p.Version).WithField("version")
+	}
+	if r.Digest != p.Digest {
+		return r, s.conflict("version %d has another content, digest %s", p.Version, r.Digest)
+	}
+	return r, nil
+}
+
+// checkSeen returns an error when another version came in force since the
+// operator looked, or when version p can no longer come in force.
+func (s State) checkSeen(p Step) error {
+	if p.Seen != s.InForce {
+		return s.conflict("you saw version %d in force; now it is version %d%s", p.Seen, s.InForce, s.whoRolled(s.InForce))
+	}
+	if p.Version <= s.InForce {
+		return s.conflict("version %d is in force%s; write the content again to bring it in force", s.InForce, s.whoRolled(s.InForce))
+	}
+	return nil
+}
+
+func (s State) whoRolled(v uint64) string {
+	r, ok := s.Find(v)
+	if !ok || r.Roller == "" {
+		return ""
+	}
+	return ", rolled by " + r.Roller
+}
+
+// WithSignature returns the state with a version signed off.
+func (s State) WithSignature(p Step) (State, operatorapi.Version, error) {
+	r, err := s.check(p)
+	if err != nil {
+		return s, r, err
+	}
+	if r.Signer == p.By {
+		return s, r, nil
+	}
+	if err := s.checkSeen(p); err != nil {
+		return s, r, err
+	}
+	if r.Signer != "" {
+		return s, r, s.conflict("%s has signed version %d off", r.Signer, r.Version)
+	}
+	if r.Writer == p.By {
+		return s, r, fault.New(fault.Forbidden, "%s wrote version %d; another operator has to sign it off", p.By, r.Version)
+	}
+	if r.Base != s.InForce {
+		return s, r, s.conflict("version %d was made from version %d; now version %d is in force%s; "+
+			"write it again from that one", r.Version, r.Base, s.InForce, s.whoRolled(s.InForce))
+	}
+	r.Phase = operatorapi.Signed
+	r.Signer = p.By
+	r.SignedAt = p.At
+	return s.with(r), r, nil
+}
+
+// WithRoll returns the state with the roll of a version started.
+func (s State) WithRoll(p Step) (State, operatorapi.Version, error) {
+	r, err := s.check(p)
+	if err != nil {
+		return s, r, err
+	}
+	if r.Step == p.Step {
+		return s, r, s.sameRoll(r)
+	}
+	if err := s.checkSeen(p); err != nil {
+		return s, r, err
+	}
+	if staged, ok := s.staging(); ok {
+		return s, r, s.conflict("%s is rolling version %d", staged.Roller, staged.Version)
+	}
+	if r.Signer == "" {
+		return s, r, fault.New(fault.Forbidden, "nobody has signed version %d off", r.Version)
+	}
+	if r.Base != s.InForce {
+		return s, r, s.conflict("version %d was made from version %d; now version %d is in force%s; "+
+			"write it again from that one", r.Version, r.Base, s.InForce, s.whoRolled(s.InForce))
+	}
+	r.Phase = operatorapi.Staging
+	r.Roller = p.By
+	r.RolledAt = p.At
+	r.Step = p.Step
+	r.Driver = p.Instance
+	s.Rolling = r.Version
+	return s.with(r), r, nil
+}
+
+// sameRoll answers the repeat of a roll that was started before.
+func (s State) sameRoll(r operatorapi.Version) error {
+	if r.Phase == operatorapi.Signed {
+		return s.conflict("the roll of version %d was cancelled", r.Version)
+	}
+	return nil
+}
+
+// staging returns the version that is staged.
+func (s State) staging() (operatorapi.Version, bool) {
+	r, ok := s.Find(s.Rolling)
+	return r, ok && r.Phase == operatorapi.Staging
+}
+
+// WithCancel returns the state with a roll ended that is not decided.
+func (s State) WithCancel(p Step) (State, operatorapi.Version, error) {
+	r, err := s.check(p)
+	if err != nil {
+		return s, r, err
+	}
+	switch {
+	case rolled(r.Phase):
+		return s, r, s.conflict("version %d is decided and can only go forward", r.Version)
+	case r.Phase != operatorapi.Staging:
+		return s, r, nil
+	}
+	r.Phase = operatorapi.Signed
+	s.Rolling = 0
+	if in, ok := s.Find(s.InForce); ok && in.Phase == operatorapi.Decided {
+		s.Rolling = s.InForce
+	}
+	return s.with(r), r, nil
+}
+
+// WithDiscard returns the state without a version that was never rolled.
+func (s State) WithDiscard(p Step) (State, operatorapi.Version, error) {
+	r, err := s.check(p)
+	if err != nil {
+		return s, r, err
+	}
+	if r.Phase != operatorapi.Draft && r.Phase != operatorapi.Signed {
+		return s, r, s.conflict("version %d is %s", r.Version, r.Phase)
+	}
+	return s.without(r.Version), r, nil
+}
+
+// WithDecision returns the state with the staged version decided and the
+// members recorded that hold and have checked it.
+func (s State) WithDecision(version uint64, step string, members []string, at time.Time) (State, error) {
+	r, ok := s.Find(version)
+	if ok && r.Step == step && rolled(r.Phase) {
+		return s, nil
+	}
+	if !ok || r.Step != step || r.Phase != operatorapi.Staging || version <= s.InForce {
+		return s, s.conflict("version %d is not staged any more", version)
+	}
+	if old, found := s.Find(s.InForce); found {
+		s = s.with(past(old))
+	}
+	r.Phase = operatorapi.Decided
+	r.DecidedAt = at
+	r.Members = members
+	r.MemberCount = len(members)
+	s.InForce = version
+	s.Rolling = version
+	return s.with(r), nil
+}
+
+// past returns the record of a version that is in force no more.
+func past(r operatorapi.Version) operatorapi.Version {
+	r.Members = nil
+	if r.Phase == operatorapi.Decided {
+		r.Phase = operatorapi.Superseded
+	}
+	return r
+}
+
+// WithAcceptance returns the state with the decided version accepted.
+func (s State) WithAcceptance(version uint64, at time.Time) (State, error) {
+	r, ok := s.Find(version)
+	if ok && r.Phase == operatorapi.Accepted {
+		return s, nil
+	}
+	if !ok || r.Phase != operatorapi.Decided || version != s.InForce {
+		return s, s.conflict("version %d is not the one decided last", version)
+	}
+	r.Phase = operatorapi.Accepted
+	r.AcceptedAt = at
+	if s.Rolling == version {
+		s.Rolling = 0
+	}
+	return s.with(r), nil
+}
+
+// conflictError is a conflict with the state that stands.
+type conflictError struct {
+	cause *fault.Error
+	state State
+}
+
+func (e *conflictError) Error() string { return e.cause.Error() }
+func (e *conflictError) Unwrap() error { return e.cause }
+
+// Stands tells an operator which state stands.
+func (e *conflictError) Stands(r *operatorapi.Refusal) {
+	status := e.state.status()
+	r.Bundle = &status
+}
+
+func (s State) conflict(format string, args ...any) error {
+	return &conflictError{cause: fault.New(fault.Conflict, format, args...), state: s}
+}
+
+// status returns the state as operators see it.
+func (s State) status() operatorapi.BundleStatus {
+	return operatorapi.BundleStatus{InForce: s.InForce, Rolling: s.Rolling, Versions: s.Versions}
+}
