Add the scene, the load tool and the demo

Cause: the first look at the product and every proof with real processes need one way to start, fault and read a fleet. Ruled out: containers or a process manager; loopback processes ended by id do. Change: standin/scene starts and drives processes and judges the callers' words by the runners' records; standin/load sends open-loop Poisson arrivals and checks streams and answers; standin demo joins them.

--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -63,6 +63,8 @@
 type Ready struct {
 	Ready   string `json:"ready"`
 	Address string `json:"address"`
+	// Operators is where a router listens for operators.
+	Operators string `json:"operators,omitempty"`
 }
 
 // Endpoint is the HTTP side of one stand-in.
--- /dev/null
+++ b/standin/load/load_test.go
@@ -0,0 +1,168 @@
+package load_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/callerapi"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/standin/load"
+	"cicadawell.dev/standin/runner"
+	"github.com/matryer/is"
+)
+
+// behaviour is how a router of the test answers its nth call.
+type behaviour func(w http.ResponseWriter, req callerapi.Request, n int64)
+
+// serve starts a router that behaves so, and returns a client for it.
+func serve(t *testing.T, b behaviour) *load.Client {
+	t.Helper()
+	var n atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var req callerapi.Request
+		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+			t.Error(err)
+		}
+		b(w, req, n.Add(1))
+	}))
+	t.Cleanup(server.Close)
+	return &load.Client{
+		HTTP: server.Client(), Clock: clock.System(),
+		Key:  func(team string) string { return "key of " + team },
+		Next: func() string { return strings.TrimPrefix(server.URL, "http://") },
+	}
+}
+
+var generate = bundle.Pipeline{ID: "p", Stages: []bundle.Stage{{Name: "generate", Streams: true, Idempotent: true}}}
+
+func answerTo(req callerapi.Request) (callerapi.Answer, []string) {
+	output, tokens, err := runner.Output("generate", true, req.Input)
+	if err != nil {
+		panic(err)
+	}
+	return callerapi.Answer{Request: "r", Outcome: fault.Run, Output: output}, tokens
+}
+
+// stream writes the tokens from first to last and then the end mark.
+func stream(w http.ResponseWriter, req callerapi.Request, first, last int, end bool) {
+	answer, tokens := answerTo(req)
+	for i := first; i < last; i++ {
+		data, _ := json.Marshal(callerapi.Token{Index: i, Text: tokens[i]})
+		fmt.Fprintf(w, "event: token\ndata: %s\n\n", data)
+	}
+	if end {
+		data, _ := json.Marshal(answer)
+		fmt.Fprintf(w, "event: end\ndata: %s\n\n", data)
+	}
+}
+
+func TestStreamsAreCheckedToTheirEnd(t *testing.T) {
+	call := load.Call{
+		Pipeline: generate, Work: runner.Work{Text: "x", Tokens: 4}, Deadline: 300 * time.Millisecond, Stream: true,
+	}
+	for _, tc := range []struct {
+		name        string
+		first, last int
+		end         bool
+		outcome     fault.Outcome
+	}{
+		{"whole", 0, 4, true, fault.Run},
+		{"without its end mark", 0, 4, false, fault.Unknown},
+		{"without its last token", 0, 3, true, fault.Unknown},
+		{"without its first token", 1, 4, true, fault.Unknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			client := serve(t, func(w http.ResponseWriter, req callerapi.Request, _ int64) {
+				stream(w, req, tc.first, tc.last, tc.end)
+			})
+			reply := client.Do(t.Context(), call)
+			is.Equal(reply.Outcome, tc.outcome)
+			is.Equal(reply.Wrong, "")
+			is.Equal(reply.Answer != nil, tc.outcome == fault.Run)
+		})
+	}
+}
+
+func TestCrossedAnswerIsWrong(t *testing.T) {
+	is := is.New(t)
+	client := serve(t, func(w http.ResponseWriter, _ callerapi.Request, _ int64) {
+		other, _ := answerTo(callerapi.Request{Input: json.RawMessage(`{"text":"another's"}`)})
+		_ = json.NewEncoder(w).Encode(other)
+	})
+	reply := client.Do(t.Context(), load.Call{Pipeline: generate, Work: runner.Work{Text: "own"}, Deadline: time.Second})
+	is.True(reply.Wrong != "")
+}
+
+func TestBrokenConnectionIsRepeatedWhereAllowed(t *testing.T) {
+	once := bundle.Pipeline{ID: "p", Stages: []bundle.Stage{{Name: "generate"}}}
+	for _, tc := range []struct {
+		name     string
+		pipeline bundle.Pipeline
+		key      string
+		tries    int
+	}{
+		{"idempotent", generate, "", 2},
+		{"with a key", once, "k", 2},
+		{"without a key", once, "", 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			client := serve(t, func(w http.ResponseWriter, req callerapi.Request, n int64) {
+				if n == 1 {
+					panic(http.ErrAbortHandler)
+				}
+				answer, _ := answerTo(req)
+				_ = json.NewEncoder(w).Encode(answer)
+			})
+			reply := client.Do(t.Context(), load.Call{Pipeline: tc.pipeline, Key: tc.key, Deadline: time.Second})
+			is.Equal(reply.Tries, tc.tries)
+		})
+	}
+}
+
+func TestUnknownStaysUnknownAfterARefusal(t *testing.T) {
+	is := is.New(t)
+	client := serve(t, func(w http.ResponseWriter, _ callerapi.Request, n int64) {
+		if n == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		refusal := callerapi.Refusal{Request: "r2", Error: fault.New(fault.HomeUnsettled, "x").Message()}
+		_ = json.NewEncoder(w).Encode(refusal)
+	})
+	reply := client.Do(t.Context(), load.Call{Pipeline: generate, Key: "k", Deadline: time.Second})
+	is.Equal(reply.Outcome, fault.Unknown)
+	is.Equal(reply.Kind, fault.HomeUnsettled)
+	is.Equal(reply.Requests, []string{"r2"})
+}
+
+func TestArrivalsFollowTheSeed(t *testing.T) {
+	is := is.New(t)
+	client := serve(t, func(w http.ResponseWriter, req callerapi.Request, _ int64) {
+		answer, _ := answerTo(req)
+		_ = json.NewEncoder(w).Encode(answer)
+	})
+	run := func(factor float64) *load.ClassResult {
+		r := load.Run(t.Context(), load.Config{
+			Classes:  []load.Class{{Name: "c", Teams: []string{"t"}, Pipeline: generate, Rate: 100, Deadline: time.Minute}},
+			Bursts:   []load.Burst{{To: time.Second, Factor: factor}},
+			Duration: time.Second, Seed: 7, Clock: clock.System(),
+			Routers: func() []string { return []string{client.Next()} }, Key: client.Key,
+		})
+		return r.Class("c")
+	}
+	first := run(1)
+	is.Equal(first.Sent, run(1).Sent)
+	is.True(run(3).Sent > 2*first.Sent)
+	is.Equal(first.Met, first.Sent)
+	is.Equal(first.Seconds[0], load.Second{Sent: first.Sent, Met: first.Met})
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -6,8 +6,11 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/standin/demo"
 	"cicadawell.dev/standin/platform"
 	"cicadawell.dev/standin/runner"
 	"github.com/alecthomas/kingpin/v2"
@@ -22,6 +25,7 @@
 	actions := map[string]func(context.Context) error{}
 	addPlatform(app, actions)
 	addRunner(app, actions)
+	addDemo(app, actions)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := actions[name](context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
@@ -64,3 +68,15 @@
 		return runner.New(cfg, clock.System()).Run(ctx, os.Stdout)
 	}
 }
+
+func addDemo(app *kingpin.Application, actions map[string]func(context.Context) error) {
+	cfg := demo.Config{Out: os.Stdout, Clock: clock.System()}
+	cmd := app.Command("demo", "Start a small fleet, send traffic, kill an instance and check every answer.")
+	cmd.Flag("bin", "Folder with the programs router, ctl and standin.").Default("bin").StringVar(&cfg.Bin)
+	cmd.Flag("seed", "Seed of the traffic.").Default("1").Uint64Var(&cfg.Seed)
+	actions[cmd.FullCommand()] = func(ctx context.Context) error {
+		ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		return demo.Run(ctx, cfg)
+	}
+}
--- a/standin/runner/runner_test.go
+++ b/standin/runner/runner_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/runnerapi"
@@ -89,12 +90,13 @@
 	generated, tokens, err := Output("generate", true, encoded)
 	is.NoErr(err)
 	is.Equal(len(tokens), 3)
-	answer := callerapi.Answer{Output: generated, Stages: []callerapi.Stage{{Name: "encode"}, {Name: "generate"}}}
-	is.NoErr(CheckAnswer(input, answer, true))
-	is.True(CheckAnswer(json.RawMessage(`{"text": "other", "tokens": 3}`), answer, true) != nil) // crossed
+	answer := callerapi.Answer{Output: generated}
+	p := bundle.Pipeline{Stages: []bundle.Stage{{Name: "encode"}, {Name: "generate", Streams: true}}}
+	is.NoErr(CheckAnswer(input, p, answer))
+	is.True(CheckAnswer(json.RawMessage(`{"text": "other", "tokens": 3}`), p, answer) != nil) // crossed
 	cut := answer
 	cut.Output = json.RawMessage(strings.Replace(string(generated), strings.TrimSpace(tokens[2])+" ", "", 1))
-	is.True(CheckAnswer(input, cut, true) != nil)
+	is.True(CheckAnswer(input, p, cut) != nil)
 }
 
 // post sends a body to a path of r and returns the status and the answer.
--- a/standin/runner/work.go
+++ b/standin/runner/work.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/callerapi"
 	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
@@ -73,15 +74,14 @@
 	return tokens
 }
 
-// CheckAnswer compares an answer with what its own request must give, where
-// each stage's input is the output of the stage before. last tells whether an
-// engine runs the last stage.
-func CheckAnswer(input json.RawMessage, answer callerapi.Answer, engine bool) error {
+// CheckAnswer compares an answer with what its own request must give when each
+// stage's input is the output of the stage before. Stages that stream are run
+// by engines.
+func CheckAnswer(input json.RawMessage, p bundle.Pipeline, answer callerapi.Answer) error {
 	want := input
-	for i, s := range answer.Stages {
+	for _, s := range p.Stages {
 		var err error
-		want, _, err = Output(s.Name, engine && i == len(answer.Stages)-1, want)
-		if err != nil {
+		if want, _, err = Output(s.Name, s.Streams, want); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/standin/scene/scene.go
@@ -0,0 +1,263 @@
+package scene
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/standin/runner"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+// Scene is a running fleet.
+type Scene struct {
+	Plan     Plan
+	Platform *Process
+	// Runners are by identifier, Routers in the order of their starts;
+	// routers that were ended stay in the list.
+	Runners map[string]*Process
+	Routers []*Process
+	// Bundle is the configuration that was last rolled.
+	Bundle bundle.Bundle
+
+	bin string
+	dir string
+}
+
+// Start starts a fleet with the programs of the folder bin, and rolls its
+// bundle. The caller ends it with Close, also after an error.
+func Start(ctx context.Context, bin string, plan Plan) (*Scene, error) {
+	s := &Scene{Plan: plan, Runners: map[string]*Process{}, bin: bin, Bundle: plan.Bundle()}
+	dir, err := os.MkdirTemp("", "cicadawell-scene-")
+	if err != nil {
+		return s, eris.Wrap(err, "folder of the scene")
+	}
+	s.dir = dir
+	if s.Platform, err = StartProcess(ctx, dir, "platform", s.program("standin"), "platform"); err != nil {
+		return s, err
+	}
+	if err := s.startRunners(ctx); err != nil {
+		return s, err
+	}
+	for range plan.Routers {
+		if _, err := s.StartRouter(ctx); err != nil {
+			return s, err
+		}
+	}
+	return s, s.Roll(ctx)
+}
+
+func (s *Scene) program(name string) string { return filepath.Join(s.bin, name) }
+
+func (s *Scene) startRunners(ctx context.Context) error {
+	rows := s.Plan.runners()
+	started := make([]*Process, len(rows))
+	group, ctx := errgroup.WithContext(ctx)
+	for i, r := range rows {
+		group.Go(func() error {
+			p, err := StartProcess(ctx, s.dir, r.ID, s.program("standin"), s.runnerArgs(r)...)
+			started[i] = p
+			return err
+		})
+	}
+	err := group.Wait()
+	for i, p := range started {
+		if p == nil {
+			continue
+		}
+		rows[i].Address = p.Address
+		s.Runners[rows[i].ID] = p
+	}
+	s.Bundle.Runners = rows
+	return err
+}
+
+func (s *Scene) runnerArgs(r bundle.Runner) []string {
+	kind := s.Plan.kind(r.Service)
+	args := []string{
+		"runner", "--id", r.ID, "--zone", r.Zone, "--service", r.Service,
+		"--slots", strconv.Itoa(r.Slots), "--cold-slots", strconv.Itoa(r.ColdSlots),
+		"--warmup", r.Warmup().String(), "--latency", fmt.Sprintf("%dms", kind.LatencyMillis),
+	}
+	for _, m := range r.Models {
+		args = append(args, "--model", m)
+	}
+	if kind.Engine {
+		args = append(args, "--engine")
+	}
+	if r.ReportsLoad {
+		args = append(args, "--reports-load")
+	}
+	if r.ChecksFencing {
+		args = append(args, "--checks-fencing")
+	}
+	return args
+}
+
+// settings is the file that a router reads.
+type settings struct {
+	ID     string `json:"id"`
+	Zone   string `json:"zone"`
+	Policy string `json:"policy,omitempty"`
+	Listen struct {
+		Callers   string `json:"callers"`
+		Operators string `json:"operators"`
+		Instances string `json:"instances"`
+	} `json:"listen"`
+	Platform struct {
+		Store     string `json:"store"`
+		Instances string `json:"instances"`
+		Weights   string `json:"weights"`
+	} `json:"platform"`
+	Operators []operator `json:"operators"`
+	StopGrace int64      `json:"stopGraceMillis"`
+	LogLevel  string     `json:"logLevel"`
+}
+
+type operator struct {
+	Name       string `json:"name"`
+	KeyHash    string `json:"keyHash"`
+	MayWrite   bool   `json:"mayWrite"`
+	MayApprove bool   `json:"mayApprove"`
+}
+
+// StartRouter starts one more router, in the next zone.
+func (s *Scene) StartRouter(ctx context.Context) (*Process, error) {
+	const anyPort = "127.0.0.1:0"
+	n := len(s.Routers)
+	cfg := settings{ID: fmt.Sprintf("router%d", n+1), Zone: zone(n % s.Plan.Zones), Policy: s.Plan.Policy}
+	cfg.Listen.Callers, cfg.Listen.Operators, cfg.Listen.Instances = anyPort, anyPort, anyPort
+	address := s.Platform.Address
+	cfg.Platform.Store, cfg.Platform.Instances, cfg.Platform.Weights = address, address, address
+	cfg.Operators = []operator{
+		{Name: "operator", KeyHash: bundle.HashKey(OperatorKey), MayWrite: true, MayApprove: true},
+	}
+	cfg.StopGrace = (stopLimit - time.Second).Milliseconds()
+	cfg.LogLevel = "info"
+	file := filepath.Join(s.dir, cfg.ID+".json")
+	if err := writeJSON(file, cfg); err != nil {
+		return nil, err
+	}
+	p, err := StartProcess(ctx, s.dir, cfg.ID, s.program("router"), "serve", file)
+	if err == nil {
+		s.Routers = append(s.Routers, p)
+	}
+	return p, err
+}
+
+func writeJSON(file string, v any) error {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return eris.Wrapf(err, "encode %s", file)
+	}
+	return eris.Wrap(os.WriteFile(file, data, 0o600), "write")
+}
+
+// Ctl runs the operators' command line against the routers that run, and
+// returns what it prints.
+func (s *Scene) Ctl(ctx context.Context, args ...string) ([]byte, error) {
+	var all []string
+	for _, p := range s.Live() {
+		all = append(all, "--server", p.Operators)
+	}
+	cmd := exec.CommandContext(ctx, s.program("ctl"), append(all, args...)...)
+	cmd.Env = append(os.Environ(), "CICADAWELL_OPERATOR_KEY="+OperatorKey)
+	out, err := cmd.Output()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return out, eris.Wrapf(err, "ctl %v: %s", args, exit.Stderr)
+	}
+	return out, eris.Wrapf(err, "ctl %v", args)
+}
+
+// Roll writes, signs off and rolls the bundle, and waits until it is accepted.
+func (s *Scene) Roll(ctx context.Context) error {
+	file := filepath.Join(s.dir, "bundle.json")
+	if err := writeJSON(file, s.Bundle); err != nil {
+		return err
+	}
+	out, err := s.Ctl(ctx, "--json", "bundle", "write", file)
+	if err != nil {
+		return err
+	}
+	var draft struct {
+		Version uint64 `json:"version"`
+	}
+	if err := json.Unmarshal(out, &draft); err != nil {
+		return eris.Wrapf(err, "ctl bundle write printed %s", out)
+	}
+	version := strconv.FormatUint(draft.Version, 10)
+	if _, err := s.Ctl(ctx, "bundle", "sign", version); err != nil {
+		return err
+	}
+	if _, err := s.Ctl(ctx, "--wait", stopLimit.String(), "bundle", "roll", version, "--follow"); err != nil {
+		return err
+	}
+	s.Bundle = s.Bundle.WithVersion(draft.Version)
+	return nil
+}
+
+// Live returns the routers that run.
+func (s *Scene) Live() []*Process {
+	return slices.DeleteFunc(slices.Clone(s.Routers), (*Process).Ended)
+}
+
+// Records returns the records of all runners, in the order of their
+// identifiers.
+func (s *Scene) Records(ctx context.Context) ([]runner.Record, error) {
+	var recs []runner.Record
+	for _, id := range slices.Sorted(maps.Keys(s.Runners)) {
+		var rec runner.Record
+		if err := s.Runners[id].Record(ctx, &rec); err != nil {
+			return nil, err
+		}
+		recs = append(recs, rec)
+	}
+	return recs, nil
+}
+
+// Close stops the routers first, then everything else, and removes the folder
+// when all routers ended well.
+func (s *Scene) Close() error {
+	var failed []error
+	for _, p := range s.Live() {
+		failed = append(failed, p.Stop())
+	}
+	var rest errgroup.Group
+	for _, p := range s.Runners {
+		rest.Go(p.Stop)
+	}
+	if s.Platform != nil {
+		rest.Go(s.Platform.Stop)
+	}
+	failed = append(failed, rest.Wait())
+	if err := errors.Join(failed...); err != nil {
+		return eris.Wrapf(err, "logs are in %s", s.dir)
+	}
+	return eris.Wrap(os.RemoveAll(s.dir), "remove the folder of the scene")
+}
+
+// Callers returns the addresses for callers of the routers that run.
+func (s *Scene) Callers() []string {
+	var all []string
+	for _, p := range s.Live() {
+		all = append(all, p.Address)
+	}
+	return all
+}
+
+// Pipeline returns the pipeline with this identifier, which must exist.
+func (s *Scene) Pipeline(id string) bundle.Pipeline {
+	i := slices.IndexFunc(s.Bundle.Pipelines, func(p bundle.Pipeline) bool { return p.ID == id })
+	return s.Bundle.Pipelines[i]
+}
--- /dev/null
+++ b/standin/scene/scene_test.go
@@ -0,0 +1,72 @@
+package scene_test
+
+import (
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/standin/endpoint"
+	"cicadawell.dev/standin/load"
+	"cicadawell.dev/standin/runner"
+	"cicadawell.dev/standin/scene"
+	"github.com/matryer/is"
+)
+
+// program builds the stand-ins and returns the program's path.
+func program(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "standin")
+	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", path, "..").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v: %s", err, out)
+	}
+	return path
+}
+
+func TestProcessIsDrivenByItsID(t *testing.T) {
+	is := is.New(t)
+	bin, dir := program(t), t.TempDir()
+	p, err := scene.StartProcess(t.Context(), dir, "r1", bin,
+		"runner", "--id", "r1", "--zone", "z1", "--service", "encode")
+	is.NoErr(err)
+	is.Equal(p.Ready.Ready, "r1")
+	is.NoErr(p.Fault(t.Context(), endpoint.Faults{Refuse: true}))
+	p.Signal(syscall.SIGSTOP)
+	p.Signal(syscall.SIGCONT)
+	var rec runner.Record
+	is.NoErr(p.Record(t.Context(), &rec))
+	is.Equal(rec.Runner, "r1")
+	is.NoErr(p.Stop()) // ends by itself with the exit code 0
+	is.True(p.Ended())
+
+	killed, err := scene.StartProcess(t.Context(), dir, "p", bin, "platform")
+	is.NoErr(err)
+	killed.Kill()
+	is.True(killed.Ended())
+	is.True(killed.Stop() != nil)
+}
+
+func TestProcessThatDoesNotListenIsAnError(t *testing.T) {
+	is := is.New(t)
+	_, err := scene.StartProcess(t.Context(), t.TempDir(), "bad", program(t), "runner", "--id", "x")
+	is.True(err != nil)
+}
+
+func TestVerdictSeesFalseWords(t *testing.T) {
+	is := is.New(t)
+	recs := []runner.Record{
+		{Runs: []runner.Run{{Team: "t", Key: "ran", Request: "r1"}, {Team: "t", Key: "twice", Request: "r2"}}},
+		{Runs: []runner.Run{{Team: "t", Key: "twice", Request: "r3"}, {Team: "u", Key: "none", Request: "r4"}}},
+	}
+	told := func(key string, o fault.Outcome, notRun ...string) load.Once {
+		return load.Once{Team: "t", Key: key, Outcome: o, NotRun: notRun}
+	}
+	right := scene.Judge(recs, []load.Once{told("ran", fault.Run), told("none", fault.NotRun, "r9")})
+	is.NoErr(right.Err())
+	is.Equal(scene.Judge(recs, []load.Once{told("twice", fault.Unknown)}).RunTwice, 1)
+	is.Equal(scene.Judge(recs, []load.Once{told("none", fault.Run)}).FalseRun, 1) // another team's key
+	is.Equal(scene.Judge(recs, []load.Once{told("ran", fault.NotRun)}).FalseNotRun, 1)
+	is.Equal(scene.Judge(recs, []load.Once{told("ran", fault.Unknown, "r1")}).FalseNotRun, 1)
+}
