Drive the pools through any order of events

Found by the property test: asks set aside while the queue is served emptied the table of teams, and the next removal crashed. Change: the queue counts the asks set aside; cold shares cover every view seen since the last settled one.

--- a/router/permit/permit.go
+++ b/router/permit/permit.go
@@ -29,17 +29,19 @@
 // Len returns the number of instances.
 func (v View) Len() int { return len(v.members) }
 
-// Equal reports whether v and w have the same members and the same self.
-func (v View) Equal(w View) bool {
-	if v.self != w.self || len(v.members) != len(w.members) {
-		return false
+// changes returns how many members v and w do not share.
+func (v View) changes(w View) int {
+	in := make(map[uint64]bool, len(v.members))
+	for _, m := range v.members {
+		in[m] = true
 	}
-	for i, m := range v.members {
-		if w.members[i] != m {
-			return false
+	common := 0
+	for _, m := range w.members {
+		if in[m] {
+			common++
 		}
 	}
-	return true
+	return len(v.members) + len(w.members) - 2*common
 }
 
 // Share returns how many of the runner's slots belong to this instance. Over
@@ -58,13 +60,6 @@
 	return share
 }
 
-// Smaller returns the smaller of the shares that v and w give. While some
-// instances follow v and others this rule, or some this rule and others w,
-// the shares in use add up to slots at most.
-func (v View) Smaller(w View, runner string, slots int) int {
-	return min(v.Share(runner, slots), w.Share(runner, slots))
-}
-
 // rank returns how many members come before self, counting no further than
 // enough.
 func (v View) rank(runner uint64, enough int) int {
--- a/router/pool/main_test.go
+++ b/router/pool/main_test.go
@@ -4,8 +4,6 @@
 	"flag"
 	"os"
 	"testing"
-
-	_ "pgregory.net/rapid"
 )
 
 func TestMain(m *testing.M) {
--- a/router/pool/pools.go
+++ b/router/pool/pools.go
@@ -42,9 +42,8 @@
 	// runners are all that were ever seen and still have work or a row.
 	runners map[string]*runner
 	groups  map[groupKey]*group
-	// settled is the last settled view.
-	settled    permit.View
-	hasSettled bool
+	// cover holds the last settled view and the unsettled ones since.
+	cover permit.Cover
 }
 
 // snapshot is what the path of a request reads. It is immutable.
@@ -72,13 +71,29 @@
 		return nil, noRunner(g)
 	}
 	now := p.now()
+	pl, err := p.atOnce(g, &ask, now)
+	if err != nil {
+		return nil, err
+	}
+	if pl != nil {
+		return pl, nil
+	}
+	w, err := p.enqueue(g, ask, now)
+	if err != nil {
+		return nil, err
+	}
+	return p.wait(ctx, w)
+}
+
+// atOnce returns a place without waiting, or nil when the ask has to wait.
+func (p *pools) atOnce(g *group, ask *Ask, now instant) (*place, error) {
 	left := p.instantOf(ask.Deadline).sub(now)
 	if need := g.latency.likely(now); p.cfg.budgets && left < need {
 		return nil, fault.New(fault.DeadlineShort, "%v remain, %s needs %v",
 			left, ask.Service, need)
 	}
 	if !g.mustWait(ask.Paying) {
-		a := attempt{p: p, g: g, ask: &ask, now: now}
+		a := attempt{p: p, g: g, ask: ask, now: now}
 		pl := a.anywhere()
 		if a.undone != nil {
 			p.dispatch(a.undone, now)
@@ -87,23 +102,17 @@
 			return pl, nil
 		}
 	}
-	if !g.usable(&ask) {
+	if !g.usable(ask) {
 		return nil, fault.New(fault.NoRunner, "all runners of %s were tried", ask.Service)
 	}
-	return p.wait(ctx, g, ask, now)
+	return nil, nil
 }
 
-// wait puts the ask into the queue and waits for a place.
-func (p *pools) wait(ctx context.Context, g *group, ask Ask, now instant) (Place, error) {
-	w := &waiter{
-		g: g, ask: ask, index: -1, out: make(chan outcome, 1),
-		deadline: p.instantOf(ask.Deadline),
-	}
-	if err := p.enqueue(w, now); err != nil {
-		return nil, err
-	}
+// wait waits for the place of an ask in the queue.
+func (p *pools) wait(ctx context.Context, w *waiter) (Place, error) {
+	g := w.g
 	for {
-		now = p.now()
+		now := p.now()
 		until := p.latest(w, now)
 		wake := p.nextGain(g, until)
 		select {
@@ -115,7 +124,7 @@
 		case <-p.clk.After(wake.sub(now)):
 			if wake >= until {
 				return p.leave(w, fault.New(fault.Overloaded,
-					"no place for %s in time", ask.Service).WithOutcome(fault.NotRun), false)
+					"no place for %s in time", w.ask.Service).WithOutcome(fault.NotRun), false)
 			}
 			p.refresh(g, p.now())
 		}
@@ -160,31 +169,27 @@
 	}
 }
 
-// enqueue refuses w if it can't be served in time, and else puts it into the
-// queue and serves the queue once, so that no place given back meanwhile is
-// missed.
-func (p *pools) enqueue(w *waiter, now instant) error {
-	g, class := w.g, classOf(w.ask.Paying)
+// enqueue refuses the ask if it can't be served in time, and else puts it
+// into the queue and serves the queue once, so that no place given back
+// meanwhile is missed.
+func (p *pools) enqueue(g *group, ask Ask, now instant) (*waiter, error) {
+	w := &waiter{
+		g: g, ask: ask, index: -1, out: make(chan outcome, 1),
+		deadline: p.instantOf(ask.Deadline),
+	}
+	class := classOf(ask.Paying)
 	g.mu.Lock()
 	q := &g.queues[class]
 	err := p.tooLong(w, q, now)
 	if g.members.Load().len() == 0 {
 		err = noRunner(g)
 	}
+	if err == nil {
+		err = p.makeRoom(w, q)
+	}
 	if err != nil {
 		g.mu.Unlock()
-		return err
-	}
-	if len(q.heap) >= p.cfg.queue {
-		victim := q.longest()
-		if victim.ask.Team == w.ask.Team {
-			g.mu.Unlock()
-			return fault.New(fault.Overloaded, "the queue of %s is full", w.ask.Service)
-		}
-		g.waiting[class].Add(-1)
-		q.drop(victim)
-		victim.out <- outcome{err: fault.New(fault.Overloaded,
-			"the queue of %s is full", w.ask.Service)}
+		return nil, err
 	}
 	q.push(w, now)
 	g.waiting[class].Add(1)
@@ -193,6 +198,23 @@
 	if again != nil {
 		p.dispatch(again, now)
 	}
+	return w, nil
+}
+
+// makeRoom refuses the newest ask of the team with the longest backlog when
+// the queue is full, which may be w itself; g.mu is held.
+func (p *pools) makeRoom(w *waiter, q *queue) error {
+	if len(q.heap) < p.cfg.queue {
+		return nil
+	}
+	full := fault.New(fault.Overloaded, "the queue of %s is full", w.ask.Service)
+	victim := q.longest()
+	if victim.ask.Team == w.ask.Team {
+		return full
+	}
+	w.g.waiting[classOf(w.ask.Paying)].Add(-1)
+	q.drop(victim)
+	victim.out <- outcome{err: full}
 	return nil
 }
 
--- /dev/null
+++ b/router/pool/property_test.go
@@ -0,0 +1,298 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/runnerapi"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// machine drives the pools of one instance through any order of events. The
+// part of Acquire that waits is left out: its events are drawn.
+type machine struct {
+	clk     *clock.Manual
+	p       *pools
+	topo    Topology
+	held    []*place
+	waiting []*waiter
+	// before is the work in flight before the current step.
+	before map[string]int64
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{clk: clock.NewManual(start)}
+	m.p = New(m.clk, WithQueue(6), WithSeed(rapid.Uint64().Draw(t, "seed"))).(*pools)
+	m.topo = Topology{
+		Zone: "zone-0", Self: "a", Instances: []string{"a", "b"}, Settled: true,
+		ZonesOut: map[string]bool{}, Draining: map[string]bool{}, Longest: time.Second,
+	}
+	for i := range 4 {
+		slots := rapid.IntRange(1, 8).Draw(t, "slots")
+		m.topo.Runners = append(m.topo.Runners, bundle.Runner{
+			ID: fmt.Sprintf("r%d", i), Zone: fmt.Sprintf("zone-%d", i%2),
+			Service: "s", Models: [][]string{{"x"}, {"x", "y"}, {"y"}, {"x", "y"}}[i],
+			Slots: slots, ColdSlots: rapid.IntRange(1, slots).Draw(t, "coldSlots"),
+			ReportsLoad: i != 2, WarmupMillis: 500,
+		})
+	}
+	m.p.Update(m.topo)
+	return m
+}
+
+func (m *machine) ask(t *rapid.T) {
+	ask := Ask{
+		Service: "s", Model: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "model"),
+		Team:     rapid.SampledFrom([]string{"t0", "t1", "t2"}).Draw(t, "team"),
+		Weight:   float64(rapid.IntRange(1, 3).Draw(t, "weight")),
+		Paying:   rapid.Bool().Draw(t, "paying"),
+		Deadline: m.clk.Now().Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "within")) * time.Millisecond),
+		Affinity: rapid.Uint64Range(0, 3).Draw(t, "affinity"),
+	}
+	if rapid.IntRange(0, 4).Draw(t, "exclude") == 0 {
+		ask.Exclude = []string{rapid.SampledFrom([]string{"r0", "r1", "r3"}).Draw(t, "excluded")}
+	}
+	g, now := m.p.snapshot.Load().groups[groupKey{ask.Service, ask.Model}], m.p.now()
+	pl, err := m.p.atOnce(g, &ask, now)
+	if err == nil && pl == nil {
+		var w *waiter
+		if w, err = m.p.enqueue(g, ask, now); err == nil {
+			m.waiting = append(m.waiting, w)
+		}
+	}
+	if err != nil && fault.Of(err).Outcome() != fault.NotRun {
+		t.Fatalf("refused ask counts as run: %v", err)
+	}
+	if pl != nil {
+		m.hand(t, pl)
+	}
+}
+
+// hand records a place that was handed out.
+func (m *machine) hand(t *rapid.T, pl *place) {
+	if pl.r.out.Load() {
+		t.Fatalf("%s was chosen though it is out", pl.r.id)
+	}
+	if pl.r.total.Load() > pl.r.limit.Load() {
+		t.Fatalf("%s has %d places of %d", pl.r.id, pl.r.total.Load(), pl.r.limit.Load())
+	}
+	if err := pl.Check(); err != nil {
+		t.Fatalf("a new place fails its check: %v", err)
+	}
+	if !pl.paying {
+		m.checkNotAhead(t, pl)
+	}
+	m.held = append(m.held, pl)
+}
+
+// checkNotAhead fails when a paying ask waits for the runner of a free place.
+func (m *machine) checkNotAhead(t *rapid.T, pl *place) {
+	for _, g := range *pl.r.groups.Load() {
+		for _, w := range g.queues[paying].heap {
+			if !slices.Contains(w.ask.Exclude, pl.r.id) {
+				t.Fatalf("free work took a place on %s for which a paying ask waits", pl.r.id)
+			}
+		}
+	}
+}
+
+func (m *machine) done(t *rapid.T) {
+	if len(m.held) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.held)-1).Draw(t, "place")
+	pl := m.held[i]
+	m.held = slices.Delete(m.held, i, i+1)
+	res := Result{
+		Ending:  Ending(rapid.SampledFrom([]int{0, 0, 0, 0, 1, 2, 3, 4, 5}).Draw(t, "ending")),
+		Latency: time.Duration(rapid.IntRange(1, 300).Draw(t, "latency")) * time.Millisecond,
+	}
+	if pl.Runner().ReportsLoad && rapid.Bool().Draw(t, "withLoad") {
+		res.Load = drawLoad(t)
+	}
+	pl.Done(res)
+	if rapid.Bool().Draw(t, "twice") {
+		pl.Done(res)
+	}
+}
+
+func drawLoad(t *rapid.T) *runnerapi.Load {
+	return &runnerapi.Load{
+		Running:   rapid.IntRange(0, 8).Draw(t, "running"),
+		Queued:    rapid.SampledFrom([]int{0, 0, 0, 3}).Draw(t, "queued"),
+		Cold:      rapid.IntRange(0, 5).Draw(t, "cold") == 0,
+		AgeMillis: int64(rapid.SampledFrom([]int{0, 0, 100, 1000}).Draw(t, "age")),
+	}
+}
+
+func (m *machine) report(t *rapid.T) {
+	m.p.Report(rapid.SampledFrom([]string{"r0", "r1", "r3"}).Draw(t, "runner"), *drawLoad(t))
+}
+
+func (m *machine) cancel(t *rapid.T) {
+	if len(m.waiting) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.waiting)-1).Draw(t, "waiter")
+	w := m.waiting[i]
+	m.waiting = slices.Delete(m.waiting, i, i+1)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	m.p.leave(w, fault.Wrap(fault.Overloaded, ctx.Err(), "gave up"), true)
+}
+
+func (m *machine) update(t *rapid.T) {
+	m.topo.ZonesOut = map[string]bool{"zone-1": rapid.IntRange(0, 2).Draw(t, "zoneOut") == 0}
+	m.topo.Draining = map[string]bool{"r0": rapid.IntRange(0, 2).Draw(t, "draining") == 0}
+	m.topo.Instances = rapid.SampledFrom([][]string{{"a"}, {"a", "b"}, {"b"}}).Draw(t, "view")
+	m.topo.Settled = rapid.Bool().Draw(t, "settled")
+	m.p.Update(m.topo)
+	for _, pl := range m.held {
+		zone := pl.Runner().Zone
+		barred := m.topo.ZonesOut[zone] || m.topo.Draining[pl.r.id]
+		if barred && !fault.Is(pl.Check(), fault.NoRunner) {
+			t.Fatalf("a place on %s, which is out, passes its check", pl.r.id)
+		}
+	}
+}
+
+func (m *machine) advance(t *rapid.T) {
+	m.clk.Advance(time.Duration(rapid.IntRange(1, 700).Draw(t, "millis")) * time.Millisecond)
+	now := m.p.now()
+	for _, g := range m.p.groups {
+		m.p.refresh(g, now)
+	}
+	for _, w := range slices.Clone(m.waiting) {
+		if now < m.p.latest(w, now) {
+			continue
+		}
+		m.waiting = slices.DeleteFunc(m.waiting, func(x *waiter) bool { return x == w })
+		pl, err := m.p.leave(w, fault.New(fault.Overloaded, "late"), false)
+		if err == nil {
+			m.held = append(m.held, pl.(*place))
+		}
+	}
+}
+
+// check collects what waiters received and compares the state with the model.
+func (m *machine) check(t *rapid.T) {
+	for _, w := range slices.Clone(m.waiting) {
+		select {
+		case o := <-w.out:
+			m.waiting = slices.DeleteFunc(m.waiting, func(x *waiter) bool { return x == w })
+			if o.err == nil {
+				m.received(t, o.place)
+			}
+		default:
+		}
+	}
+	m.checkTotals(t)
+	for _, g := range m.p.groups {
+		m.checkQueues(t, g)
+	}
+}
+
+// received records a place that a waiter received; the runner's limit may
+// have changed later in the same step.
+func (m *machine) received(t *rapid.T, pl *place) {
+	if pl.r.out.Load() {
+		t.Fatalf("%s was handed to a waiter though it is out", pl.r.id)
+	}
+	if !pl.paying {
+		m.checkNotAhead(t, pl)
+	}
+	m.held = append(m.held, pl)
+}
+
+func (m *machine) checkTotals(t *rapid.T) {
+	count := map[string]int64{}
+	for _, pl := range m.held {
+		count[pl.r.id]++
+	}
+	for id, r := range m.p.runners {
+		if n := r.total.Load(); n != count[id] {
+			t.Fatalf("%s counts %d places, %d are held", id, n, count[id])
+		}
+		if n, limit := r.total.Load(), r.limit.Load(); n > m.before[id] && n > limit {
+			t.Fatalf("%s went from %d to %d places of %d", id, m.before[id], n, limit)
+		}
+		if r.cold.Load() && r.limit.Load() > int64(r.desc.Load().ColdSlots) {
+			t.Fatalf("%s is cold and has a limit of %d", id, r.limit.Load())
+		}
+	}
+	m.before = count
+}
+
+func (m *machine) checkQueues(t *rapid.T, g *group) {
+	for class := range g.queues {
+		if n := g.waiting[class].Load(); n != int64(len(g.queues[class].heap)) {
+			t.Fatalf("%v counts %d waiting asks, has %d", g.key, n, len(g.queues[class].heap))
+		}
+	}
+	for _, w := range g.queues[paying].heap {
+		m.checkPayingWaits(t, g, w)
+	}
+	for _, w := range g.queues[free].heap {
+		for r := range g.members.Load().all {
+			if usable(r, w) && !r.payingWaits() && r.total.Load() < r.freeLimit.Load() &&
+				g.waiting[paying].Load() == 0 {
+				t.Fatalf("a free ask waits though %s has a place", r.id)
+			}
+		}
+	}
+}
+
+// checkPayingWaits fails when a place is free for w, or could be made free.
+func (m *machine) checkPayingWaits(t *rapid.T, g *group, w *waiter) {
+	for r := range g.members.Load().all {
+		if !usable(r, w) {
+			continue
+		}
+		if r.total.Load() < r.limit.Load() {
+			t.Fatalf("a paying ask waits though %s has a place", r.id)
+		}
+		if w.victims.Load() > 0 {
+			continue
+		}
+		payingWork, staying := int64(0), int64(0)
+		for _, pl := range m.held {
+			if pl.r == r && pl.paying {
+				payingWork++
+			}
+			if pl.r == r && !pl.paying && !pl.displaced {
+				staying++
+			}
+		}
+		if payingWork < r.limit.Load() && staying > 0 {
+			t.Fatalf("a paying ask waits though %s holds %d free places", r.id, staying)
+		}
+	}
+}
+
+func usable(r *runner, w *waiter) bool {
+	return !r.out.Load() && !slices.Contains(w.ask.Exclude, r.id)
+}
+
+func TestPoolsProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"ask":     m.ask,
+			"askMore": m.ask,
+			"done":    m.done,
+			"report":  m.report,
+			"cancel":  m.cancel,
+			"update":  m.update,
+			"advance": m.advance,
+			"":        m.check,
+		})
+	})
+}
--- a/router/pool/queue.go
+++ b/router/pool/queue.go
@@ -32,6 +32,8 @@
 // order of start-time fair queueing over teams. The group's mutex guards it.
 type queue struct {
 	heap waiters
+	// size counts the asks of heap and those set aside.
+	size int
 	// virtual is the start tag of the ask served last.
 	virtual float64
 	teams   map[string]*backlog
@@ -70,6 +72,7 @@
 		q.served = now
 	}
 	heap.Push(&q.heap, w)
+	q.size++
 }
 
 // startTag returns the tag that the next ask of the team would get.
@@ -110,7 +113,8 @@
 	heap.Remove(&q.heap, w.index)
 	b := q.teams[w.ask.Team]
 	b.waiting--
-	if len(q.heap) == 0 {
+	q.size--
+	if q.size == 0 {
 		clear(q.teams)
 		return
 	}
--- a/router/pool/topology.go
+++ b/router/pool/topology.go
@@ -19,11 +19,9 @@
 	if len(t.Instances) == 0 && t.Self == "" {
 		view = permit.NewView([]string{""}, "")
 	}
+	p.cover = p.cover.With(view, t.Settled)
 	next := p.arrange(t, view, now)
 	p.snapshot.Store(next)
-	if t.Settled {
-		p.settled, p.hasSettled = view, true
-	}
 	for _, r := range next.runners {
 		p.dispatch(r, now)
 	}
@@ -100,7 +98,7 @@
 	defer r.mu.Unlock()
 	r.desc.Store(&desc)
 	r.offset = offset
-	r.permits.assign(p.share(desc.ID, desc.ColdSlots, t, view), now, longest(t.Longest))
+	r.permits.assign(p.cover.Share(desc.ID, desc.ColdSlots), now, longest(t.Longest))
 	r.adaptive.bounds(view.Share(desc.ID, desc.Slots), desc.Slots)
 	if open && r.out.Load() {
 		p.reopen(r, now)
@@ -121,17 +119,6 @@
 	r.cool(now)
 }
 
-// share returns this instance's part of slots under the topology's view.
-func (p *pools) share(id string, slots int, t Topology, view permit.View) int {
-	if t.Settled {
-		return view.Share(id, slots)
-	}
-	if !p.hasSettled || p.settled.Equal(view) {
-		return 0
-	}
-	return p.settled.Smaller(view, id, slots)
-}
-
 // join lists the runner in its groups and returns them.
 func (p *pools) join(
 	next *snapshot, lists map[groupKey]*members, r *runner, desc bundle.Runner, zone string, open bool,
