Wire the router: start and stop in order, one process an instance

Cause: the packages had no program. Ruled out: a hook for each part (the order of starts and stops is the point and reads best in one place). Change: constructors in one list for fx, an entry that starts and stops its parts in order; the roster is read from the platform's list for now, which is not safe for calls that may not be repeated, and orders to take out are not wired yet.

--- /dev/null
+++ b/router/cost_test.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/callerapi"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/router/caller"
+	"cicadawell.dev/router/catalog"
+	"cicadawell.dev/router/deadline"
+	"cicadawell.dev/router/gauge"
+	"cicadawell.dev/router/journal"
+	"cicadawell.dev/router/pipeline"
+	"cicadawell.dev/router/pool"
+	"cicadawell.dev/router/quota"
+	"cicadawell.dev/router/retry"
+	"cicadawell.dev/router/runner"
+)
+
+const (
+	// costCalls is how many calls one round makes on each path.
+	costCalls = 4000
+	// costRounds is how many rounds there are; the cheapest of each counts.
+	costRounds = 5
+	// costWorkers is how many callers there are.
+	costWorkers = 16
+	// costShare is the least share of the pass-through handler's requests
+	// per second and core that the router reaches.
+	costShare = 0.70
+	costKey   = "paying-key"
+)
+
+// TestCostAgainstPassThroughBound compares the processor time that a call costs
+// in the router with what it costs in a handler of net/http that only passes
+// bodies on. The time of a direct call to the back end, which both contain, is
+// taken off both.
+func TestCostAgainstPassThroughBound(t *testing.T) {
+	is := is.New(t)
+	backend := serveHTTP(t, http.HandlerFunc(answerRun))
+	pass := serveHTTP(t, passThrough(backend))
+	router := serveHTTP(t, costRouter(t, backend))
+	run, err := json.Marshal(runnerapi.RunRequest{Attempt: "a", Input: costInput()})
+	is.NoErr(err)
+	call, err := json.Marshal(callerapi.Request{Input: costInput(), DeadlineMillis: 4000})
+	is.NoErr(err)
+	best := [3]time.Duration{}
+	for range costRounds {
+		costs := [3]time.Duration{
+			spend(t, "http://"+backend+runnerapi.PathRun, run),
+			spend(t, "http://"+pass+runnerapi.PathRun, run),
+			spend(t, "http://"+router+callerapi.PathPipelines+"answer", call),
+		}
+		for i, c := range costs {
+			if best[i] == 0 || c < best[i] {
+				best[i] = c
+			}
+		}
+	}
+	passCost, routerCost := best[1]-best[0], best[2]-best[0]
+	share := float64(passCost) / float64(routerCost)
+	t.Logf("pass-through %v, router %v a call: %.2f of its requests a second and core", passCost/costCalls, routerCost/costCalls, share)
+	is.True(share >= costShare)
+}
+
+func costInput() json.RawMessage {
+	return json.RawMessage(`{"text":"` + string(bytes.Repeat([]byte("word "), 100)) + `"}`)
+}
+
+// answerRun is a runner that answers at once.
+func answerRun(w http.ResponseWriter, r *http.Request) {
+	var req runnerapi.RunRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(runnerapi.RunResult{Attempt: req.Attempt, Output: req.Input, Load: &runnerapi.Load{Running: 1}})
+}
+
+// passThrough sends each body on and the answer back.
+func passThrough(backend string) http.Handler {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: costWorkers}}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		req, err := http.NewRequestWithContext(r.Context(), http.MethodPost, "http://"+backend+r.URL.Path, r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		req.ContentLength = r.ContentLength
+		resp, err := client.Do(req)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		w.Header().Set("Content-Type", resp.Header.Get("Content-Type"))
+		_, _ = io.Copy(w, resp.Body)
+	})
+}
+
+func costRouter(t *testing.T, backend string) http.Handler {
+	t.Helper()
+	clk := clock.System()
+	b := costBundle(backend)
+	current := &catalog.Current{}
+	current.Advance(catalog.New(b))
+	pools := pool.New(clk)
+	pools.Update(pool.Topology{Runners: b.Runners, Zone: "z1", Instances: []string{"i1"}, Self: "i1", Settled: true})
+	budgets := deadline.New(clk)
+	metrics := gauge.New()
+	log := journal.New(hclog.New(&hclog.LoggerOptions{Output: io.Discard}), clk)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = log.Run(ctx) })
+	client := runner.NewClient(clk)
+	t.Cleanup(func() {
+		cancel()
+		group.Wait()
+		client.Close()
+	})
+	ids := identifiers{instance: "i1"}
+	executor := pipeline.NewExecutor(pipeline.Parts{
+		Instance: "i1", Clock: clk, Catalog: current, Pools: pools, Budgets: budgets, Retries: retry.New(budgets),
+		Runners: client, Journal: log, Meter: stageMeter{metrics}, Identifiers: ids,
+	})
+	return caller.NewServer(caller.Parts{
+		Clock: clk, Catalog: current, Executor: executor, Quotas: quota.New(), Journal: log,
+		Meter: callerMeter{metrics: metrics, zone: "z1"}, Identifiers: ids,
+	}).Handler()
+}
+
+func costBundle(backend string) bundle.Bundle {
+	stage := bundle.Stage{Name: "encode", Service: "encode", Idempotent: true, MaxResultBytes: 1 << 16}
+	return bundle.Bundle{
+		Version: 1,
+		Tiers:   []bundle.Tier{{ID: "gold", Paying: true}},
+		Teams:   []bundle.Team{{ID: "t1", Tier: "gold", KeyHashes: []string{bundle.HashKey(costKey)}}},
+		Zones:   []bundle.Zone{{ID: "z1"}},
+		Runners: []bundle.Runner{{ID: "r1", Zone: "z1", Address: backend, Service: "encode", Slots: 64, ColdSlots: 64}},
+		Pipelines: []bundle.Pipeline{{
+			ID: "answer", Stages: []bundle.Stage{stage}, DeadlineMillis: 4000, MaxDeadlineMillis: 4000, MaxBodyBytes: 1 << 16,
+		}},
+	}
+}
+
+func serveHTTP(t *testing.T, h http.Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	var group sync.WaitGroup
+	group.Go(func() { _ = s.Serve(l) })
+	t.Cleanup(func() {
+		_ = s.Close()
+		group.Wait()
+	})
+	return l.Addr().String()
+}
+
+// spend makes one round of calls and returns the processor time that this
+// process spent on it.
+func spend(t *testing.T, url string, body []byte) time.Duration {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: costWorkers}}
+	defer client.CloseIdleConnections()
+	start := processorTime(t)
+	var group sync.WaitGroup
+	for range costWorkers {
+		group.Go(func() {
+			for range costCalls / costWorkers {
+				if err := post(client, url, body); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+	return processorTime(t) - start
+}
+
+func post(client *http.Client, url string, body []byte) error {
+	req, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+costKey)
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = &http.ProtocolError{ErrorString: string(data)}
+	}
+	return err
+}
+
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/router/entry.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/fx"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/caller"
+	"cicadawell.dev/router/catalog"
+	"cicadawell.dev/router/gauge"
+	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/journal"
+	"cicadawell.dev/router/ledger"
+	"cicadawell.dev/router/pipeline"
+	"cicadawell.dev/router/pool"
+	"cicadawell.dev/router/quota"
+	"cicadawell.dev/router/roll"
+	"cicadawell.dev/router/runner"
+	"cicadawell.dev/router/settings"
+)
+
+// entry is a running instance: it starts its parts in order and stops them in
+// order.
+type entry struct {
+	fx.In
+	Settings  settings.Settings
+	Clock     clock.Clock
+	Log       hclog.Logger
+	Loops     *loops
+	Listeners *listeners
+	Journal   journal.Writer
+	Metrics   gauge.Metrics
+	Catalog   *catalog.Current
+	Mesh      instance.Network
+	Registry  *registry
+	Rolls     roll.Rolls
+	Topology  *topology
+	Pools     pool.Pools
+	Ledger    ledger.Book
+	Executor  pipeline.Executor
+	Runners   runner.Client
+	Fleet     *fleet
+	Callers   caller.Server
+	Operators operators
+}
+
+func newTopology(cfg settings.Settings, c *catalog.Current, r *registry, pools pool.Pools, quotas quota.Quotas) *topology {
+	return &topology{cfg: cfg, catalog: c, out: noTakeouts{}, roster: r, pools: pools, quotas: quotas}
+}
+
+// start makes the instance known, brings the bundle in force and only then
+// answers callers.
+func (e entry) start(ctx context.Context) error {
+	e.Fleet.handle()
+	e.Metrics.WatchPools(e.Pools.Status)
+	e.Metrics.Watch("cicadawell_bundle_version", func() float64 { return float64(e.Catalog.Version()) })
+	e.Registry.changed = e.Topology.update
+	e.Rolls.Subscribe(e.Topology.adopt)
+	if err := e.Mesh.Start(e.Loops.ctx); err != nil {
+		return err
+	}
+	e.Loops.start("mesh", func(context.Context) error { return e.Mesh.Serve(e.Listeners.instances) })
+	e.Loops.start("journal", e.Journal.Run)
+	e.Loops.start("registration", e.Registry.keep)
+	e.Loops.start("list", e.Registry.follow)
+	if err := e.Rolls.Start(ctx); err != nil {
+		return err
+	}
+	e.Loops.start("rolls", e.Rolls.Run)
+	e.Loops.start("operators", func(context.Context) error { return serveHTTPOn(e.Operators.Server, e.Listeners.operators) })
+	e.Loops.start("callers", func(context.Context) error { return e.Callers.Serve(e.Listeners.callers) })
+	return e.Listeners.announce(os.Stdout, e.Settings.ID)
+}
+
+func serveHTTPOn(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// stop cuts off no request: it asks callers to leave, goes on as long as the
+// balancer may still send some, and waits for all that runs.
+func (e entry) stop(ctx context.Context) error {
+	e.Log.Info("leaving", "underWay", e.Callers.UnderWay())
+	e.Callers.Leave()
+	err := e.Clock.Sleep(ctx, e.Settings.BalancerLag())
+	err = errors.Join(err, e.Callers.Shutdown(ctx))
+	e.Executor.Close()
+	e.Ledger.Close()
+	err = errors.Join(err, e.Operators.Shutdown(ctx))
+	err = errors.Join(err, e.Mesh.Close())
+	e.Loops.cancel()
+	err = errors.Join(err, e.Loops.stop())
+	e.Runners.Close()
+	e.Log.Info("left", "error", err)
+	return err
+}
+
+// serve runs an instance until a signal ends it. It returns an error when the
+// instance could not start or cut off a request.
+func serve(cfg settings.Settings) error {
+	app := fx.New(
+		parts,
+		fx.Supply(cfg),
+		fx.StopTimeout(cfg.StopGrace()),
+		fx.StartTimeout(cfg.StopGrace()),
+		fx.Invoke(func(lc fx.Lifecycle, e entry) {
+			lc.Append(fx.Hook{OnStart: e.start, OnStop: e.stop})
+		}),
+	)
+	if err := app.Start(context.Background()); err != nil {
+		return err
+	}
+	signal := <-app.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), cfg.StopGrace())
+	defer cancel()
+	if err := app.Stop(ctx); err != nil {
+		return err
+	}
+	if signal.ExitCode != 0 {
+		return errors.New("stopped after a failure")
+	}
+	return nil
+}
--- a/router/main.go
+++ b/router/main.go
@@ -1,4 +1,61 @@
-// Command router is one entry instance of cicadawell.
+// Command router is one entry instance of cicadawell: it answers callers,
+// operators and the other instances.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"cicadawell.dev/router/settings"
+)
+
+// version is that of all programs of the workspace.
+const version = "0.1.0"
+
+// Exit codes.
+const (
+	// exitFailed is a router that could not start or cut off a request.
+	exitFailed = 1
+	// exitSettings is a settings file with bad fields.
+	exitSettings = 2
+)
+
+func main() {
+	app := kingpin.New("router", "An entry instance of cicadawell.")
+	app.Version(version)
+	app.HelpFlag.Short('h')
+	serve := app.Command("serve", "Answer callers, operators and other instances.")
+	servePath := serve.Arg("settings", "Settings file, JSON with comments.").Required().String()
+	check := app.Command("check", "Check a settings file and do nothing else.")
+	checkPath := check.Arg("settings", "Settings file, JSON with comments.").Required().String()
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case serve.FullCommand():
+		os.Exit(runServe(*servePath))
+	case check.FullCommand():
+		os.Exit(runCheck(*checkPath))
+	}
+}
+
+func runCheck(path string) int {
+	if _, err := settings.Read(path); err != nil {
+		fmt.Fprintln(os.Stderr, "router:", err)
+		return exitSettings
+	}
+	fmt.Println("settings are good")
+	return 0
+}
+
+func runServe(path string) int {
+	cfg, err := settings.Read(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "router:", err)
+		return exitSettings
+	}
+	if err := serve(cfg); err != nil {
+		fmt.Fprintln(os.Stderr, "router:", err)
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/router/parts.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/caller"
+	"cicadawell.dev/router/catalog"
+	"cicadawell.dev/router/deadline"
+	"cicadawell.dev/router/gauge"
+	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/journal"
+	"cicadawell.dev/router/ledger"
+	"cicadawell.dev/router/pipeline"
+	"cicadawell.dev/router/platform"
+	"cicadawell.dev/router/pool"
+	"cicadawell.dev/router/quota"
+	"cicadawell.dev/router/retry"
+	"cicadawell.dev/router/roll"
+	"cicadawell.dev/router/runner"
+	"cicadawell.dev/router/settings"
+)
+
+// parts are the constructors of everything that an instance consists of.
+var parts = fx.Options(
+	fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	fx.Provide(
+		clock.System,
+		newLogger,
+		newLoops,
+		newListeners,
+		newIdentifiers,
+		newJournal,
+		gauge.New,
+		newCatalog,
+		newStore,
+		newList,
+		newMesh,
+		newRunners,
+		newRegistry,
+		newRolls,
+		newPools,
+		newBudgets,
+		newRetries,
+		newQuotas,
+		newTopology,
+		newExecutor,
+		newLedger,
+		newCallers,
+		newFleet,
+		newOperators,
+	),
+)
+
+func newLogger(cfg settings.Settings) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Name:       cfg.ID,
+		Level:      hclog.LevelFromString(cfg.LogLevel),
+		Output:     os.Stderr,
+		JSONFormat: true,
+	})
+}
+
+func newIdentifiers(cfg settings.Settings) identifiers { return identifiers{instance: cfg.ID} }
+
+func newJournal(log hclog.Logger, clk clock.Clock) journal.Writer {
+	return journal.New(log.Named("journal"), clk)
+}
+
+func newCatalog() *catalog.Current { return &catalog.Current{} }
+
+func newStore(cfg settings.Settings) platform.Store { return platform.NewStore(cfg.Platform.Store) }
+
+func newList(cfg settings.Settings) platform.List { return platform.NewList(cfg.Platform.Instances) }
+
+func newMesh(cfg settings.Settings, clk clock.Clock, log hclog.Logger) instance.Network {
+	return instance.New(instance.WithID(cfg.ID), instance.WithClock(clk), instance.WithLogger(log.Named("mesh")))
+}
+
+func newRunners(clk clock.Clock) runner.Client { return runner.NewClient(clk) }
+
+func newPools(cfg settings.Settings, clk clock.Clock) pool.Pools {
+	switch cfg.Policy {
+	case settings.PolicyRoundRobin:
+		return pool.New(clk, pool.WithPolicy(pool.PolicyRoundRobin))
+	case settings.PolicyLeastReported:
+		return pool.New(clk, pool.WithPolicy(pool.PolicyLeastReported))
+	case settings.PolicyNoAdmission:
+		return pool.New(clk, pool.WithoutAdmission())
+	case settings.PolicyNoBudgets:
+		return pool.New(clk, pool.WithoutBudgets())
+	}
+	return pool.New(clk)
+}
+
+func newBudgets(cfg settings.Settings, clk clock.Clock) deadline.Budgets {
+	if cfg.Policy == settings.PolicyNoBudgets {
+		return deadline.New(clk, deadline.WithoutBudgets())
+	}
+	return deadline.New(clk)
+}
+
+func newRetries(budgets deadline.Budgets) retry.Budget { return retry.New(budgets) }
+
+func newQuotas() quota.Quotas { return quota.New() }
+
+func newRolls(cfg settings.Settings, store platform.Store, mesh instance.Network, f *registry, clk clock.Clock, log hclog.Logger) roll.Rolls {
+	self := roll.Peer{ID: cfg.ID, Zone: cfg.Zone}
+	return roll.New(self, store, mesh, f, clk, log.Named("roll"))
+}
+
+type executorIn struct {
+	fx.In
+	Settings    settings.Settings
+	Clock       clock.Clock
+	Catalog     *catalog.Current
+	Pools       pool.Pools
+	Budgets     deadline.Budgets
+	Retries     retry.Budget
+	Runners     runner.Client
+	Journal     journal.Writer
+	Metrics     gauge.Metrics
+	Identifiers identifiers
+}
+
+func newExecutor(in executorIn) pipeline.Executor {
+	return pipeline.NewExecutor(pipeline.Parts{
+		Instance:    in.Settings.ID,
+		Clock:       in.Clock,
+		Catalog:     in.Catalog,
+		Pools:       in.Pools,
+		Budgets:     in.Budgets,
+		Retries:     in.Retries,
+		Runners:     in.Runners,
+		Journal:     in.Journal,
+		Meter:       stageMeter{in.Metrics},
+		Identifiers: in.Identifiers,
+	})
+}
+
+type ledgerIn struct {
+	fx.In
+	Settings settings.Settings
+	Clock    clock.Clock
+	Log      hclog.Logger
+	Mesh     instance.Network
+	Registry *registry
+	Executor pipeline.Executor
+}
+
+func newLedger(in ledgerIn) ledger.Book {
+	return ledger.New(
+		ledger.WithID(in.Settings.ID),
+		ledger.WithClock(in.Clock),
+		ledger.WithLogger(in.Log.Named("ledger")),
+		ledger.WithMesh(in.Mesh),
+		ledger.WithRoster(in.Registry),
+		ledger.WithRunner(in.Executor),
+	)
+}
+
+type callersIn struct {
+	fx.In
+	Settings    settings.Settings
+	Clock       clock.Clock
+	Catalog     *catalog.Current
+	Executor    pipeline.Executor
+	Ledger      ledger.Book
+	Quotas      quota.Quotas
+	Journal     journal.Writer
+	Metrics     gauge.Metrics
+	Identifiers identifiers
+}
+
+func newCallers(in callersIn) caller.Server {
+	return caller.NewServer(caller.Parts{
+		Clock:       in.Clock,
+		Catalog:     in.Catalog,
+		Executor:    in.Executor,
+		Ledger:      in.Ledger,
+		Quotas:      in.Quotas,
+		Journal:     in.Journal,
+		Meter:       callerMeter{metrics: in.Metrics, zone: in.Settings.Zone},
+		Identifiers: in.Identifiers,
+	})
+}
