Add the measurements of load and faults

Cause: policies are to be kept or dropped by figures of the same run. Change: standin measure runs a scenario under each policy with real processes and writes a table and a plot; the scenarios are data.

--- a/standin/main.go
+++ b/standin/main.go
@@ -11,6 +11,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/standin/demo"
+	"cicadawell.dev/standin/measure"
 	"cicadawell.dev/standin/platform"
 	"cicadawell.dev/standin/runner"
 	"github.com/alecthomas/kingpin/v2"
@@ -26,6 +27,7 @@
 	addPlatform(app, actions)
 	addRunner(app, actions)
 	addDemo(app, actions)
+	addMeasure(app, actions)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := actions[name](context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
@@ -80,3 +82,18 @@
 		return demo.Run(ctx, cfg)
 	}
 }
+
+func addMeasure(app *kingpin.Application, actions map[string]func(context.Context) error) {
+	cfg := measure.Config{Out: os.Stdout, Clock: clock.System()}
+	cmd := app.Command("measure", "Measure a scenario of load and faults, each policy in the same run.")
+	cmd.Arg("scenario", "Scenario.").Required().EnumVar(&cfg.Scenario, measure.Names()...)
+	cmd.Flag("size", "Size of the fleet.").Default("taxiline").EnumVar(&cfg.Size, "demo", "taxiline", "loimekoda")
+	cmd.Flag("bin", "Folder with the programs router, ctl and standin.").Default("bin").StringVar(&cfg.Bin)
+	cmd.Flag("dir", "Folder for the tables and plots.").Default("docs/measure").StringVar(&cfg.Dir)
+	cmd.Flag("seed", "Seed of the traffic.").Default("1").Uint64Var(&cfg.Seed)
+	actions[cmd.FullCommand()] = func(ctx context.Context) error {
+		ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		return measure.Run(ctx, cfg)
+	}
+}
--- /dev/null
+++ b/standin/measure/report.go
@@ -0,0 +1,154 @@
+package measure
+
+import (
+	"fmt"
+	"image/color"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"cicadawell.dev/standin/load"
+	"cicadawell.dev/standin/scene"
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// write writes the scenario's page and its plot.
+func write(cfg Config, sc scenario, plan scene.Plan, trials []trial) error {
+	if err := os.MkdirAll(cfg.Dir, 0o755); err != nil {
+		return eris.Wrap(err, "folder of the results")
+	}
+	base := sc.name + "-" + cfg.Size
+	page, err := os.Create(filepath.Join(cfg.Dir, base+".md"))
+	if err != nil {
+		return eris.Wrap(err, "page")
+	}
+	defer page.Close()
+	fmt.Fprintf(page, "# %s, %s\n\n", sc.title, cfg.Size)
+	fmt.Fprintf(page, "Made by `standin measure %s --size %s --seed %d`; %d routers and %d runners as processes, "+
+		"%s for each row. The capacity is %.1f calls per second of %d tokens; paying calls arrive at %.0f%% of it, "+
+		"free calls at %.0f%%.\n\n", sc.name, cfg.Size, cfg.Seed, plan.Routers, len(trials[0].recs), sc.duration,
+		plan.Capacity(tokens), tokens, 100*sc.paying, 100*sc.free)
+	writeTable(page, sc, trials)
+	writeStages(page, trials)
+	fmt.Fprintf(page, "\n![attainment of the paying calls by second](%s.png)\n", base)
+	return draw(sc, trials, filepath.Join(cfg.Dir, base+".png"))
+}
+
+// row joins cells into a row of a table.
+func row(cells ...string) string { return "| " + strings.Join(cells, " | ") + " |" }
+
+func percent(share float64) string { return fmt.Sprintf("%.2f%%", 100*share) }
+
+func millis(d time.Duration) string {
+	return fmt.Sprintf("%.0f ms", float64(d)/float64(time.Millisecond))
+}
+
+func writeTable(w io.Writer, sc scenario, trials []trial) {
+	head := []string{
+		"policy", "paying in time", "worst 3 s", "paying p50", "paying p99", "bookings in time", "lookups in time",
+		"free answers per second", "runner time wasted", "cold load over bearable", "collapses",
+		"wrong", "run twice", "false outcome", "unknown",
+	}
+	zoned := len(sc.events) == 2 && sc.name == "zone"
+	if zoned {
+		head = append(head, "out to last new run")
+	}
+	fmt.Fprintln(w, row(head...))
+	fmt.Fprintln(w, row(slices.Repeat([]string{"---"}, len(head))...))
+	for _, t := range trials {
+		cells := cellsOf(sc, t)
+		if zoned {
+			cells = append(cells, millis(lastNew(t.recs, zoneOut, t.moments[0], t.moments[1])))
+		}
+		fmt.Fprintln(w, row(cells...))
+	}
+}
+
+func cellsOf(sc scenario, t trial) []string {
+	paying := t.result.Class(payingClass)
+	free := 0.0
+	if c := t.result.Class(freeClass); c != nil {
+		free = float64(c.Met) / sc.duration.Seconds()
+	}
+	wrong := 0
+	for _, c := range t.result.Classes {
+		wrong += len(c.Wrong)
+	}
+	over, collapses := overCold(t.recs)
+	return []string{
+		t.name, percent(paying.Attainment()), percent(worst(paying)), millis(paying.Times.P50), millis(paying.Times.P99),
+		percent(t.result.Class(bookClass).Attainment()), percent(t.result.Class(lookClass).Attainment()),
+		fmt.Sprintf("%.1f", free), percent(costOf(t).share()), fmt.Sprint(max(0, over)), fmt.Sprint(collapses),
+		fmt.Sprint(wrong), fmt.Sprint(t.verdict.RunTwice),
+		fmt.Sprint(t.verdict.FalseNotRun + t.verdict.FalseRun), fmt.Sprint(t.verdict.Unknown),
+	}
+}
+
+// writeStages writes the time of each stage and what it cost.
+func writeStages(w io.Writer, trials []trial) {
+	fmt.Fprintln(w, "\n"+row("policy", "stage", "paying p50", "paying p95", "paying p99", "runner-seconds"))
+	fmt.Fprintln(w, row(slices.Repeat([]string{"---"}, 6)...))
+	for _, t := range trials {
+		spent := costOf(t).stages
+		stages := t.result.Class(payingClass).Stages
+		for _, name := range slices.Sorted(maps.Keys(stages)) {
+			times := load.TimesOf(stages[name])
+			fmt.Fprintln(w, row(t.name, name, millis(times.P50), millis(times.P95), millis(times.P99),
+				fmt.Sprintf("%.1f", spent[name].Seconds())))
+		}
+	}
+}
+
+// draw plots the paying calls' attainment by the second of their arrival.
+func draw(sc scenario, trials []trial, file string) error {
+	p := plot.New()
+	p.Title.Text = sc.title
+	p.X.Label.Text = "seconds"
+	p.Y.Label.Text = "paying calls in time, %"
+	p.Y.Min, p.Y.Max = 0, 105
+	p.Legend.Left, p.Legend.Top = true, false
+	for i, t := range trials {
+		line, err := plotter.NewLine(series(t.result.Class(payingClass)))
+		if err != nil {
+			return eris.Wrap(err, "plot")
+		}
+		line.Color, line.Dashes, line.Width = plotutil.Color(i), plotutil.Dashes(i), vg.Points(1.5)
+		p.Add(line)
+		p.Legend.Add(t.name, line)
+	}
+	for _, e := range sc.events {
+		at := e.at.Seconds()
+		mark, err := plotter.NewLine(plotter.XYs{{X: at, Y: 0}, {X: at, Y: p.Y.Max}})
+		if err != nil {
+			return eris.Wrap(err, "plot")
+		}
+		mark.Color = color.Gray{Y: 160}
+		p.Add(mark)
+		p.Legend.Add(fmt.Sprintf("%s at %s", e.what, e.at), mark)
+	}
+	return eris.Wrap(p.Save(plotWidth, plotHeight, file), "save the plot")
+}
+
+// series leaves out seconds without calls.
+func series(c *load.ClassResult) plotter.XYs {
+	var points plotter.XYs
+	for i, s := range c.Seconds {
+		if s.Sent > 0 {
+			points = append(points, plotter.XY{X: float64(i), Y: 100 * float64(s.Met) / float64(s.Sent)})
+		}
+	}
+	return points
+}
--- a/standin/scene/plan.go
+++ b/standin/scene/plan.go
@@ -73,7 +73,7 @@
 		pool("encode", 5), pool("retrieve", 10), pool("rerank", 10),
 		{
 			Service: "generate", Count: engines, Engine: true, Slots: 4, Cold: 1,
-			LatencyMillis: 15, WarmupMillis: 3000, Reports: true,
+			LatencyMillis: 30, WarmupMillis: 3000, Reports: true,
 		},
 	}
 	for i, service := range services {
@@ -144,6 +144,13 @@
 	return rows
 }
 
+// Capacity returns how many calls of Answer with so many tokens the engines
+// bear each second, when the cache holds every prefix.
+func (p Plan) Capacity(tokens int) float64 {
+	k := p.kind("generate")
+	return float64(k.Count*k.Slots) / (float64(tokens*k.LatencyMillis) / 1000)
+}
+
 // kind returns the kind of a service.
 func (p Plan) kind(service string) Kind {
 	for _, k := range p.Kinds {
--- a/standin/scene/scene.go
+++ b/standin/scene/scene.go
@@ -19,6 +19,9 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// balancerLag is how long callers may go on calling a router that leaves.
+const balancerLag = 300 * time.Millisecond
+
 // Scene is a running fleet.
 type Scene struct {
 	Plan     Plan
@@ -119,9 +122,10 @@
 		Instances string `json:"instances"`
 		Weights   string `json:"weights"`
 	} `json:"platform"`
-	Operators []operator `json:"operators"`
-	StopGrace int64      `json:"stopGraceMillis"`
-	LogLevel  string     `json:"logLevel"`
+	Operators   []operator `json:"operators"`
+	StopGrace   int64      `json:"stopGraceMillis"`
+	BalancerLag int64      `json:"balancerLagMillis"`
+	LogLevel    string     `json:"logLevel"`
 }
 
 type operator struct {
@@ -143,6 +147,7 @@
 		{Name: "operator", KeyHash: bundle.HashKey(OperatorKey), MayWrite: true, MayApprove: true},
 	}
 	cfg.StopGrace = (stopLimit - time.Second).Milliseconds()
+	cfg.BalancerLag = balancerLag.Milliseconds()
 	cfg.LogLevel = "info"
 	file := filepath.Join(s.dir, cfg.ID+".json")
 	if err := writeJSON(file, cfg); err != nil {
