Test the measurements' figures and the plans

Cause: tables are only as good as the arithmetic behind them. Change: a golden table, the figures of a small trial, and every plan checked as a bundle.

--- /dev/null
+++ b/standin/measure/measure_test.go
@@ -0,0 +1,125 @@
+package measure
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/standin/load"
+	"cicadawell.dev/standin/runner"
+	"cicadawell.dev/standin/scene"
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// golden compares got with the golden file of this name.
+func golden(t *testing.T, name string, got []byte) {
+	t.Helper()
+	file := filepath.Join("testdata", name)
+	if *update {
+		if err := os.WriteFile(file, got, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got, want) {
+		t.Errorf("found:\n%s\nwant:\n%s", got, want)
+	}
+}
+
+var start = time.Unix(1000, 0)
+
+// sample is a trial whose figures are easy to check: three of four paying
+// calls in time, a quarter of the runners' time on the fourth.
+func sample() trial {
+	paying := &load.ClassResult{
+		Name: payingClass, Sent: 4, Met: 3, Late: 1, Requests: []string{"r1", "r2", "r3"},
+		Seconds: []load.Second{{Sent: 1, Met: 1}, {Sent: 1, Met: 0}, {Sent: 1, Met: 1}, {Sent: 1, Met: 1}, {}},
+	}
+	run := func(request string, at time.Duration) runner.Run {
+		return runner.Run{Request: request, Stage: "encode", At: start.Add(at), BusyMicros: 1000}
+	}
+	return trial{
+		name: "cicadawell",
+		result: &load.Result{Classes: []*load.ClassResult{
+			paying,
+			{Name: freeClass, Sent: 10, Met: 4, Refused: map[fault.Kind]int{fault.Overloaded: 6}},
+			{Name: bookClass, Sent: 1, Met: 1}, {Name: lookClass, Sent: 1, Met: 1},
+		}},
+		recs: []runner.Record{
+			{Zone: zoneOut, Runs: []runner.Run{run("r1", 0), run("r2", 2*time.Second), run("r3", 9*time.Second)}},
+			{Zone: "zone2", Runs: []runner.Run{run("late", 5*time.Second)}, MaxColdLoad: 3, ColdSlots: 2, Collapses: 1},
+		},
+		moments: []time.Time{start.Add(time.Second), start.Add(8 * time.Second)},
+		verdict: scene.Verdict{Calls: 1, Ran: 1},
+	}
+}
+
+func TestTableShowsTheFigures(t *testing.T) {
+	sc := scenario{name: "zone", duration: 2 * time.Second, events: make([]event, 2)}
+	var buf bytes.Buffer
+	writeTable(&buf, sc, []trial{sample()})
+	golden(t, "table.md", buf.Bytes())
+}
+
+func TestFiguresOfATrial(t *testing.T) {
+	is := is.New(t)
+	tr := sample()
+	is.Equal(worst(tr.result.Class(payingClass)), 2.0/3)
+	is.Equal(costOf(tr).share(), 0.25)
+	over, collapses := overCold(tr.recs)
+	is.Equal([]int{over, collapses}, []int{1, 1})
+	is.Equal(lastNew(tr.recs, zoneOut, tr.moments[0], tr.moments[1]), time.Second)
+}
+
+func TestPageAndPlotAreWritten(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	sc, err := find("zone")
+	is.NoErr(err)
+	plan, err := scene.PlanOf("taxiline")
+	is.NoErr(err)
+	cfg := Config{Scenario: "zone", Size: "taxiline", Dir: dir, Seed: 1, Clock: clock.System()}
+	is.NoErr(write(cfg, sc, plan, []trial{sample()}))
+	for _, name := range []string{"zone-taxiline.md", "zone-taxiline.png"} {
+		info, err := os.Stat(filepath.Join(dir, name))
+		is.NoErr(err)
+		is.True(info.Size() > 0)
+	}
+}
+
+// TestEveryPlanIsAValidBundle guards against plans that no router takes.
+func TestEveryPlanIsAValidBundle(t *testing.T) {
+	for _, size := range []string{"demo", "taxiline", "loimekoda"} {
+		is := is.New(t)
+		plan, err := scene.PlanOf(size)
+		is.NoErr(err)
+		b := plan.Bundle()
+		for _, r := range plan.Runners() {
+			r.Address = "127.0.0.1:1"
+			b.Runners = append(b.Runners, r)
+		}
+		is.NoErr(b.Check())
+		is.Equal(count(b.Runners, "generate"), map[string]int{"demo": 2, "taxiline": 10, "loimekoda": 20}[size])
+	}
+}
+
+func count(runners []bundle.Runner, service string) int {
+	n := 0
+	for _, r := range runners {
+		if r.Service == service {
+			n++
+		}
+	}
+	return n
+}
--- a/standin/scene/plan.go
+++ b/standin/scene/plan.go
@@ -126,8 +126,8 @@
 	}
 }
 
-// runners returns the runners of the plan, without addresses.
-func (p Plan) runners() []bundle.Runner {
+// Runners returns the runners of the plan, without addresses.
+func (p Plan) Runners() []bundle.Runner {
 	var rows []bundle.Runner
 	for _, k := range p.Kinds {
 		for n := range k.Count {
--- a/standin/scene/scene.go
+++ b/standin/scene/scene.go
@@ -63,7 +63,7 @@
 func (s *Scene) program(name string) string { return filepath.Join(s.bin, name) }
 
 func (s *Scene) startRunners(ctx context.Context) error {
-	rows := s.Plan.runners()
+	rows := s.Plan.Runners()
 	started := make([]*Process, len(rows))
 	group, ctx := errgroup.WithContext(ctx)
 	for i, r := range rows {
