Let standin load read its mix from a file

Cause: the load tool is to be used without the scene too. Change: classes and bursts carry their JSON names; standin load MIX prints the result as JSON.

--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -99,7 +99,7 @@
 // classes returns the demo's callers.
 func classes(s *scene.Scene) []load.Class {
 	answer := load.Class{
-		Pipeline: s.Pipeline(scene.Answer), Deadline: 3 * time.Second, Tokens: 16, Prefixes: 4, Persist: true,
+		Pipeline: s.Pipeline(scene.Answer), DeadlineMillis: 3000, Tokens: 16, Prefixes: 4, Persist: true,
 	}
 	whole, streamed, free := answer, answer, answer
 	whole.Name, whole.Teams, whole.Rate = "paying, whole", []string{"paying1"}, 5
@@ -107,7 +107,7 @@
 	free.Name, free.Teams, free.Rate, free.Stream = "free, streamed", []string{"free1"}, 5, true
 	book := load.Class{
 		Name: "paying, booking", Teams: []string{"paying1"}, Rate: 10, Persist: true,
-		Pipeline: s.Pipeline(scene.Book), Deadline: 3 * time.Second,
+		Pipeline: s.Pipeline(scene.Book), DeadlineMillis: 3000,
 	}
 	return []load.Class{whole, streamed, free, book}
 }
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -22,23 +22,25 @@
 
 // Class is a stream of calls of one kind.
 type Class struct {
-	Name     string
-	Teams    []string
-	Pipeline bundle.Pipeline
+	Name     string          `json:"name"`
+	Teams    []string        `json:"teams"`
+	Pipeline bundle.Pipeline `json:"pipeline"`
 	// Rate is calls per second.
-	Rate     float64
-	Deadline time.Duration
-	Stream   bool
-	Tokens   int
+	Rate           float64 `json:"rate"`
+	DeadlineMillis int64   `json:"deadlineMillis"`
+	Stream         bool    `json:"stream"`
+	Tokens         int     `json:"tokens"`
 	// Prefixes is how many prompt prefixes the calls share.
-	Prefixes int
-	Persist  bool
+	Prefixes int `json:"prefixes"`
+	// Persist repeats calls after refusals that say when.
+	Persist bool `json:"persist"`
 }
 
 // Burst multiplies the rates of all classes for a time.
 type Burst struct {
-	From, To time.Duration
-	Factor   float64
+	FromMillis int64   `json:"fromMillis"`
+	ToMillis   int64   `json:"toMillis"`
+	Factor     float64 `json:"factor"`
 }
 
 // Config is what to send, for how long and where to.
@@ -67,7 +69,7 @@
 	call := Call{
 		Team:     s.class.Teams[s.random.IntN(len(s.class.Teams))],
 		Pipeline: s.class.Pipeline,
-		Deadline: s.class.Deadline,
+		Deadline: millis(s.class.DeadlineMillis),
 		Stream:   s.class.Stream,
 		Persist:  s.class.Persist,
 		Work:     runner.Work{Text: fmt.Sprintf("%s %d %x", s.class.Name, s.n, s.random.Uint64()), Tokens: s.class.Tokens},
@@ -85,13 +87,15 @@
 func (s *source) gap(cfg Config, at time.Duration) time.Duration {
 	rate := s.class.Rate
 	for _, b := range cfg.Bursts {
-		if at >= b.From && at < b.To {
+		if at >= millis(b.FromMillis) && at < millis(b.ToMillis) {
 			rate *= b.Factor
 		}
 	}
 	return time.Duration(s.random.ExpFloat64() / rate * float64(time.Second))
 }
 
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // Run sends all classes and returns what the callers got, when the last of
 // them has an answer.
 func Run(ctx context.Context, cfg Config) *Result {
--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -153,8 +153,8 @@
 	})
 	run := func(factor float64) *load.ClassResult {
 		r := load.Run(t.Context(), load.Config{
-			Classes:  []load.Class{{Name: "c", Teams: []string{"t"}, Pipeline: generate, Rate: 100, Deadline: time.Minute}},
-			Bursts:   []load.Burst{{To: time.Second, Factor: factor}},
+			Classes:  []load.Class{{Name: "c", Teams: []string{"t"}, Pipeline: generate, Rate: 100, DeadlineMillis: 60_000}},
+			Bursts:   []load.Burst{{ToMillis: 1000, Factor: factor}},
 			Duration: time.Second, Seed: 7, Clock: clock.System(),
 			Routers: func() []string { return []string{client.Next()} }, Key: client.Key,
 		})
--- a/standin/main.go
+++ b/standin/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
@@ -11,6 +12,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/standin/demo"
+	"cicadawell.dev/standin/load"
 	"cicadawell.dev/standin/measure"
 	"cicadawell.dev/standin/platform"
 	"cicadawell.dev/standin/runner"
@@ -26,6 +28,7 @@
 	actions := map[string]func(context.Context) error{}
 	addPlatform(app, actions)
 	addRunner(app, actions)
+	addLoad(app, actions)
 	addDemo(app, actions)
 	addMeasure(app, actions)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -71,6 +74,27 @@
 	}
 }
 
+func addLoad(app *kingpin.Application, actions map[string]func(context.Context) error) {
+	cfg := load.Config{Clock: clock.System()}
+	var routers []string
+	var file string
+	cmd := app.Command("load", "Send calls that arrive by their own clock, and print what the callers got as JSON.")
+	cmd.Arg("mix", "File in JSON with comments: classes, bursts, keys.").Required().StringVar(&file)
+	cmd.Flag("router", "Address of a router for callers; may be repeated.").Required().StringsVar(&routers)
+	cmd.Flag("duration", "How long calls arrive.").Default("10s").DurationVar(&cfg.Duration)
+	cmd.Flag("seed", "Seed of the arrivals.").Default("1").Uint64Var(&cfg.Seed)
+	actions[cmd.FullCommand()] = func(ctx context.Context) error {
+		mix, err := load.ReadMix(file)
+		if err != nil {
+			return err
+		}
+		cfg.Classes, cfg.Bursts = mix.Classes, mix.Bursts
+		cfg.Key = func(team string) string { return mix.Keys[team] }
+		cfg.Routers = func() []string { return routers }
+		return json.NewEncoder(os.Stdout).Encode(load.Run(ctx, cfg))
+	}
+}
+
 func addDemo(app *kingpin.Application, actions map[string]func(context.Context) error) {
 	cfg := demo.Config{Out: os.Stdout, Clock: clock.System()}
 	cmd := app.Command("demo", "Start a small fleet, send traffic, kill an instance and check every answer.")
--- a/standin/measure/measure.go
+++ b/standin/measure/measure.go
@@ -134,7 +134,7 @@
 // classes returns the callers; a class without a rate is left out.
 func classes(s *scene.Scene, sc scenario) []load.Class {
 	capacity := s.Plan.Capacity(tokens)
-	answer := load.Class{Pipeline: s.Pipeline(scene.Answer), Deadline: 2 * time.Second, Tokens: tokens, Prefixes: prefixes}
+	answer := load.Class{Pipeline: s.Pipeline(scene.Answer), DeadlineMillis: 2000, Tokens: tokens, Prefixes: prefixes}
 	paying, free := answer, answer
 	paying.Name, paying.Teams, paying.Rate = payingClass, teams(s, scene.Paying), sc.paying*capacity
 	free.Name, free.Teams, free.Rate = freeClass, teams(s, scene.Free), sc.free*capacity
@@ -142,11 +142,11 @@
 		paying,
 		{
 			Name: bookClass, Teams: teams(s, scene.Paying), Rate: bookRate, Persist: true,
-			Pipeline: s.Pipeline(scene.Book), Deadline: time.Second,
+			Pipeline: s.Pipeline(scene.Book), DeadlineMillis: 1000,
 		},
 		{
 			Name: lookClass, Teams: teams(s, scene.Paying), Rate: lookRate, Persist: true,
-			Pipeline: s.Pipeline(scene.Lookup), Deadline: 500 * time.Millisecond,
+			Pipeline: s.Pipeline(scene.Lookup), DeadlineMillis: 500,
 		},
 	}
 	if sc.free > 0 {
--- a/standin/measure/measure_test.go
+++ b/standin/measure/measure_test.go
@@ -54,7 +54,8 @@
 		result: &load.Result{Classes: []*load.ClassResult{
 			paying,
 			{Name: freeClass, Sent: 10, Met: 4, Refused: map[fault.Kind]int{fault.Overloaded: 6}},
-			{Name: bookClass, Sent: 1, Met: 1}, {Name: lookClass, Sent: 1, Met: 1},
+			{Name: bookClass, Sent: 1, Met: 1},
+			{Name: lookClass, Sent: 1, Met: 1},
 		}},
 		recs: []runner.Record{
 			{Zone: zoneOut, Runs: []runner.Run{run("r1", 0), run("r2", 2*time.Second), run("r3", 9*time.Second)}},
--- a/standin/measure/scenario.go
+++ b/standin/measure/scenario.go
@@ -70,7 +70,7 @@
 		{
 			name: "burst", title: "A burst of 3 times for 10 s", duration: 24 * time.Second,
 			policies: []string{own, noAdmission}, paying: 0.3, free: 0.5,
-			bursts: []load.Burst{{From: 6 * time.Second, To: 16 * time.Second, Factor: 3}},
+			bursts: []load.Burst{{FromMillis: 6000, ToMillis: 16_000, Factor: 3}},
 		},
 		{
 			name: "kill", title: "An instance killed", duration: 16 * time.Second,
