--- a/standin/main.go
+++ b/standin/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
@@ -11,6 +12,8 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/standin/demo"
+	"cicadawell.dev/standin/load"
+	"cicadawell.dev/standin/measure"
 	"cicadawell.dev/standin/platform"
 	"cicadawell.dev/standin/runner"
 	"github.com/alecthomas/kingpin/v2"
@@ -25,7 +28,9 @@
 	actions := map[string]func(context.Context) error{}
 	addPlatform(app, actions)
 	addRunner(app, actions)
+	addLoad(app, actions)
 	addDemo(app, actions)
+	addMeasure(app, actions)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := actions[name](context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
@@ -69,6 +74,27 @@
 	}
 }
 
+func addLoad(app *kingpin.Application, actions map[string]func(context.Context) error) {
+	cfg := load.Config{Clock: clock.System()}
+	var routers []string
+	var file string
+	cmd := app.Command("load", "Send calls that arrive by their own clock, and print what the callers got as JSON.")
+	cmd.Arg("mix", "File in JSON with comments: classes, bursts, keys.").Required().StringVar(&file)
+	cmd.Flag("router", "Address of a router for callers; may be repeated.").Required().StringsVar(&routers)
+	cmd.Flag("duration", "How long calls arrive.").Default("10s").DurationVar(&cfg.Duration)
+	cmd.Flag("seed", "Seed of the arrivals.").Default("1").Uint64Var(&cfg.Seed)
+	actions[cmd.FullCommand()] = func(ctx context.Context) error {
+		mix, err := load.ReadMix(file)
+		if err != nil {
+			return err
+		}
+		cfg.Classes, cfg.Bursts = mix.Classes, mix.Bursts
+		cfg.Key = func(team string) string { return mix.Keys[team] }
+		cfg.Routers = func() []string { return routers }
+		return json.NewEncoder(os.Stdout).Encode(load.Run(ctx, cfg))
+	}
+}
+
 func addDemo(app *kingpin.Application, actions map[string]func(context.Context) error) {
 	cfg := demo.Config{Out: os.Stdout, Clock: clock.System()}
 	cmd := app.Command("demo", "Start a small fleet, send traffic, kill an instance and check every answer.")
@@ -80,3 +106,18 @@
 		return demo.Run(ctx, cfg)
 	}
 }
+
+func addMeasure(app *kingpin.Application, actions map[string]func(context.Context) error) {
+	cfg := measure.Config{Out: os.Stdout, Clock: clock.System()}
+	cmd := app.Command("measure", "Measure a scenario of load and faults, each policy in the same run.")
+	cmd.Arg("scenario", "Scenario.").Required().EnumVar(&cfg.Scenario, measure.Names()...)
+	cmd.Flag("size", "Size of the fleet.").Default("taxiline").EnumVar(&cfg.Size, "demo", "taxiline", "loimekoda")
+	cmd.Flag("bin", "Folder with the programs router, ctl and standin.").Default("bin").StringVar(&cfg.Bin)
+	cmd.Flag("dir", "Folder for the tables and plots.").Default("docs/measure").StringVar(&cfg.Dir)
+	cmd.Flag("seed", "Seed of the traffic.").Default("1").Uint64Var(&cfg.Seed)
+	actions[cmd.FullCommand()] = func(ctx context.Context) error {
+		ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		return measure.Run(ctx, cfg)
+	}
+}
