Let two operators roll the demo's bundle

Cause: the demo's only operator could not sign off what it wrote. Ruled out: letting the writer sign (four eyes are the point of a sign-off). Change: a writer and an approver.

--- a/standin/scene/plan.go
+++ b/standin/scene/plan.go
@@ -16,7 +16,8 @@
 	Paying = "paying" // tier, and prefix of its teams
 	Free   = "free"   // tier, and prefix of its teams
 
-	OperatorKey = "operator-key" // key of the only operator
+	OperatorKey = "operator-key" // key of the operator who writes and rolls
+	ApproverKey = "approver-key" // key of the operator who signs off
 
 	model = "base"
 )
--- a/standin/scene/scene.go
+++ b/standin/scene/scene.go
@@ -144,7 +144,8 @@
 	address := s.Platform.Address
 	cfg.Platform.Store, cfg.Platform.Instances, cfg.Platform.Weights = address, address, address
 	cfg.Operators = []operator{
-		{Name: "operator", KeyHash: bundle.HashKey(OperatorKey), MayWrite: true, MayApprove: true},
+		{Name: "operator", KeyHash: bundle.HashKey(OperatorKey), MayWrite: true},
+		{Name: "approver", KeyHash: bundle.HashKey(ApproverKey), MayApprove: true},
 	}
 	cfg.StopGrace = (stopLimit - time.Second).Milliseconds()
 	cfg.BalancerLag = balancerLag.Milliseconds()
@@ -168,15 +169,19 @@
 	return eris.Wrap(os.WriteFile(file, data, 0o600), "write")
 }
 
-// Ctl runs the operators' command line against the routers that run, and
-// returns what it prints.
+// Ctl runs the command line of the operator who writes and rolls, against the
+// routers that run, and returns what it prints.
 func (s *Scene) Ctl(ctx context.Context, args ...string) ([]byte, error) {
+	return s.ctl(ctx, OperatorKey, args...)
+}
+
+func (s *Scene) ctl(ctx context.Context, key string, args ...string) ([]byte, error) {
 	var all []string
 	for _, p := range s.Live() {
 		all = append(all, "--server", p.Operators)
 	}
 	cmd := exec.CommandContext(ctx, s.program("ctl"), append(all, args...)...)
-	cmd.Env = append(os.Environ(), "CICADAWELL_OPERATOR_KEY="+OperatorKey)
+	cmd.Env = append(os.Environ(), "CICADAWELL_OPERATOR_KEY="+key)
 	out, err := cmd.Output()
 	var exit *exec.ExitError
 	if errors.As(err, &exit) {
@@ -202,7 +207,7 @@
 		return eris.Wrapf(err, "ctl bundle write printed %s", out)
 	}
 	version := strconv.FormatUint(draft.Version, 10)
-	if _, err := s.Ctl(ctx, "bundle", "sign", version); err != nil {
+	if _, err := s.ctl(ctx, ApproverKey, "bundle", "sign", version); err != nil {
 		return err
 	}
 	if _, err := s.Ctl(ctx, "--wait", stopLimit.String(), "bundle", "roll", version, "--follow"); err != nil {
