Spread what instances know of runners in cold start

Ruled out: giving each instance a permit (three instances would overfeed a runner that bears one); pushing digests (a warm sign delayed on the way would look newer than it is). Change: each runner that reports its load is asked by one instance, found by rendezvous hashing; instances pull from each other what they hold for cold, and take an answer as old as the whole call took.

--- a/router/entry.go
+++ b/router/entry.go
@@ -17,6 +17,7 @@
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/ledger"
+	"cicadawell.dev/router/loads"
 	"cicadawell.dev/router/pipeline"
 	"cicadawell.dev/router/pool"
 	"cicadawell.dev/router/quota"
@@ -46,6 +47,7 @@
 	Executor  pipeline.Executor
 	Runners   runner.Client
 	Fleet     *fleet
+	Exchange  loads.Exchange
 	Callers   caller.Server
 	Operators operators
 }
@@ -73,6 +75,7 @@
 		return err
 	}
 	e.Loops.start("rolls", e.Rolls.Run)
+	e.Loops.start("loads", e.Exchange.Run)
 	e.Loops.start("operators", func(context.Context) error { return serveHTTPOn(e.Operators.Server, e.Listeners.operators) })
 	e.Loops.start("callers", func(context.Context) error { return e.Callers.Serve(e.Listeners.callers) })
 	return e.Listeners.announce(os.Stdout, e.Settings.ID)
--- a/router/parts.go
+++ b/router/parts.go
@@ -15,6 +15,7 @@
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/ledger"
+	"cicadawell.dev/router/loads"
 	"cicadawell.dev/router/pipeline"
 	"cicadawell.dev/router/platform"
 	"cicadawell.dev/router/pool"
@@ -52,6 +53,7 @@
 		newLedger,
 		newCallers,
 		newFleet,
+		newExchange,
 		newOperators,
 	),
 )
@@ -163,6 +165,29 @@
 	)
 }
 
+type exchangeIn struct {
+	fx.In
+	Settings settings.Settings
+	Clock    clock.Clock
+	Log      hclog.Logger
+	Mesh     instance.Network
+	Pools    pool.Pools
+	Runners  runner.Client
+	Topology *topology
+}
+
+func newExchange(in exchangeIn) loads.Exchange {
+	return loads.New(loads.Parts{
+		Self:    in.Settings.ID,
+		Clock:   in.Clock,
+		Log:     in.Log.Named("loads"),
+		Mesh:    in.Mesh,
+		Pools:   in.Pools,
+		Runners: in.Runners,
+		Fleet:   in.Topology,
+	})
+}
+
 type callersIn struct {
 	fx.In
 	Settings    settings.Settings
--- a/router/topology.go
+++ b/router/topology.go
@@ -57,3 +57,15 @@
 	})
 	t.quotas.Update(view.Members, t.cfg.ID)
 }
+
+// Members returns the instances that share the runners.
+func (t *topology) Members() []string { return t.roster.View().Members }
+
+// Runners returns the runners of the bundle in force.
+func (t *topology) Runners() []bundle.Runner {
+	current, err := t.catalog.Load()
+	if err != nil {
+		return nil
+	}
+	return current.Bundle().Runners
+}
