--- a/fleet/bundle/check.go
+++ b/fleet/bundle/check.go
@@ -1,6 +1,8 @@
 package bundle
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net/netip"
 	"regexp"
@@ -105,7 +107,7 @@
 	}
 	for j, h := range t.KeyHashes {
 		at := fmt.Sprintf("%s.keyHashes[%d]", field, j)
-		if len(h) != len(HashKey("")) {
+		if sum, err := hex.DecodeString(h); err != nil || len(sum) != sha256.Size {
 			return bad(at, "found %d characters, allowed is a hex SHA-256 hash", len(h))
 		}
 		if keys[h] {
--- a/router/caller/admit.go
+++ b/router/caller/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"io"
 	"mime"
@@ -10,7 +9,6 @@
 	"os"
 	"strings"
 	"time"
-	"unicode/utf8"
 
 	"github.com/gin-gonic/gin"
 
@@ -72,8 +70,7 @@
 	if c.Request.ContentLength > limit {
 		return nil, tooLarge(c.Request.ContentLength, limit)
 	}
-	kind, _, err := mime.ParseMediaType(c.GetHeader("Content-Type"))
-	if err != nil || kind != "application/json" {
+	if !isJSON(c.GetHeader("Content-Type")) {
 		return nil, fault.New(fault.BadRequest, "found %q, allowed is application/json", c.GetHeader("Content-Type")).WithField("Content-Type")
 	}
 	if enc := c.GetHeader("Content-Encoding"); enc != "" && enc != "identity" {
@@ -82,7 +79,10 @@
 	control := http.NewResponseController(c.Writer)
 	// Not every writer has deadlines; those of tests do not.
 	_ = control.SetReadDeadline(s.Clock.Now().Add(readBodyTimeout))
-	data, err := io.ReadAll(io.LimitReader(c.Request.Body, limit+1))
+	var buffer bytes.Buffer
+	buffer.Grow(int(max(c.Request.ContentLength, 0)) + bytes.MinRead)
+	_, err := buffer.ReadFrom(io.LimitReader(c.Request.Body, limit+1))
+	data := buffer.Bytes()
 	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
 		return nil, bodyError(err, len(data))
@@ -93,6 +93,15 @@
 	return data, nil
 }
 
+func isJSON(contentType string) bool {
+	const plain = "application/json"
+	if contentType == plain {
+		return true
+	}
+	kind, _, err := mime.ParseMediaType(contentType)
+	return err == nil && kind == plain
+}
+
 func bodyError(err error, n int) error {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return fault.Wrap(fault.SlowCaller, err, "body stopped after %d bytes", n).WithField("body")
@@ -106,9 +115,6 @@
 
 // fill checks the body and the key against the pipeline.
 func (x *exchange) fill(c *gin.Context, data []byte) error {
-	if !utf8.Valid(data) {
-		return fault.New(fault.BadRequest, "found bytes that are not UTF-8").WithField("body")
-	}
 	if err := decode(data, &x.request); err != nil {
 		return err
 	}
@@ -121,23 +127,6 @@
 	return x.setKey(c)
 }
 
-// decode reads exactly one JSON object without unknown fields.
-func decode(data []byte, into *callerapi.Request) error {
-	d := json.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	err := d.Decode(into)
-	if errors.Is(err, io.ErrUnexpectedEOF) {
-		return fault.Wrap(fault.BadRequest, err, "at byte %d", len(data)).WithField("body")
-	}
-	if err != nil {
-		return fault.Wrap(fault.BadRequest, err, "at byte %d", d.InputOffset()).WithField("body")
-	}
-	if _, err := d.Token(); !errors.Is(err, io.EOF) {
-		return fault.New(fault.BadRequest, "found more after the object, at byte %d", d.InputOffset()).WithField("body")
-	}
-	return nil
-}
-
 func (x *exchange) setDeadline() error {
 	d := time.Duration(x.request.DeadlineMillis) * time.Millisecond
 	if x.request.DeadlineMillis == 0 {
--- a/router/catalog/catalog.go
+++ b/router/catalog/catalog.go
@@ -3,6 +3,8 @@
 package catalog
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"sync/atomic"
 
 	"cicadawell.dev/fleet/bundle"
@@ -12,8 +14,9 @@
 // Catalog is a bundle with its look-ups. It is immutable.
 type Catalog struct {
 	bundle bundle.Bundle
-	// teams is by the hash of an API key, byID by the team's identifier.
-	teams     map[string]Team
+	// teams is by the SHA-256 hash of an API key, byID by the team's
+	// identifier.
+	teams     map[[sha256.Size]byte]Team
 	byID      map[string]Team
 	pipelines map[string]bundle.Pipeline
 }
@@ -28,7 +31,7 @@
 func New(b bundle.Bundle) *Catalog {
 	c := &Catalog{
 		bundle:    b,
-		teams:     make(map[string]Team, len(b.Teams)),
+		teams:     make(map[[sha256.Size]byte]Team, len(b.Teams)),
 		byID:      make(map[string]Team, len(b.Teams)),
 		pipelines: make(map[string]bundle.Pipeline, len(b.Pipelines)),
 	}
@@ -40,7 +43,7 @@
 		team := Team{Team: t, Paying: paying[t.Tier]}
 		c.byID[t.ID] = team
 		for _, h := range t.KeyHashes {
-			c.teams[h] = team
+			c.teams[parseHash(h)] = team
 		}
 	}
 	for _, p := range b.Pipelines {
@@ -49,13 +52,20 @@
 	return c
 }
 
+// parseHash returns the bytes of a hash that the bundle's check has seen.
+func parseHash(text string) (sum [sha256.Size]byte) {
+	// A hash that is not hex belongs to no key.
+	_, _ = hex.Decode(sum[:], []byte(text))
+	return sum
+}
+
 // Bundle returns the bundle in force.
 func (c *Catalog) Bundle() bundle.Bundle { return c.bundle }
 
 // TeamByKey returns the team that an API key belongs to, by its hash: a look-up
 // by hash tells nothing about keys by the time it takes.
 func (c *Catalog) TeamByKey(key string) (Team, error) {
-	t, ok := c.teams[bundle.HashKey(key)]
+	t, ok := c.teams[sha256.Sum256([]byte(key))]
 	if !ok {
 		return Team{}, fault.New(fault.Unauthenticated, "no team has this API key")
 	}
--- a/router/pipeline/ending.go
+++ b/router/pipeline/ending.go
@@ -13,23 +13,23 @@
 	"cicadawell.dev/router/runner"
 )
 
-// watchDisplaced ends the attempt when a paying caller needs its place. The
-// returned function ends the watch.
-func (s *stageRun) watchDisplaced(ctx context.Context, place pool.Place, giveWay context.CancelCauseFunc) func() {
+// watchDisplaced returns a context that ends when a paying caller needs the
+// place, and a function that ends the watch.
+func (s *stageRun) watchDisplaced(ctx context.Context, place pool.Place) (watched context.Context, stop func()) {
 	if s.job.Team.Paying {
-		return func() {}
+		return ctx, func() {}
 	}
-	ended, stop := context.WithCancel(ctx)
+	watched, giveWay := context.WithCancelCause(ctx)
 	var watch sync.WaitGroup
 	watch.Go(func() {
 		select {
 		case <-place.Displaced():
 			giveWay(errDisplaced)
-		case <-ended.Done():
+		case <-watched.Done():
 		}
 	})
-	return func() {
-		stop()
+	return watched, func() {
+		giveWay(nil)
 		watch.Wait()
 	}
 }
--- a/router/pipeline/stage.go
+++ b/router/pipeline/stage.go
@@ -154,15 +154,16 @@
 // send sends the attempt, over a fresh connection when it may not be repeated.
 func (s *stageRun) send(ctx context.Context, place pool.Place, id string, deadline time.Time) (runnerapi.RunResult, error) {
 	stage := s.stage()
-	ctx, cancel := context.WithDeadlineCause(ctx, deadline, errDeadline)
-	defer cancel()
+	if deadline.Before(s.job.Deadline) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadlineCause(ctx, deadline, errDeadline)
+		defer cancel()
+	}
 	req := s.message(id, deadline)
 	if !stage.Idempotent {
 		return s.Runners.RunOnce(ctx, place.Runner(), req, stage.MaxResultBytes, func() error { return s.last(place) })
 	}
-	ctx, giveWay := context.WithCancelCause(ctx)
-	defer giveWay(nil)
-	stop := s.watchDisplaced(ctx, place, giveWay)
+	ctx, stop := s.watchDisplaced(ctx, place)
 	defer stop()
 	result, err := s.Runners.Run(ctx, place.Runner(), req, stage.MaxResultBytes, s.sink())
 	if err != nil && ctx.Err() != nil {
--- a/router/runner/client.go
+++ b/router/runner/client.go
@@ -82,29 +82,30 @@
 	clk    clock.Clock
 	dialer net.Dialer
 	stall  time.Duration
-	// pools maps an address to its *http.Client. An entry is never changed,
-	// only added; so a look-up takes no lock.
+	// pools maps an address to its *http.Transport. An entry is never
+	// changed, only added; so a look-up takes no lock.
 	pools sync.Map
 }
 
-func (c *client) pool(address string) *http.Client {
+// pool returns the connections to an address. They are used without an
+// http.Client, since an attempt follows no redirect.
+func (c *client) pool(address string) *http.Transport {
 	if p, ok := c.pools.Load(address); ok {
-		return p.(*http.Client)
+		return p.(*http.Transport)
 	}
-	transport := &http.Transport{
+	p, _ := c.pools.LoadOrStore(address, &http.Transport{
 		DialContext:         c.dialer.DialContext,
 		MaxIdleConnsPerHost: connectionsPerRunner,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}
-	p, _ := c.pools.LoadOrStore(address, &http.Client{Transport: transport})
-	return p.(*http.Client)
+	})
+	return p.(*http.Transport)
 }
 
 // Close closes the pooled connections.
 func (c *client) Close() {
 	c.pools.Range(func(_, p any) bool {
-		p.(*http.Client).CloseIdleConnections()
+		p.(*http.Transport).CloseIdleConnections()
 		return true
 	})
 }
@@ -133,7 +134,7 @@
 	if err != nil {
 		return load, fault.Wrap(fault.Internal, err, "build load request")
 	}
-	resp, err := c.pool(to.Address).Do(req)
+	resp, err := c.pool(to.Address).RoundTrip(req)
 	if err != nil {
 		return load, fault.Wrap(fault.RunnerFailed, err, "ask runner %s for its load", to.ID)
 	}
--- a/router/runner/pooled.go
+++ b/router/runner/pooled.go
@@ -4,9 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
+	"net/url"
 
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/fault"
@@ -20,14 +21,10 @@
 	if err != nil {
 		return runnerapi.RunResult{}, err
 	}
-	var connected atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	resp, err := c.post(traced, to.Address, runnerapi.PathRun, body)
+	resp, err := c.post(ctx, to.Address, runnerapi.PathRun, body)
 	if err != nil {
 		c.distrust(to.Address, err)
-		return runnerapi.RunResult{}, lost(err, to, connected.Load())
+		return runnerapi.RunResult{}, lost(err, to)
 	}
 	defer closeBody(resp)
 	result, err := c.read(ctx, resp, to, req, limit, sink)
@@ -59,19 +56,22 @@
 }
 
 func (c *client) post(ctx context.Context, address, path string, body []byte) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
+	req := &http.Request{
+		Method:        http.MethodPost,
+		URL:           &url.URL{Scheme: "http", Host: address, Path: path},
+		Header:        http.Header{"Content-Type": {"application/json"}},
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
 	}
-	req.Header.Set("Content-Type", "application/json")
-	return c.pool(address).Do(req)
+	return c.pool(address).RoundTrip(req.WithContext(ctx))
 }
 
 // lost describes an attempt without a response. Without a connection no byte
-// left; with one, some may have.
-func lost(err error, to bundle.Runner, connected bool) error {
+// left; otherwise some may have.
+func lost(err error, to bundle.Runner) error {
 	e := fault.Wrap(fault.RunnerFailed, err, "no answer from runner %s", to.ID)
-	if !connected {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
 		return e.WithOutcome(fault.NotRun)
 	}
 	return e
--- a/router/runner/read.go
+++ b/router/runner/read.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -11,6 +12,7 @@
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/runnerapi"
+	fastjson "github.com/go-json-experiment/json"
 )
 
 const (
@@ -37,16 +39,25 @@
 
 func readWhole(resp *http.Response, to bundle.Runner, req runnerapi.RunRequest, limit int64) (runnerapi.RunResult, error) {
 	var result runnerapi.RunResult
-	data, err := io.ReadAll(limited(resp.Body, limit+envelopeBytes+1))
+	data, err := readAll(limited(resp.Body, limit+envelopeBytes+1), min(resp.ContentLength, limit+envelopeBytes+1))
 	if err != nil {
 		return result, fault.Wrap(fault.RunnerFailed, err, "answer of runner %s is cut", to.ID)
 	}
-	if err := json.Unmarshal(data, &result); err != nil {
+	if err := fastjson.Unmarshal(data, &result); err != nil {
 		return result, tooLargeOr(data, limit, fault.Wrap(fault.RunnerFailed, err, "read the answer of runner %s", to.ID))
 	}
 	return result, checked(result, to, req, limit)
 }
 
+// readAll reads r to its end into a buffer for the expected size, which is
+// negative when it is not known.
+func readAll(r io.Reader, expected int64) ([]byte, error) {
+	var b bytes.Buffer
+	b.Grow(int(max(expected, 0)) + bytes.MinRead)
+	_, err := b.ReadFrom(r)
+	return b.Bytes(), err
+}
+
 // tooLargeOr returns a TooLarge error when data hit the limit, else err.
 func tooLargeOr(data []byte, limit int64, err error) error {
 	if int64(len(data)) <= limit+envelopeBytes {
