--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -50,6 +50,9 @@
 		say(cfg, "bundle version %d is in force", s.Bundle.Version)
 		err = show(ctx, cfg, s)
 	}
+	if s.KeepLogs = err != nil; s.KeepLogs {
+		say(cfg, "logs are in %s", s.Dir())
+	}
 	err = errors.Join(err, s.Close())
 	if err == nil {
 		say(cfg, "all answers are whole and right, and all processes ended by themselves")
@@ -143,6 +146,12 @@
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f%%\t%s\t%s\n", c.Name, c.Sent, c.Met, c.Late, refused,
 			c.Unknown, c.Repeated, len(c.Wrong), 100*c.Attainment(), millis(c.Times.P50), millis(c.Times.P95))
 	}
+	fmt.Fprintln(t, "\nCALLER\tREFUSED AS\tCALLS")
+	for _, c := range r.Classes {
+		for _, kind := range slices.Sorted(maps.Keys(c.Refused)) {
+			fmt.Fprintf(t, "%s\t%s\t%d\n", c.Name, kind, c.Refused[kind])
+		}
+	}
 	fmt.Fprintln(t, "\nCALLER\tSTAGE\tP50\tP95\tP99")
 	for _, c := range r.Classes {
 		for _, name := range slices.Sorted(maps.Keys(c.Stages)) {
