--- a/standin/scene/scene.go
+++ b/standin/scene/scene.go
@@ -174,9 +174,13 @@
 	return eris.Wrap(os.WriteFile(file, data, 0o600), "write")
 }
 
-// Ctl runs the operators' command line as the operator with this key against
-// the routers that run, and returns what it prints.
-func (s *Scene) Ctl(ctx context.Context, key string, args ...string) ([]byte, error) {
+// Ctl runs the command line of the operator who writes and rolls, against the
+// routers that run, and returns what it prints.
+func (s *Scene) Ctl(ctx context.Context, args ...string) ([]byte, error) {
+	return s.ctl(ctx, OperatorKey, args...)
+}
+
+func (s *Scene) ctl(ctx context.Context, key string, args ...string) ([]byte, error) {
 	var all []string
 	for _, p := range s.Live() {
 		all = append(all, "--server", p.Operators)
@@ -208,7 +212,7 @@
 		return eris.Wrapf(err, "ctl bundle write printed %s", out)
 	}
 	version := strconv.FormatUint(draft.Version, 10)
-	if _, err := s.Ctl(ctx, ApproverKey, "bundle", "sign", version); err != nil {
+	if _, err := s.ctl(ctx, ApproverKey, "bundle", "sign", version); err != nil {
 		return err
 	}
 	if _, err := s.Ctl(ctx, OperatorKey, "--wait", stopLimit.String(), "bundle", "roll", version, "--follow"); err != nil {
