--- a/standin/scene/scene.go
+++ b/standin/scene/scene.go
@@ -201,7 +201,7 @@
 	if err := writeJSON(file, s.Bundle); err != nil {
 		return err
 	}
-	out, err := s.Ctl(ctx, OperatorKey, "--json", "bundle", "write", file)
+	out, err := s.Ctl(ctx, "--json", "bundle", "write", file)
 	if err != nil {
 		return err
 	}
@@ -215,7 +215,7 @@
 	if _, err := s.ctl(ctx, ApproverKey, "bundle", "sign", version); err != nil {
 		return err
 	}
-	if _, err := s.Ctl(ctx, OperatorKey, "--wait", stopLimit.String(), "bundle", "roll", version, "--follow"); err != nil {
+	if _, err := s.Ctl(ctx, "--wait", stopLimit.String(), "bundle", "roll", version, "--follow"); err != nil {
 		return err
 	}
 	s.Bundle = s.Bundle.WithVersion(draft.Version)
