--- a/standin/scene/scene.go
+++ b/standin/scene/scene.go
@@ -32,6 +32,8 @@
 	Routers []*Process
 	// Bundle is the configuration that was last rolled.
 	Bundle bundle.Bundle
+	// KeepLogs leaves the folder with the logs behind.
+	KeepLogs bool
 
 	bin string
 	dir string
@@ -60,6 +62,9 @@
 	return s, s.Roll(ctx)
 }
 
+// Dir returns the folder with the settings and the logs.
+func (s *Scene) Dir() string { return s.dir }
+
 func (s *Scene) program(name string) string { return filepath.Join(s.bin, name) }
 
 func (s *Scene) startRunners(ctx context.Context) error {
@@ -237,7 +242,7 @@
 }
 
 // Close stops the routers first, then everything else, and removes the folder
-// when all routers ended well.
+// when all ended well.
 func (s *Scene) Close() error {
 	var failed []error
 	for _, p := range s.Live() {
@@ -251,7 +256,7 @@
 		rest.Go(s.Platform.Stop)
 	}
 	failed = append(failed, rest.Wait())
-	if err := errors.Join(failed...); err != nil {
+	if err := errors.Join(failed...); err != nil || s.KeepLogs {
 		return eris.Wrapf(err, "logs are in %s", s.dir)
 	}
 	return eris.Wrap(os.RemoveAll(s.dir), "remove the folder of the scene")
