Bound the life of cold shares by the hold on the view

Cause: the property test over views found an instance that was unsettled at one view while the next but one took effect: two instances sent to a runner that bears one. Change: Hold says until when the view is at most one change behind; cold runners receive nothing after it, and what follows a lapsed hold covers nothing until a view is settled. Ruled out: no share at all while unsettled; safe too, but every change of the view would stop cold runners.

--- a/router/pool/cold.go
+++ b/router/pool/cold.go
@@ -57,14 +57,12 @@
 		r.reportedAt.Store(int64(at))
 	}
 	r.warmth.confirmed = max(r.warmth.confirmed, at)
+	r.cleared(load, at)
 	if load.Cold {
 		r.cool(at)
 		return
 	}
 	r.warm(at)
-	if int64(load.Running+load.Queued) <= r.total.Load() {
-		r.permits.cleared(at)
-	}
 }
 
 // ended takes in the end of an attempt; r.mu is held.
@@ -156,10 +154,11 @@
 	}
 }
 
-// cleared tells that a report made at the given instant shows no work of
-// others on the runner: nothing of the former owners is left.
-func (p *permits) cleared(at instant) {
-	if p.grantAt != 0 && at > p.settled {
+// cleared lets a granted share come into use when a report made since shows no
+// work on the runner: nothing of the former owners is left.
+func (r *runner) cleared(load runnerapi.Load, at instant) {
+	p := &r.permits
+	if p.grantAt != 0 && at > p.settled && load.Running+load.Queued == 0 {
 		p.share, p.grantAt = p.granted, 0
 	}
 }
--- a/router/pool/group.go
+++ b/router/pool/group.go
@@ -95,6 +95,9 @@
 	if len(a.ask.Exclude) > 0 && slices.Contains(a.ask.Exclude, r.id) {
 		return nil
 	}
+	if r.cold.Load() && !a.p.holds(a.now) {
+		return nil
+	}
 	if at := r.gainAt.Load(); at != 0 && a.now >= instant(at) {
 		r.mu.Lock()
 		r.setLimits(a.p.cfg, a.now)
--- a/router/pool/main_test.go
+++ b/router/pool/main_test.go
@@ -6,12 +6,17 @@
 	"testing"
 )
 
+// TestMain fixes the seed and the number of checks of the property tests where
+// the command line does not.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		if err := flag.Set("rapid.seed", "1"); err != nil {
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "2000"} {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
 	}
--- a/router/pool/place.go
+++ b/router/pool/place.go
@@ -56,9 +56,15 @@
 	if pl.r.out.Load() {
 		return fault.New(fault.NoRunner, "runner %s takes no new work", pl.r.id)
 	}
-	if pl.r.cold.Load() && pl.r.total.Load() > pl.r.limit.Load() {
+	if !pl.r.cold.Load() || !pl.p.cfg.admission {
+		return nil
+	}
+	if pl.r.total.Load() > pl.r.limit.Load() {
 		return fault.New(fault.NoRunner, "runner %s turned cold", pl.r.id)
 	}
+	if !pl.p.holds(pl.p.now()) {
+		return fault.New(fault.NoRunner, "the share of cold runner %s lapsed", pl.r.id)
+	}
 	return nil
 }
 
--- a/router/pool/pool.go
+++ b/router/pool/pool.go
@@ -15,6 +15,11 @@
 type Pools interface {
 	// Update puts a new topology in force; places in use stay valid.
 	Update(t Topology)
+	// Hold says until when the view of the last topology, settled or not, is
+	// sure to be no more than one change behind the one in effect; cold
+	// runners receive nothing from this instance after it. Without a call
+	// there is no such limit.
+	Hold(until time.Time)
 	// Acquire returns a place for the ask, waiting in the queue of its
 	// service and model while none is free. Its errors have the kinds
 	// Overloaded, NoRunner, DeadlineShort and Displaced, all not run.
@@ -58,9 +63,11 @@
 	Instances []string
 	Self      string
 	// Settled is false while the view is changing: cold permits then take
-	// the smaller of the shares that either view gives. When Instances are
-	// still those of the last settled view, the next view is not known, and
-	// cold runners receive nothing from this instance.
+	// the smallest of the shares that the views since the last settled one
+	// give. When Instances are still those of the last settled view, the next
+	// view is not known, and cold runners receive nothing from this instance.
+	// No two instances may have different settled views at the same time,
+	// each counted until its Hold ends.
 	Settled bool
 	// Longest is the longest time that one attempt may run; zero means
 	// DefaultLongest. A share of a cold runner that a new view grants is
--- a/router/pool/pools.go
+++ b/router/pool/pools.go
@@ -25,6 +25,7 @@
 	}
 	p.state.Store(p.cfg.seed)
 	p.snapshot.Store(&snapshot{})
+	p.hold.Store(math.MaxInt64)
 	return p
 }
 
@@ -36,6 +37,8 @@
 	// state is the state of the random choices.
 	state    atomic.Uint64
 	snapshot atomic.Pointer[snapshot]
+	// hold is the instant until which cold runners may be used.
+	hold atomic.Int64
 
 	// mu is held by Update; the fields below belong to it.
 	mu sync.Mutex
@@ -257,6 +260,21 @@
 	return o.answer()
 }
 
+func (p *pools) Hold(until time.Time) {
+	now := p.now()
+	lapsed := !p.holds(now)
+	p.hold.Store(int64(p.instantOf(until)))
+	if !lapsed {
+		return
+	}
+	for _, r := range p.snapshot.Load().runners {
+		p.dispatch(r, now)
+	}
+}
+
+// holds reports whether the view may still be relied on.
+func (p *pools) holds(now instant) bool { return now < instant(p.hold.Load()) }
+
 // dispatchFree lets free work have the places that paying work, which has
 // left, had held up.
 func (p *pools) dispatchFree(g *group) {
--- a/router/pool/topology.go
+++ b/router/pool/topology.go
@@ -19,6 +19,9 @@
 	if len(t.Instances) == 0 && t.Self == "" {
 		view = permit.NewView([]string{""}, "")
 	}
+	if !p.holds(now) {
+		p.cover = permit.Cover{}
+	}
 	p.cover = p.cover.With(view, t.Settled)
 	next := p.arrange(t, view, now)
 	p.snapshot.Store(next)
