Hedge idempotent stages of paying callers; one attempt speaks

Cause: an attempt on a connection that went silent held its request until the deadline, since nothing but the deadline ended it. Ruled out: a shorter timeout for each attempt (it would cut slow but whole answers); hedging free work (it takes only what paying callers leave); letting both attempts stream (their tokens could differ). Change: after the stage's usual time a second attempt starts on another runner, out of the retry budget; the first whole result counts, the first token decides who speaks, the other attempt is cancelled and its runner's idle connections are closed.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 GOFUMPT_VERSION := v0.12.0
 LINT := $(TOOLS)/golangci-lint
 LINT_VERSION := v2.15.0
+# Packages with property tests, the only ones that know rapid's flags.
+PROPERTIES := $(addprefix ./,$(sort $(dir $(shell grep -rl --include='*_test.go' 'pgregory.net/rapid' $(MODULES)))))
 SOAK_SEED ?= $(shell date +%s)
 
 .PHONY: build test tools format lint rules unit bounds demo soak measure clean
@@ -45,7 +47,7 @@
 
 soak:
 	@echo "seed $(SOAK_SEED)"
-	go test -count=1 -run 'Property' $(PACKAGES) -args -rapid.seed=$(SOAK_SEED) -rapid.checks=3000
+	go test -count=1 -run 'Property' $(PROPERTIES) -args -rapid.seed=$(SOAK_SEED) -rapid.checks=3000
 
 clean:
 	rm -rf bin out
--- a/router/journal/journal.go
+++ b/router/journal/journal.go
@@ -24,6 +24,7 @@
 	Sent      Step = "sent"
 	Answered  Step = "answered"
 	Retried   Step = "retried"
+	Hedged    Step = "hedged"
 	Displaced Step = "displaced"
 	Dropped   Step = "dropped"
 	Forwarded Step = "forwarded"
--- /dev/null
+++ b/router/pipeline/attempt.go
@@ -0,0 +1,142 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/router/journal"
+	"cicadawell.dev/router/pool"
+	"cicadawell.dev/router/runner"
+)
+
+// outcome is how one attempt ended.
+type outcome struct {
+	// attempt and runner are empty when no place was found.
+	attempt string
+	runner  string
+	result  runnerapi.RunResult
+	err     error
+}
+
+// try runs an attempt and, when it takes long and the stage may be hedged, a
+// second one beside it on another runner. The first whole result counts.
+func (s *stageRun) try(ctx context.Context, deadline time.Time) outcome {
+	place, err := s.Places.Acquire(ctx, s.ask(deadline))
+	if err != nil {
+		return outcome{err: err}
+	}
+	delay, ok := s.hedgeAfter()
+	if !ok {
+		return s.settle(s.dispatch(ctx, place, deadline))
+	}
+	return s.hedge(ctx, place, deadline, delay)
+}
+
+// hedgeAfter returns how long an attempt may run before a second one starts.
+// Free work is not hedged: it takes only what paying callers leave.
+func (s *stageRun) hedgeAfter() (time.Duration, bool) {
+	if !s.stage().Idempotent || !s.job.Team.Paying {
+		return 0, false
+	}
+	return s.Retries.HedgeAfter(s.job.Pipeline.ID, s.index)
+}
+
+func (s *stageRun) hedge(ctx context.Context, place pool.Place, deadline time.Time, delay time.Duration) outcome {
+	ctx, giveUp := context.WithCancelCause(ctx)
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer giveUp(errSuperseded)
+	outcomes := make(chan outcome, 2)
+	group.Go(func() { outcomes <- s.dispatch(ctx, place, deadline) })
+	select {
+	case o := <-outcomes:
+		return s.settle(o)
+	case <-ctx.Done():
+		return s.settle(<-outcomes)
+	case <-s.Clock.After(delay):
+	}
+	if s.speaker.Load() != nil || !s.Retries.Allow(s.stage().Service) {
+		return s.settle(<-outcomes)
+	}
+	ask := s.ask(deadline)
+	ask.Exclude = append([]string{place.Runner().ID}, s.exclude...)
+	group.Go(func() { outcomes <- s.second(ctx, ask, deadline) })
+	first := s.settle(<-outcomes)
+	if first.err == nil {
+		return first
+	}
+	second := s.settle(<-outcomes)
+	if second.err != nil && second.attempt == "" {
+		return first
+	}
+	return second
+}
+
+// second runs the attempt beside the first. Without a place it has not run.
+func (s *stageRun) second(ctx context.Context, ask pool.Ask, deadline time.Time) outcome {
+	place, err := s.Places.Acquire(ctx, ask)
+	if err != nil {
+		return outcome{err: err}
+	}
+	s.record(journal.Hedged, "", place.Runner().ID, "the first attempt takes long", 0)
+	return s.dispatch(ctx, place, deadline)
+}
+
+// dispatch sends one attempt to the runner of its place. It changes nothing of
+// the stage, so that two may run side by side.
+func (s *stageRun) dispatch(ctx context.Context, place pool.Place, deadline time.Time) outcome {
+	to := place.Runner()
+	o := outcome{runner: to.ID}
+	if o.err = place.Check(); o.err != nil {
+		place.Done(pool.Result{Ending: pool.Unsent})
+		return o
+	}
+	o.attempt = s.Identifiers.NewAttempt()
+	s.record(journal.Chosen, o.attempt, to.ID, place.Reason(), 0)
+	sent := s.Clock.Now()
+	o.result, o.err = s.send(ctx, place, o.attempt, deadline)
+	took := s.Clock.Now().Sub(sent)
+	ending := endingOf(ctx, o.err)
+	place.Done(pool.Result{Ending: ending, Latency: took, Load: loadOf(o.result, o.err)})
+	s.Meter.Attempt(s.job.Pipeline.ID, s.stage().Name, to.Zone, ending, took, o.result.Tokens, o.result.CachedTokens)
+	s.note(o, took)
+	return o
+}
+
+func (s *stageRun) note(o outcome, took time.Duration) {
+	if o.err == nil {
+		s.Retries.Success(s.stage().Service)
+		s.record(journal.Answered, o.attempt, o.runner, "whole", took)
+		return
+	}
+	step := journal.Answered
+	var foreign *runner.ForeignError
+	if errors.As(o.err, &foreign) {
+		s.Meter.Foreign(s.stage().Service)
+		step = journal.Dropped
+	}
+	s.record(step, o.attempt, o.runner, o.err.Error(), took)
+}
+
+// settle takes the end of an attempt into the stage.
+func (s *stageRun) settle(o outcome) outcome {
+	if o.attempt != "" {
+		s.attempts++
+	}
+	if speaker := s.speaker.Load(); o.err == nil && speaker != nil && *speaker != o.attempt {
+		o.err = errSuperseded
+	}
+	if o.err == nil {
+		s.touched = true
+		return o
+	}
+	if o.attempt != "" {
+		s.exclude = append(s.exclude, o.runner)
+		s.touched = s.touched || fault.Of(o.err).Outcome() != fault.NotRun
+	}
+	return o
+}
--- a/router/pipeline/ending.go
+++ b/router/pipeline/ending.go
@@ -88,7 +88,7 @@
 
 // again reports whether the stage may be tried again after err.
 func (s *stageRun) again(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || s.delivered || s.attempts >= maxAttempts {
+	if ctx.Err() != nil || s.speaker.Load() != nil || s.attempts >= maxAttempts {
 		return false
 	}
 	e := fault.Of(err)
--- a/router/pipeline/executor.go
+++ b/router/pipeline/executor.go
@@ -59,6 +59,9 @@
 type Retries interface {
 	Allow(service string) bool
 	Success(service string)
+	// HedgeAfter returns how long a stage runs before a second attempt
+	// beside it makes sense, and false while that is not known.
+	HedgeAfter(pipeline string, stage int) (time.Duration, bool)
 }
 
 // Meter counts what the stages cost.
--- a/router/pipeline/pipeline_test.go
+++ b/router/pipeline/pipeline_test.go
@@ -23,8 +23,7 @@
 	"cicadawell.dev/router/runner"
 )
 
-// scene stands in for all that an executor is built from. Its methods are
-// called from one request at a time.
+// scene stands in for all that an executor is built from.
 type scene struct {
 	clock.Clock
 	mu sync.Mutex
@@ -37,8 +36,11 @@
 	endings   []pool.Ending
 	steps     []journal.Step
 	foreign   int
+	minted    int
 	budget    int
 	displaced chan struct{}
+	// hedgeAfter is zero where stages are not hedged.
+	hedgeAfter time.Duration
 	// taken makes the last check of a place fail.
 	taken bool
 }
@@ -78,6 +80,10 @@
 	return s.budget >= 0
 }
 
+func (s *scene) HedgeAfter(string, int) (time.Duration, bool) {
+	return s.hedgeAfter, s.hedgeAfter > 0
+}
+
 func (s *scene) Record(d journal.Decision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -85,17 +91,30 @@
 }
 
 func (s *scene) Attempt(_, _, _ string, ending pool.Ending, _ time.Duration, _, _ int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.endings = append(s.endings, ending)
 }
 
-func (s *scene) NewAttempt() string { return fmt.Sprintf("a%d", len(s.sent)+1) }
+func (s *scene) NewAttempt() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.minted++
+	return fmt.Sprintf("a%d", s.minted)
+}
 
 func (s *scene) Run(ctx context.Context, _ bundle.Runner, req runnerapi.RunRequest, _ int64, sink runner.Sink) (runnerapi.RunResult, error) {
+	return s.next(req)(ctx, req, sink)
+}
+
+func (s *scene) next(req runnerapi.RunRequest) answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.sent = append(s.sent, req)
 	if n := len(s.sent) - 1; n < len(s.answers) {
-		return s.answers[n](ctx, req, sink)
+		return s.answers[n]
 	}
-	return succeed(ctx, req, sink)
+	return succeed
 }
 
 func (s *scene) RunOnce(ctx context.Context, to bundle.Runner, req runnerapi.RunRequest, limit int64, guard func() error) (runnerapi.RunResult, error) {
@@ -301,3 +320,53 @@
 		is.Equal(s.endings, []pool.Ending{pool.Cancelled, pool.Completed})
 	})
 }
+
+func TestSlowAttemptIsHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene(hang)
+		s.hedgeAfter = 50 * time.Millisecond
+		x := s.executor()
+		start := s.Now()
+		a, err := x.Run(t.Context(), s.job(stages(true), true))
+		x.Close()
+		is.NoErr(err)
+		is.Equal(s.Now().Sub(start), s.hedgeAfter)
+		is.Equal(a.Stages[0].Runner, "r2")    // beside the first
+		is.Equal(s.cancelled, []string{"a1"}) // which is told to stop
+	})
+}
+
+func TestOnceIsNeverHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene(succeed, hang)
+		s.hedgeAfter = 50 * time.Millisecond
+		_, err := s.executor().RunOnce(t.Context(), call(), allow)
+		is.Equal(fault.Of(err).Outcome(), fault.Unknown)
+		is.Equal(len(s.sent), 2) // one attempt of each stage
+	})
+}
+
+func TestOnlyOneAttemptSpeaks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		late := func(ctx context.Context, req runnerapi.RunRequest, sink runner.Sink) (runnerapi.RunResult, error) {
+			if err := clock.System().Sleep(ctx, 100*time.Millisecond); err != nil {
+				return runnerapi.RunResult{}, err
+			}
+			return succeed(ctx, req, sink)
+		}
+		s := newScene(late, late)
+		s.hedgeAfter = 50 * time.Millisecond
+		var n tokenCount
+		job := s.job(stages(true), true)
+		job.Stream = &n
+		x := s.executor()
+		a, err := x.Run(t.Context(), job)
+		x.Close()
+		is.NoErr(err)
+		is.Equal(int(n), 1) // the other's token was held back
+		is.Equal(a.Stages[0].Runner, "r1")
+	})
+}
--- a/router/pipeline/stage.go
+++ b/router/pipeline/stage.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
+	"sync/atomic"
 	"time"
 
 	"cicadawell.dev/fleet/bundle"
@@ -23,6 +23,8 @@
 	errDeadline = fault.New(fault.DeadlineMissed, "the deadline passed")
 	// errDisplaced ends the attempt of free work that gave way.
 	errDisplaced = fault.New(fault.Displaced, "a paying caller needed the place")
+	// errSuperseded ends an attempt of which another one was faster.
+	errSuperseded = fault.Wrap(fault.RunnerFailed, runner.ErrSuperseded, "attempt given up")
 )
 
 // stageRun is one stage of one request.
@@ -37,11 +39,11 @@
 	attempts int
 	// exclude are the runners that failed this stage.
 	exclude []string
-	// delivered is true once a token reached the caller: from then on no
-	// other attempt may take over, since its tokens could differ.
-	delivered bool
 	// touched is true once an attempt may have run.
 	touched bool
+	// speaker is the attempt whose tokens reach the caller; it never
+	// changes once it is set, since another attempt's tokens could differ.
+	speaker atomic.Pointer[string]
 }
 
 func (s *stageRun) stage() bundle.Stage { return s.job.Pipeline.Stages[s.index] }
@@ -68,69 +70,26 @@
 		return nil, callerapi.Stage{}, err
 	}
 	for {
-		result, runnerID, err := s.attempt(ctx, deadline)
-		if err == nil {
+		o := s.try(ctx, deadline)
+		if o.err == nil {
 			took := s.Clock.Now().Sub(start)
 			s.Budgets.Observe(s.job.Pipeline.ID, s.index, took)
-			return result.Output, s.report(runnerID, took, result), nil
+			return o.result.Output, s.report(o, took), nil
 		}
-		if !s.again(ctx, err) {
-			return nil, callerapi.Stage{}, s.final(ctx, err)
+		if !s.again(ctx, o.err) {
+			return nil, callerapi.Stage{}, s.final(ctx, o.err)
 		}
-		s.record(journal.Retried, "", runnerID, err.Error(), 0)
+		s.record(journal.Retried, o.attempt, o.runner, o.err.Error(), 0)
 	}
 }
 
-func (s *stageRun) report(runnerID string, took time.Duration, result runnerapi.RunResult) callerapi.Stage {
+func (s *stageRun) report(o outcome, took time.Duration) callerapi.Stage {
 	return callerapi.Stage{
 		Name:     s.stage().Name,
-		Runner:   runnerID,
+		Runner:   o.runner,
 		Attempts: s.attempts,
 		Micros:   took.Microseconds(),
-		Tokens:   result.Tokens,
-	}
-}
-
-// attempt takes a place and sends one attempt to its runner.
-func (s *stageRun) attempt(ctx context.Context, deadline time.Time) (runnerapi.RunResult, string, error) {
-	place, err := s.Places.Acquire(ctx, s.ask(deadline))
-	if err != nil {
-		return runnerapi.RunResult{}, "", err
-	}
-	to := place.Runner()
-	if err := place.Check(); err != nil {
-		place.Done(pool.Result{Ending: pool.Unsent})
-		return runnerapi.RunResult{}, to.ID, err
-	}
-	s.attempts++
-	id := s.Identifiers.NewAttempt()
-	s.record(journal.Chosen, id, to.ID, place.Reason(), 0)
-	sent := s.Clock.Now()
-	result, err := s.send(ctx, place, id, deadline)
-	took := s.Clock.Now().Sub(sent)
-	if fault.Of(err) == nil || fault.Of(err).Outcome() != fault.NotRun {
-		s.touched = true
-	}
-	ending := endingOf(ctx, err)
-	place.Done(pool.Result{Ending: ending, Latency: took, Load: loadOf(result, err)})
-	s.Meter.Attempt(s.job.Pipeline.ID, s.stage().Name, to.Zone, ending, took, result.Tokens, result.CachedTokens)
-	s.noteAnswer(id, to.ID, took, err)
-	return result, to.ID, err
-}
-
-func (s *stageRun) noteAnswer(attempt, runnerID string, took time.Duration, err error) {
-	var foreign *runner.ForeignError
-	switch {
-	case err == nil:
-		s.Retries.Success(s.stage().Service)
-		s.record(journal.Answered, attempt, runnerID, "whole", took)
-	case errors.As(err, &foreign):
-		s.Meter.Foreign(s.stage().Service)
-		s.record(journal.Dropped, attempt, runnerID, err.Error(), took)
-		s.exclude = append(s.exclude, runnerID)
-	default:
-		s.record(journal.Answered, attempt, runnerID, err.Error(), took)
-		s.exclude = append(s.exclude, runnerID)
+		Tokens:   o.result.Tokens,
 	}
 }
 
@@ -165,7 +124,7 @@
 	}
 	ctx, stop := s.watchDisplaced(ctx, place)
 	defer stop()
-	result, err := s.Runners.Run(ctx, place.Runner(), req, stage.MaxResultBytes, s.sink())
+	result, err := s.Runners.Run(ctx, place.Runner(), req, stage.MaxResultBytes, s.sink(id))
 	if err != nil && ctx.Err() != nil {
 		s.cancelAt(place.Runner(), id)
 		return result, fault.Wrap(causeOf(ctx), err, "attempt given up")
@@ -209,17 +168,29 @@
 	return req
 }
 
-// sink passes tokens on and notes that the caller has seen some.
-func (s *stageRun) sink() runner.Sink {
+// sink passes the tokens of an attempt on, unless another attempt of the stage
+// was first.
+func (s *stageRun) sink(id string) runner.Sink {
 	if s.job.Stream == nil || !s.stage().Streams {
 		return nil
 	}
 	return sinkFunc(func(t runnerapi.Token) error {
-		s.delivered = true
+		if !s.speaks(id) {
+			return errSuperseded
+		}
 		return s.job.Stream.Token(t)
 	})
 }
 
+// speaks reports whether the attempt is the one whose tokens reach the caller,
+// and makes it so when there is none.
+func (s *stageRun) speaks(id string) bool {
+	if s.speaker.CompareAndSwap(nil, &id) {
+		return true
+	}
+	return *s.speaker.Load() == id
+}
+
 type sinkFunc func(runnerapi.Token) error
 
 func (f sinkFunc) Token(t runnerapi.Token) error { return f(t) }
--- a/router/runner/pooled.go
+++ b/router/runner/pooled.go
@@ -23,13 +23,13 @@
 	}
 	resp, err := c.post(ctx, to.Address, runnerapi.PathRun, body)
 	if err != nil {
-		c.distrust(to.Address, err)
+		c.distrust(ctx, to.Address)
 		return runnerapi.RunResult{}, lost(err, to)
 	}
 	defer closeBody(resp)
 	result, err := c.read(ctx, resp, to, req, limit, sink)
 	if err != nil {
-		c.distrust(to.Address, err)
+		c.distrust(ctx, to.Address)
 	}
 	return result, err
 }
@@ -47,12 +47,11 @@
 }
 
 // distrust closes the pooled connections after a sign that one went silent,
-// so that the next attempt opens a new one.
-func (c *client) distrust(address string, err error) {
-	if errors.Is(err, context.Canceled) {
-		return
+// so that the next attempt opens a new one. A caller that left is no such sign.
+func (c *client) distrust(ctx context.Context, address string) {
+	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(context.Cause(ctx), ErrSuperseded) {
+		c.pool(address).CloseIdleConnections()
 	}
-	c.pool(address).CloseIdleConnections()
 }
 
 func (c *client) post(ctx context.Context, address, path string, body []byte) (*http.Response, error) {
