--- a/router/journal/journal.go
+++ b/router/journal/journal.go
@@ -24,6 +24,7 @@
 	Sent      Step = "sent"
 	Answered  Step = "answered"
 	Retried   Step = "retried"
+	Hedged    Step = "hedged"
 	Displaced Step = "displaced"
 	Dropped   Step = "dropped"
 	Forwarded Step = "forwarded"
@@ -31,6 +32,7 @@
 	Replayed  Step = "replayed"
 	Finished  Step = "finished"
 	Placed    Step = "placed"
+	Cancelled Step = "cancelled"
 )
 
 // Decision is one routing or placement decision. Empty fields do not apply.
