Let a home run only keys that it can vouch for

Cause: after a takeover the new home does not know what the old one ran. Ruled out: keys homed one by one (nothing could be said of keys never seen); keys are homed by 1024 slots, so that a home knows since when it vouches for each. A guard by epoch alone (a slot whose home stays would be refused at each change): the guard asks for the same unbroken tenure of the slot. Change: a change of the view makes the old home hand over, for each slot that moved, all keys that it remembers, those that still run, and the time since which it vouches; the end of a running call follows. Without a handover the new home runs only keys minted after the takeover and the skews; for 2 s it refuses the others as not run, then as unknown. A call waits up to 1 s for a home that is changing. FixedRoster is gone: a roster is now a hold.State.

--- a/router/ledger/options.go
+++ b/router/ledger/options.go
@@ -28,6 +28,11 @@
 	// instanceSkew bounds the difference between an instance's clock and
 	// the true time.
 	instanceSkew time.Duration
+	// settleFor is how long a call waits here for a home that is changing.
+	settleFor time.Duration
+	// handOverFor is how long a handover is attempted, and awaitFor how long
+	// one is waited for.
+	handOverFor, awaitFor time.Duration
 	// maxEntries bounds the keys remembered.
 	maxEntries int
 	// maxAnswerBytes bounds the answers remembered, over all keys.
@@ -41,6 +46,9 @@
 		keyWindow:      time.Hour,
 		callerSkew:     2 * time.Second,
 		instanceSkew:   500 * time.Millisecond,
+		settleFor:      time.Second,
+		handOverFor:    10 * time.Second,
+		awaitFor:       2 * time.Second,
 		maxEntries:     100_000,
 		maxAnswerBytes: 16 << 20,
 	}
@@ -77,3 +85,6 @@
 func WithTable(maxEntries, maxAnswerBytes int) Option {
 	return func(c *config) { c.maxEntries, c.maxAnswerBytes = maxEntries, maxAnswerBytes }
 }
+
+// WithSettling sets how long a call waits here for a home that is changing.
+func WithSettling(d time.Duration) Option { return func(c *config) { c.settleFor = d } }
--- a/router/ledger/run_test.go
+++ b/router/ledger/run_test.go
@@ -13,6 +13,7 @@
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/ledger"
+	"cicadawell.dev/router/roster/hold"
 	"github.com/google/uuid"
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
@@ -44,6 +45,9 @@
 			return err
 		}
 	}
+	if m.all[to] == nil {
+		return fault.New(fault.HomeUnsettled, "no such instance")
+	}
 	raw, err := json.Marshal(params)
 	if err != nil {
 		return err
@@ -102,6 +106,23 @@
 	}
 }
 
+// steady is a roster whose view never changes.
+type steady struct {
+	clk     clock.Clock
+	self    string
+	members []string
+}
+
+func (s steady) Subscribe(func()) {}
+
+func (s steady) State() hold.State {
+	v := hold.View{Epoch: 1, Settled: true}
+	for _, id := range s.members {
+		v.Members = append(v.Members, hold.Member{ID: id})
+	}
+	return hold.State{Self: hold.Member{ID: s.self}, View: v, Effective: true, Held: s.clk.Now(), Hold: time.Second}
+}
+
 // three starts ledgers a, b and c with one runner.
 func three(t *testing.T, clk clock.Clock, runner ledger.Runner, opts ...ledger.Option) map[string]ledger.Book {
 	t.Helper()
@@ -110,7 +131,7 @@
 	for _, id := range []string{"a", "b", "c"} {
 		books[id] = ledger.New(append([]ledger.Option{
 			ledger.WithID(id), ledger.WithClock(clk), ledger.WithRunner(runner),
-			ledger.WithMesh(newLocalMesh(meshes, id)), ledger.WithRoster(ledger.FixedRoster("a", "b", "c")),
+			ledger.WithMesh(newLocalMesh(meshes, id)), ledger.WithRoster(steady{clk, id, []string{"a", "b", "c"}}),
 		}, opts...)...)
 		t.Cleanup(books[id].Close)
 	}
@@ -214,7 +235,7 @@
 	clk := clock.NewManual(start)
 	meshes := make(map[string]*localMesh)
 	book := ledger.New(ledger.WithID("a"), ledger.WithClock(clk), ledger.WithRunner(r),
-		ledger.WithMesh(newLocalMesh(meshes, "a")), ledger.WithRoster(ledger.FixedRoster("a")),
+		ledger.WithMesh(newLocalMesh(meshes, "a")), ledger.WithRoster(steady{clk, "a", []string{"a"}}),
 		ledger.WithTable(2, 10), ledger.WithKeyWindow(time.Hour))
 	t.Cleanup(book.Close)
 	do := func(n int) error {
--- a/router/ledger/table.go
+++ b/router/ledger/table.go
@@ -6,6 +6,7 @@
 
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/roster/hold"
 )
 
 // scope identifies a key within its team.
@@ -27,6 +28,26 @@
 	size int
 	// forgotten is true when the answer was dropped to make room.
 	forgotten bool
+
+	slot hold.Slot
+	// tenure is the one in which this instance began the call; zero for a
+	// call that another instance handed over.
+	tenure tenure
+	// until is when the call has ended at the latest, wherever it runs.
+	until time.Time
+	// heir is the instance that the running call was handed over to, or "".
+	// handed is closed once that handover is done.
+	heir   string
+	handed <-chan struct{}
+}
+
+func (e *entry) ended() bool {
+	select {
+	case <-e.done:
+		return true
+	default:
+		return false
+	}
 }
 
 // bucketWidth is the span of minting times that leave the table together.
@@ -60,18 +81,18 @@
 
 func bucketOf(t time.Time) int64 { return t.UnixNano() / int64(bucketWidth) }
 
-// begin returns the entry of the key, and whether it is a new one that the
-// caller has to run. vouch is asked for a new key only.
-func (t *table) begin(s scope, at time.Time, bodyHash string, vouch func() error) (*entry, bool, error) {
+// begin returns the entry of the call's key, and whether it is a new one that
+// the caller has to run. vouch is asked for a new key only.
+func (t *table) begin(fresh *entry, vouch func() error) (*entry, bool, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e, ok := t.entries[s]; ok {
-		if e.bodyHash != bodyHash {
+	if e, ok := t.entries[fresh.scope]; ok {
+		if e.bodyHash != fresh.bodyHash {
 			return nil, false, fault.New(fault.KeyConflict, "the key was used with another body").WithField(fieldKey)
 		}
 		return e, false, nil
 	}
-	if bucketOf(at) < t.swept {
+	if bucketOf(fresh.minted) < t.swept {
 		return nil, false, fault.New(fault.OutcomeUnknown, "the key is older than the keys remembered").WithField(fieldKey)
 	}
 	if err := vouch(); err != nil {
@@ -80,18 +101,30 @@
 	if len(t.entries) >= t.maxEntries {
 		return nil, false, fault.New(fault.Overloaded, "%d keys are remembered", t.maxEntries)
 	}
-	e := &entry{scope: s, minted: at, bodyHash: bodyHash, done: make(chan struct{})}
-	t.entries[s] = e
-	b := bucketOf(at)
+	t.insert(fresh)
+	return fresh, true, nil
+}
+
+// insert adds an entry. The caller holds mu.
+func (t *table) insert(e *entry) {
+	e.done = make(chan struct{})
+	t.entries[e.scope] = e
+	b := bucketOf(e.minted)
 	t.buckets[b] = append(t.buckets[b], e)
-	return e, true, nil
 }
 
 // finish records how the run of a new entry ended and wakes those that joined.
-// A call that was not run leaves the table, so that a repeat may run.
-func (t *table) finish(e *entry, answer callerapi.Answer, err error) {
+// A call that was not run leaves the table, so that a repeat may run. It returns
+// the instance that the call was handed over to, or "".
+func (t *table) finish(e *entry, answer callerapi.Answer, err error) (heir string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.end(e, answer, err)
+	return e.heir
+}
+
+// end does the work of finish. The caller holds mu.
+func (t *table) end(e *entry, answer callerapi.Answer, err error) {
 	e.answer, e.err = answer, err
 	close(e.done)
 	if err != nil {
--- /dev/null
+++ b/router/ledger/takeover_test.go
@@ -0,0 +1,143 @@
+package ledger_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/callerapi"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/ledger"
+	"cicadawell.dev/router/roster/hold"
+	"github.com/matryer/is"
+)
+
+var (
+	memberA = hold.Member{ID: "a", Incarnation: "1"}
+	memberB = hold.Member{ID: "b", Incarnation: "1"}
+)
+
+// scripted is a roster whose state the test sets.
+type scripted struct {
+	state   hold.State
+	changed func()
+}
+
+func (s *scripted) State() hold.State { return s.state }
+
+func (s *scripted) Subscribe(changed func()) { s.changed = changed }
+
+// lead puts a view of one member in effect for a, which holds it from now on.
+func (s *scripted) lead(now time.Time, epoch uint64, member, prior hold.Member) {
+	v := hold.View{Epoch: epoch, Members: []hold.Member{member}, Prior: []hold.Member{prior}, Settled: true}
+	s.state = hold.State{Self: memberA, View: v, Effective: true, EffectiveAt: now, Held: now, Hold: 3 * time.Second}
+	s.changed()
+}
+
+// alone returns the ledger of a with its roster, clock and runner.
+func alone(t *testing.T) (ledger.Book, *scripted, *clock.Manual, *paused) {
+	t.Helper()
+	clk, r, p := clock.NewManual(start), &scripted{}, &paused{}
+	meshes := make(map[string]*localMesh)
+	book := ledger.New(ledger.WithID("a"), ledger.WithClock(clk), ledger.WithRoster(r), ledger.WithRunner(p),
+		ledger.WithMesh(newLocalMesh(meshes, "a")), ledger.WithSkew(200*time.Millisecond, 100*time.Millisecond), ledger.WithSettling(0))
+	t.Cleanup(book.Close)
+	return book, r, clk, p
+}
+
+// paused is a runner to which something happens before it asks the guard.
+type paused struct {
+	meanwhile func()
+	runs      int
+}
+
+func (p *paused) RunOnce(_ context.Context, _ ledger.Call, guard func() error) (callerapi.Answer, error) {
+	if p.meanwhile != nil {
+		p.meanwhile()
+	}
+	if err := guard(); err != nil {
+		return callerapi.Answer{}, err
+	}
+	p.runs++
+	return callerapi.Answer{}, nil
+}
+
+// once sends one call and returns its error.
+func once(t *testing.T, book ledger.Book, key string) *fault.Error {
+	t.Helper()
+	call := callOf("t", key, "x")
+	_, _, err := book.Do(t.Context(), call)
+	return fault.Of(err)
+}
+
+func TestHomePausedPastItsHoldDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	book, r, clk, p := alone(t)
+	r.lead(start, 1, memberA, hold.Member{})
+	p.meanwhile = func() { clk.Advance(3 * time.Second) }
+	e := once(t, book, keyAt(start, 1))
+	is.Equal(e.Outcome(), fault.NotRun)
+	is.Equal(p.runs, 0)
+	e = once(t, book, keyAt(start, 2)) // the hold has lapsed before the call
+	is.Equal(e.Kind(), fault.HomeUnsettled)
+	is.Equal(p.runs, 0)
+}
+
+func TestHomeThatWasReplacedMeanwhileDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	book, r, clk, p := alone(t)
+	r.lead(start, 1, memberA, hold.Member{})
+	p.meanwhile = func() {
+		r.lead(clk.Now(), 2, memberB, memberA)
+		r.lead(clk.Now(), 3, memberA, memberB)
+	}
+	e := once(t, book, keyAt(start, 1))
+	is.Equal(e.Outcome(), fault.NotRun)
+	is.Equal(p.runs, 0)
+}
+
+func TestKeysFromBeforeATakeoverAreUnknown(t *testing.T) {
+	const margin = 400 * time.Millisecond
+	for name, test := range map[string]struct {
+		epoch  uint64
+		prior  hold.Member
+		minted time.Duration
+		want   fault.Kind
+	}{
+		"minted before":           {2, memberB, -time.Minute, fault.OutcomeUnknown},
+		"minted within the skews": {2, memberB, margin, fault.OutcomeUnknown},
+		"minted after":            {2, memberB, margin + time.Millisecond, ""},
+		"home all the while":      {2, memberA, -time.Minute, ""},
+		"one view missed":         {3, memberA, -time.Minute, ""},
+		"two views missed":        {4, memberA, -time.Minute, fault.OutcomeUnknown},
+		"gained in a view missed": {3, memberB, -time.Minute, fault.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			book, r, clk, _ := alone(t)
+			r.lead(start.Add(-time.Hour), 1, memberA, hold.Member{})
+			r.lead(start, test.epoch, memberA, test.prior)
+			clk.Advance(2500 * time.Millisecond) // no handover came
+			e := once(t, book, keyAt(start.Add(test.minted), 1))
+			if test.want == "" {
+				is.True(e == nil)
+				return
+			}
+			is.Equal(e.Kind(), test.want)
+			is.Equal(e.Outcome(), fault.Unknown)
+		})
+	}
+}
+
+func TestFirstMomentsOfATakeoverAreNotRun(t *testing.T) {
+	is := is.New(t)
+	book, r, clk, p := alone(t)
+	r.lead(start.Add(-time.Hour), 1, memberB, hold.Member{})
+	r.lead(start, 2, memberA, memberB)
+	clk.Advance(time.Second)
+	e := once(t, book, keyAt(start, 1))
+	is.Equal(e.Kind(), fault.HomeUnsettled)
+	is.Equal(e.Outcome(), fault.NotRun)
+	is.Equal(p.runs, 0)
+}
