Refuse callers until the bundle is confirmed, cut slow ones

Cause: a test with a silent caller hung: after the body's deadline had passed it was reset, and net/http then read the rest of the body without any bound, so that a silent caller held its connection and its share of the body memory. Ruled out: net/http's own read timeout (it ends long answers as well). Change: the deadline stays after a failure; an instance whose bundle is not confirmed refuses; body and write timeouts are options.

--- a/fleet/callerapi/callerapi.go
+++ b/fleet/callerapi/callerapi.go
@@ -12,6 +12,9 @@
 const (
 	// PathPipelines is followed by the pipeline's id.
 	PathPipelines = "/v1/pipelines/"
+	// PathHealth tells the platform's balancer whether the instance takes
+	// in requests.
+	PathHealth = "/v1/health"
 	// HeaderKey carries the idempotency key, a UUID of version 7 (RFC 9562)
 	// that the caller mints at the time of the first try.
 	HeaderKey = "Idempotency-Key"
@@ -73,3 +76,10 @@
 	Request string        `json:"request"`
 	Error   fault.Message `json:"error"`
 }
+
+// Health is the answer at PathHealth; an instance that is not ready refuses.
+type Health struct {
+	Ready bool `json:"ready"`
+	// Leaving tells that the instance takes in requests but is about to stop.
+	Leaving bool `json:"leaving"`
+}
--- a/router/caller/admit.go
+++ b/router/caller/admit.go
@@ -20,6 +20,9 @@
 // never nil; it gives back what the request's body may take.
 func (s *server) admit(c *gin.Context, x *exchange) (release func(), err error) {
 	release = func() {}
+	if err := s.Readiness.Ready(); err != nil {
+		return release, err
+	}
 	current, err := s.Catalog.Load()
 	if err != nil {
 		return release, err
@@ -78,18 +81,20 @@
 	}
 	control := http.NewResponseController(c.Writer)
 	// Not every writer has deadlines; those of tests do not.
-	_ = control.SetReadDeadline(s.Clock.Now().Add(readBodyTimeout))
+	_ = control.SetReadDeadline(s.Clock.Now().Add(s.bodyTimeout))
 	var buffer bytes.Buffer
 	buffer.Grow(int(max(c.Request.ContentLength, 0)) + bytes.MinRead)
 	_, err := buffer.ReadFrom(io.LimitReader(c.Request.Body, limit+1))
 	data := buffer.Bytes()
-	_ = control.SetReadDeadline(time.Time{})
 	if err != nil {
 		return nil, bodyError(err, len(data))
 	}
 	if int64(len(data)) > limit {
 		return nil, tooLarge(int64(len(data)), limit)
 	}
+	// The deadline stays after a failure: the server reads what is left of
+	// the body before it answers.
+	_ = control.SetReadDeadline(time.Time{})
 	return data, nil
 }
 
--- a/router/caller/caller_test.go
+++ b/router/caller/caller_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -36,6 +35,11 @@
 	refusals map[fault.Kind]int
 	// streamErr ends a stream after its first token.
 	streamErr error
+	notReady  error
+	// endless makes streams go on until a token is not taken.
+	endless bool
+	// ended receives the error that ended an endless stream.
+	ended chan error
 }
 
 func (f *fakes) Run(_ context.Context, job pipeline.Job) (callerapi.Answer, error) {
@@ -44,6 +48,12 @@
 			return callerapi.Answer{}, err
 		}
 	}
+	for f.endless {
+		if err := job.Stream.Token(runnerapi.Token{Text: strings.Repeat("a", 1<<16)}); err != nil {
+			f.ended <- err
+			return callerapi.Answer{}, err
+		}
+	}
 	if f.streamErr != nil {
 		return callerapi.Answer{}, f.streamErr
 	}
@@ -78,6 +88,8 @@
 
 func (f *fakes) Replayed(string) {}
 
+func (f *fakes) Ready() error { return f.notReady }
+
 func (f *fakes) NewRequest() string { return "i1-1" }
 
 func testCatalog() *catalog.Current {
@@ -100,11 +112,11 @@
 	return current
 }
 
-func newServer(f *fakes) caller.Server {
+func newServer(f *fakes, options ...caller.Option) caller.Server {
 	return caller.NewServer(caller.Parts{
-		Clock: clock.System(), Catalog: testCatalog(), Executor: f, Ledger: f,
+		Clock: clock.System(), Readiness: f, Catalog: testCatalog(), Executor: f, Ledger: f,
 		Quotas: f, Journal: f, Meter: f, Identifiers: f,
-	})
+	}, options...)
 }
 
 func newFakes() *fakes { return &fakes{refusals: map[fault.Kind]int{}} }
@@ -180,30 +192,99 @@
 	}
 }
 
-// TestCutBodyHoldsNothing sends half a body over a real connection and closes
-// its side.
-func TestCutBodyHoldsNothing(t *testing.T) {
-	is := is.New(t)
-	f := newFakes()
-	s := newServer(f)
+// dial serves s on a connection and writes text to it.
+func dial(t *testing.T, s caller.Server, text string) net.Conn {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
+	if err != nil {
+		t.Fatal(err)
+	}
 	var group sync.WaitGroup
 	group.Go(func() { _ = s.Serve(l) })
 	conn, err := net.Dial("tcp", l.Addr().String())
-	is.NoErr(err)
-	_, err = io.WriteString(conn, "POST /v1/pipelines/answer HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer paying-key\r\nContent-Type: application/json\r\nContent-Length: 100\r\n\r\n{\"input\"")
-	is.NoErr(err)
-	is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = conn.Close()
+		if err := s.Shutdown(context.Background()); err != nil {
+			t.Error(err)
+		}
+		group.Wait()
+		if n := s.UnderWay(); n != 0 {
+			t.Errorf("%d requests are still under way", n)
+		}
+	})
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func readAnswer(t *testing.T, conn net.Conn) (int, string) {
+	t.Helper()
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	is.NoErr(err)
-	var body bytes.Buffer
-	_, err = body.ReadFrom(resp.Body)
-	is.NoErr(err)
-	is.Equal(resp.StatusCode, http.StatusBadRequest)
-	is.True(strings.Contains(body.String(), "body cut after 8 bytes"))
-	is.NoErr(s.Shutdown(context.Background()))
-	group.Wait()
-	is.Equal(s.UnderWay(), int64(0))
-	is.Equal(f.refusals[fault.BadRequest], 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+const head = "POST /v1/pipelines/answer HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer paying-key\r\nContent-Type: application/json\r\n"
+
+func TestCutBodyIsRefused(t *testing.T) {
+	is := is.New(t)
+	conn := dial(t, newServer(newFakes()), head+"Content-Length: 100\r\n\r\n{\"input\"")
+	is.NoErr(conn.(*net.TCPConn).CloseWrite())
+	status, body := readAnswer(t, conn)
+	is.Equal(status, http.StatusBadRequest)
+	is.True(strings.Contains(body, "body cut after 8 bytes"))
+}
+
+func TestSlowBodyIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newServer(newFakes(), caller.WithBodyTimeout(20*time.Millisecond))
+	conn := dial(t, s, head+"Content-Length: 100\r\n\r\n{\"input\"")
+	status, body := readAnswer(t, conn)
+	is.Equal(status, http.StatusRequestTimeout)
+	is.True(strings.Contains(body, `"kind":"slowCaller"`))
+}
+
+func TestLargeHeaderIsRefused(t *testing.T) {
+	is := is.New(t)
+	conn := dial(t, newServer(newFakes()), head+"X-Large: "+strings.Repeat("x", 64<<10)+"\r\n\r\n")
+	status, _ := readAnswer(t, conn)
+	is.Equal(status, http.StatusRequestHeaderFieldsTooLarge)
+}
+
+func TestChunkedBodyIsBounded(t *testing.T) {
+	is := is.New(t)
+	chunk := fmt.Sprintf("800\r\n%s\r\n", strings.Repeat(" ", 0x800))
+	conn := dial(t, newServer(newFakes()), head+"Transfer-Encoding: chunked\r\n\r\n"+chunk+"0\r\n\r\n")
+	status, body := readAnswer(t, conn)
+	is.Equal(status, http.StatusRequestEntityTooLarge)
+	is.True(strings.Contains(body, "allowed are 1024"))
+}
+
+// TestCallerThatDoesNotReadIsCut streams without end to a caller that reads
+// nothing.
+func TestCallerThatDoesNotReadIsCut(t *testing.T) {
+	is := is.New(t)
+	f := newFakes()
+	f.endless, f.ended = true, make(chan error, 1)
+	const body = `{"input":1,"stream":true}`
+	dial(t, newServer(f, caller.WithWriteTimeout(20*time.Millisecond)), head+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
+	is.True(fault.Is(<-f.ended, fault.SlowCaller))
+}
+
+func TestInstanceThatIsNotReadyRefuses(t *testing.T) {
+	is := is.New(t)
+	f := newFakes()
+	f.notReady = fault.New(fault.NotReady, "the bundle in force is not confirmed")
+	got := exchange(t, newServer(f).Handler(), "POST /v1/pipelines/answer\n\n{}")
+	is.Equal(got, "503 notReady notRun the bundle in force is not confirmed")
 }
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -108,7 +108,7 @@
 // boundWrite ends the connection of a caller that does not read.
 func (s *server) boundWrite(c *gin.Context) {
 	// Not every writer has deadlines; those of tests do not.
-	_ = http.NewResponseController(c.Writer).SetWriteDeadline(s.Clock.Now().Add(writeTimeout))
+	_ = http.NewResponseController(c.Writer).SetWriteDeadline(s.Clock.Now().Add(s.writeTimeout))
 }
 
 func encode(v any) ([]byte, error) {
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -25,16 +25,40 @@
 const (
 	maxHeaderBytes    = 16 << 10
 	readHeaderTimeout = 5 * time.Second
-	readBodyTimeout   = 10 * time.Second
 	idleTimeout       = 60 * time.Second
-	// writeTimeout bounds one write to a caller that reads slowly.
-	writeTimeout = 5 * time.Second
 	// maxBodies bounds the request bodies held at once, in bytes.
 	maxBodies = 256 << 20
 	// minDeadline is the shortest deadline that makes sense.
 	minDeadline = time.Millisecond
 )
 
+// Defaults of a server.
+const (
+	// defaultBodyTimeout bounds the delivery of one body.
+	defaultBodyTimeout = 10 * time.Second
+	// defaultWriteTimeout bounds one write to a caller that reads slowly.
+	defaultWriteTimeout = 5 * time.Second
+)
+
+// Option changes a default of a server.
+type Option func(*server)
+
+// WithBodyTimeout bounds the delivery of one body.
+func WithBodyTimeout(d time.Duration) Option {
+	return func(s *server) { s.bodyTimeout = d }
+}
+
+// WithWriteTimeout bounds one write to a caller that reads slowly.
+func WithWriteTimeout(d time.Duration) Option {
+	return func(s *server) { s.writeTimeout = d }
+}
+
+// Readiness tells whether this instance may take in requests.
+type Readiness interface {
+	// Ready returns an error of kind NotReady while it may not.
+	Ready() error
+}
+
 // Quotas bounds the rate of each team.
 type Quotas interface {
 	Allow(team bundle.Team, now time.Time) (ok bool, retryAfter time.Duration)
@@ -59,6 +83,7 @@
 // Parts are what a server is built from.
 type Parts struct {
 	Clock       clock.Clock
+	Readiness   Readiness
 	Catalog     *catalog.Current
 	Executor    pipeline.Executor
 	Ledger      ledger.Ledger
@@ -85,14 +110,17 @@
 }
 
 // NewServer returns a server for callers.
-func NewServer(p Parts) Server {
+func NewServer(p Parts, options ...Option) Server {
 	gin.SetMode(gin.ReleaseMode)
-	s := &server{Parts: p}
+	s := &server{Parts: p, bodyTimeout: defaultBodyTimeout, writeTimeout: defaultWriteTimeout}
+	for _, o := range options {
+		o(s)
+	}
 	engine := gin.New()
 	engine.HandleMethodNotAllowed = true
 	engine.Use(s.closing)
 	engine.POST(callerapi.PathPipelines+":pipeline", s.serve)
-	engine.GET("/v1/health", s.health)
+	engine.GET(callerapi.PathHealth, s.health)
 	engine.NoRoute(s.noRoute)
 	engine.NoMethod(s.noRoute)
 	s.http = &http.Server{
@@ -106,7 +134,10 @@
 
 type server struct {
 	Parts
-	http     *http.Server
+	http         *http.Server
+	bodyTimeout  time.Duration
+	writeTimeout time.Duration
+
 	underWay atomic.Int64
 	leaving  atomic.Bool
 	// bodies is the sum of the limits of the bodies being read or served;
@@ -143,11 +174,11 @@
 func (s *server) UnderWay() int64 { return s.underWay.Load() }
 
 func (s *server) health(c *gin.Context) {
-	if s.Catalog.Version() == 0 {
-		c.JSON(http.StatusServiceUnavailable, gin.H{"ready": false})
+	if err := s.Readiness.Ready(); err != nil {
+		s.refuse(c, &exchange{arrived: s.Clock.Now()}, err)
 		return
 	}
-	c.JSON(http.StatusOK, gin.H{"ready": true})
+	c.JSON(http.StatusOK, callerapi.Health{Ready: true, Leaving: s.leaving.Load()})
 }
 
 func (s *server) noRoute(c *gin.Context) {
--- a/router/cost_test.go
+++ b/router/cost_test.go
@@ -141,11 +141,15 @@
 		Runners: client, Journal: log, Meter: stageMeter{metrics}, Identifiers: ids,
 	})
 	return caller.NewServer(caller.Parts{
-		Clock: clk, Catalog: current, Executor: executor, Quotas: quota.New(), Journal: log,
+		Clock: clk, Readiness: alwaysReady{}, Catalog: current, Executor: executor, Quotas: quota.New(), Journal: log,
 		Meter: callerMeter{metrics: metrics, zone: "z1"}, Identifiers: ids,
 	}).Handler()
 }
 
+type alwaysReady struct{}
+
+func (alwaysReady) Ready() error { return nil }
+
 func costBundle(backend string) bundle.Bundle {
 	stage := bundle.Stage{Name: "encode", Service: "encode", Idempotent: true, MaxResultBytes: 1 << 16}
 	return bundle.Bundle{
--- a/router/parts.go
+++ b/router/parts.go
@@ -192,6 +192,7 @@
 	fx.In
 	Settings    settings.Settings
 	Clock       clock.Clock
+	Rolls       roll.Rolls
 	Catalog     *catalog.Current
 	Executor    pipeline.Executor
 	Ledger      ledger.Book
@@ -204,6 +205,7 @@
 func newCallers(in callersIn) caller.Server {
 	return caller.NewServer(caller.Parts{
 		Clock:       in.Clock,
+		Readiness:   in.Rolls,
 		Catalog:     in.Catalog,
 		Executor:    in.Executor,
 		Ledger:      in.Ledger,
