--- a/router/roll/driver.go
+++ b/router/roll/driver.go
@@ -75,7 +75,7 @@
 		return false
 	}
 	before := []string{r.Driver}
-	for _, w := range n.watchers(ctx) {
+	for _, w := range n.view.Watchers(ctx) {
 		if w.ID == n.self.ID {
 			break
 		}
@@ -118,8 +118,10 @@
 	phase   operatorapi.Phase
 	// acked tells when each instance acknowledged the phase.
 	acked map[string]time.Time
-	// guests are instances that acknowledgements named.
+	// named are instances that acknowledgements named as guests.
 	named map[string]bool
+	// silent are instances that did not answer in this pass.
+	silent map[string]bool
 }
 
 // pass tries to move the roll one phase on. moved tells that it did.
@@ -142,6 +144,7 @@
 		d.acked = map[string]time.Time{}
 		d.named = map[string]bool{}
 	}
+	d.silent = map[string]bool{}
 	w, held, err := d.collect(ctx, r)
 	if err != nil {
 		held = append(held, waiting{Instance: d.self.ID, Reason: err.Error()})
@@ -236,8 +239,9 @@
 
 // wanted lists the instances: those registered, those that the platform's list
 // shows, those that acknowledgements named, and those that were recorded with
-// the decision. Of the last, one that is neither registered nor listed and
-// does not answer is gone.
+// the decision. Of the last, one that does not answer is gone if it is neither
+// registered nor listed, and nobody named it by the time that all others have
+// acknowledged.
 func (d *driver) wanted(ctx context.Context, r operatorapi.Version) (wantedSet, error) {
 	call, cancel := context.WithTimeout(ctx, d.cfg.stageTimeout)
 	defer cancel()
@@ -271,6 +275,9 @@
 	var ids []string
 	for id := range w {
 		at, ok := d.acked[id]
+		if !w[id] && d.silent[id] {
+			continue
+		}
 		if !ok || (d.phase == operatorapi.Staging && now.Sub(at) > d.cfg.ackAge) {
 			ids = append(ids, id)
 		}
@@ -299,11 +306,9 @@
 	for _, a := range answers {
 		if a.err != nil {
 			delete(d.acked, a.id)
+			d.silent[a.id] = true
 			if w[a.id] {
 				held = append(held, waiting{Instance: a.id, Reason: reason(a.err)})
-			} else {
-				d.acked[a.id] = now
-				d.log.Info("member is gone", "instance", a.id, "version", r.Version)
 			}
 			continue
 		}
@@ -369,9 +374,18 @@
 	return answers
 }
 
+// timeoutOf bounds a call. An instance that has acknowledged the staged version
+// needs no time to fetch it.
+func (d *driver) timeoutOf(method string) time.Duration {
+	if method == methodStage {
+		return d.cfg.stageTimeout
+	}
+	return d.cfg.applyTimeout
+}
+
 // send calls one instance, or this one without the mesh.
 func (d *driver) send(ctx context.Context, id, method string, ref Reference) answer {
-	call, cancel := context.WithTimeout(ctx, d.cfg.stageTimeout)
+	call, cancel := context.WithTimeout(ctx, d.timeoutOf(method))
 	defer cancel()
 	a := answer{id: id}
 	switch {
--- a/router/roll/join.go
+++ b/router/roll/join.go
@@ -2,29 +2,30 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/peers"
 	"golang.org/x/sync/errgroup"
 )
 
 func (n *node) Start(ctx context.Context) error {
-	n.watch.limit = n.cfg.pauseLimit
-	n.watch.beat(n.clock.Now())
+	n.pauses.Beat(n.clock.Now())
 	begin := n.clock.Now()
 	for {
-		count := n.watch.pauses.Load()
+		count := n.pauses.Count()
 		patience := n.cfg.joinPatience - n.clock.Now().Sub(begin)
 		err := n.confirm(ctx, patience)
 		if err == nil {
-			n.watch.beat(n.clock.Now())
-			n.watch.confirmed.Store(count)
+			n.pauses.Beat(n.clock.Now())
+			n.pauses.Confirm(count)
 			n.started.Store(true)
 			return nil
 		}
 		n.log.Info("the bundle in force is not known yet", "error", err)
-		n.watch.beat(n.clock.Now())
+		n.pauses.Beat(n.clock.Now())
 		if err := n.clock.Sleep(ctx, n.cfg.retryPause); err != nil {
 			return fault.Wrap(fault.NotReady, err, "start")
 		}
@@ -32,17 +33,17 @@
 }
 
 // confirm brings the version in force that was decided last: that of the
-// store, or, while the store does not answer, the latest that other instances
-// have. A majority of the listed instances has to answer; when patience has
+// store, or, while the store does not answer or does not show this instance as
+// registered, the latest that other instances have. A majority of the listed instances has to answer; when patience has
 // run out, one is enough.
 func (n *node) confirm(ctx context.Context, patience time.Duration) error {
 	call, cancel := context.WithTimeout(ctx, n.cfg.stageTimeout)
 	defer cancel()
-	_, err := n.readState(call)
+	err := n.readRegistered(call)
 	if err == nil {
 		return nil
 	}
-	others := n.others(ctx)
+	others := n.view.Others(ctx)
 	answers := n.askToJoin(ctx, others)
 	need := len(others)/2 + 1
 	if patience <= 0 {
@@ -64,9 +65,24 @@
 	return n.bring(call, latest)
 }
 
+// readRegistered reads the state after the store has shown this instance as
+// registered: a driver that lists the instances before that writes its next
+// step before the state is read here.
+func (n *node) readRegistered(ctx context.Context) error {
+	ids, err := n.fleet.Registered(ctx)
+	if err != nil {
+		return err
+	}
+	if !slices.Contains(ids, n.view.Self().ID) {
+		return fault.New(fault.NotReady, "this instance is not registered")
+	}
+	_, err = n.readState(ctx)
+	return err
+}
+
 // askToJoin returns what is in force on those of others that serve. They name
 // this instance in their acknowledgements from then on.
-func (n *node) askToJoin(ctx context.Context, others []Peer) []Reference {
+func (n *node) askToJoin(ctx context.Context, others []peers.Peer) []Reference {
 	var mu sync.Mutex
 	var answers []Reference
 	var g errgroup.Group
--- a/router/roll/member.go
+++ b/router/roll/member.go
@@ -61,7 +61,7 @@
 // status returns what this instance tells others of itself.
 func (n *node) status() Status {
 	now := n.clock.Now()
-	s := Status{Serving: n.started.Load() && !n.watch.paused(now)}
+	s := Status{Serving: n.started.Load() && !n.pauses.Paused(now)}
 	if in := n.inForce.Load(); in != nil {
 		s.InForce = in.ref
 	}
@@ -108,6 +108,12 @@
 	}
 }
 
+// watches reports whether this instance watches the store.
+func (n *node) watches(ctx context.Context) bool {
+	_, ok := n.view.Rank(ctx)
+	return ok
+}
+
 // follow watches the state in the store while this instance is a watcher.
 func (n *node) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -159,7 +165,7 @@
 func (n *node) exchange(ctx context.Context) error {
 	for turn := 0; n.clock.Sleep(ctx, n.cfg.exchangePeriod) == nil; turn++ {
 		n.guests.forget(n.clock.Now().Add(-n.cfg.guestPatience))
-		if to, ok := partner(n.others(ctx), n.self.ID, turn); ok {
+		if to, ok := n.view.Partner(ctx, turn); ok {
 			n.exchangeWith(ctx, to)
 		}
 	}
@@ -180,25 +186,3 @@
 		n.log.Debug("bundle not taken from instance", "instance", to, "error", err)
 	}
 }
-
-// partner returns whom self asks in a turn. Distances double from turn to
-// turn, so that news reach all in a number of turns that grows with the
-// logarithm of the fleet, and each instance is asked once in a turn.
-func partner(others []Peer, self string, turn int) (string, bool) {
-	n := len(others)
-	if n == 0 {
-		return "", false
-	}
-	place, _ := slices.BinarySearchFunc(others, self, func(p Peer, id string) int {
-		if p.ID < id {
-			return -1
-		}
-		return 1
-	})
-	steps := 0
-	for 1<<steps <= n {
-		steps++
-	}
-	distance := 1 << (turn % steps)
-	return others[(place+distance-1)%n].ID, true
-}
--- a/router/roll/operate.go
+++ b/router/roll/operate.go
@@ -38,7 +38,7 @@
 		return s.Waiting
 	}
 	ids := []string{r.Driver}
-	for _, w := range n.watchers(ctx) {
+	for _, w := range n.view.Watchers(ctx) {
 		ids = append(ids, w.ID)
 	}
 	for _, id := range ids {
--- a/router/roll/option.go
+++ b/router/roll/option.go
@@ -15,24 +15,17 @@
 	// takeOverAfter is how long a roll stands still before another instance
 	// drives it.
 	takeOverAfter time.Duration
-	// listAge is how old the platform's list may be outside of a roll.
-	listAge time.Duration
 	// ackAge is how long an acknowledgement of a staged version counts.
 	ackAge time.Duration
-	// callTimeout bounds a call to another instance, and stageTimeout one
-	// that may fetch a content.
-	callTimeout, stageTimeout time.Duration
+	// callTimeout bounds a call to another instance, stageTimeout one that
+	// may fetch a content, and applyTimeout one that brings it in force.
+	callTimeout, stageTimeout, applyTimeout time.Duration
 	// joinPatience is how long a starting instance waits for a majority of
 	// the listed instances.
 	joinPatience time.Duration
-	// pauseLimit is how long the process may stand still without asking
-	// what it missed.
-	pauseLimit time.Duration
 	// guestPatience is how long an instance that joined is named in
 	// acknowledgements while the platform's list does not show it.
 	guestPatience time.Duration
-	// watchersPerZone is how many instances of a zone watch the store.
-	watchersPerZone int
 	// fanOut is how many instances are called at once, and perSource how
 	// many fetch from the same instance at once.
 	fanOut, perSource int
@@ -40,21 +33,19 @@
 
 func defaults() config {
 	return config{
-		watchWait:       10 * time.Second,
-		retryPause:      500 * time.Millisecond,
-		exchangePeriod:  time.Second,
-		drivePeriod:     500 * time.Millisecond,
-		takeOverAfter:   2 * time.Second,
-		listAge:         5 * time.Second,
-		ackAge:          10 * time.Second,
-		callTimeout:     time.Second,
-		stageTimeout:    10 * time.Second,
-		joinPatience:    3 * time.Second,
-		pauseLimit:      time.Second,
-		guestPatience:   time.Minute,
-		watchersPerZone: 2,
-		fanOut:          64,
-		perSource:       4,
+		watchWait:      10 * time.Second,
+		retryPause:     500 * time.Millisecond,
+		exchangePeriod: time.Second,
+		drivePeriod:    500 * time.Millisecond,
+		takeOverAfter:  2 * time.Second,
+		ackAge:         10 * time.Second,
+		callTimeout:    time.Second,
+		stageTimeout:   10 * time.Second,
+		applyTimeout:   3 * time.Second,
+		joinPatience:   3 * time.Second,
+		guestPatience:  time.Minute,
+		fanOut:         64,
+		perSource:      4,
 	}
 }
 
@@ -71,5 +62,5 @@
 // WithCallTimeouts bounds calls to other instances, and those that may fetch
 // a content.
 func WithCallTimeouts(call, stage time.Duration) Option {
-	return func(c *config) { c.callTimeout, c.stageTimeout = call, stage }
+	return func(c *config) { c.callTimeout, c.stageTimeout, c.applyTimeout = call, stage, stage }
 }
--- a/router/roll/roll.go
+++ b/router/roll/roll.go
@@ -16,6 +16,8 @@
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/operatorapi"
 	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/pause"
+	"cicadawell.dev/router/peers"
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 )
@@ -26,20 +28,12 @@
 	Handle(method string, h instance.Handler)
 }
 
-// Peer is an instance of the platform's list.
-type Peer struct {
-	ID   string
-	Zone string
-}
-
 // Fleet tells which instances there are.
 type Fleet interface {
 	// Registered returns the instances registered in the store, read from
 	// the store during the call.
 	Registered(ctx context.Context) ([]string, error)
-	// Listed returns the live and the leaving instances of the platform's
-	// list, this one included. The list lags.
-	Listed(ctx context.Context) ([]Peer, error)
+	peers.Lister
 }
 
 // Rolls keeps the bundle in force on this instance and moves versions on.
@@ -51,10 +45,10 @@
 	// later one, in their order. It is acknowledged to other instances only
 	// after f has returned.
 	Subscribe(f func(*bundle.Bundle))
-	// Start brings the bundle in force here. It is called after this
-	// instance was registered or while the store is out, and returns once
-	// this instance may serve: the store was read, or other instances
-	// showed what is in force. There may be no bundle in force yet.
+	// Start brings the bundle in force here and returns once this instance
+	// may serve: the store showed it as registered and was read after that,
+	// or other instances showed what is in force. Registering is tried
+	// before and goes on beside it. There may be no bundle in force yet.
 	Start(ctx context.Context) error
 	// Run follows the state, drives rolls and answers until ctx ends.
 	Run(ctx context.Context) error
@@ -73,7 +67,7 @@
 }
 
 // New returns the rolls of the instance self. It sets its handlers on mesh.
-func New(self Peer, store Store, mesh Mesh, fleet Fleet, c clock.Clock, log hclog.Logger, opts ...Option) Rolls {
+func New(self peers.Peer, store Store, mesh Mesh, fleet Fleet, c clock.Clock, log hclog.Logger, opts ...Option) Rolls {
 	n := &node{
 		self: self, store: store, mesh: mesh, fleet: fleet, clock: c, log: log,
 		cfg:      defaults(),
@@ -81,6 +75,7 @@
 		known:    make(chan struct{}, 1),
 		resumed:  make(chan struct{}, 1),
 		guests:   guests{since: map[string]time.Time{}},
+		view:     peers.New(self, fleet, c),
 	}
 	for _, opt := range opts {
 		opt(&n.cfg)
@@ -92,7 +87,7 @@
 
 // node is one instance's part in rolls.
 type node struct {
-	self     Peer
+	self     peers.Peer
 	store    Store
 	mesh     Mesh
 	fleet    Fleet
@@ -104,9 +99,9 @@
 
 	// started is true once this instance may serve.
 	started atomic.Bool
-	watch   pauseWatch
+	pauses  pause.Watch
 	guests  guests
-	list    listing
+	view    *peers.View
 
 	// resumed receives when a pause has to be confirmed.
 	resumed chan struct{}
@@ -138,7 +133,7 @@
 	switch {
 	case n.current() == nil:
 		return fault.New(fault.NotReady, "no bundle in force")
-	case !n.started.Load() || n.watch.paused(n.clock.Now()):
+	case !n.started.Load() || n.pauses.Paused(n.clock.Now()):
 		return fault.New(fault.NotReady, "the bundle in force is not confirmed")
 	}
 	return nil
@@ -149,8 +144,16 @@
 	g.Go(func() error { return n.follow(ctx) })
 	g.Go(func() error { return n.exchange(ctx) })
 	g.Go(func() error { return n.drive(ctx) })
-	g.Go(func() error { return n.watchPauses(ctx) })
-	g.Go(func() error { return n.confirmPauses(ctx) })
+	g.Go(func() error {
+		n.pauses.Run(ctx, n.clock, n.resumed)
+		return nil
+	})
+	g.Go(func() error {
+		n.pauses.ConfirmAll(ctx, n.clock, n.resumed, func(since time.Time) error {
+			return n.confirm(ctx, n.cfg.joinPatience-n.clock.Now().Sub(since))
+		})
+		return nil
+	})
 	return g.Wait()
 }
 
