Prove shares, fairness, limits and refusals of the pools

Cause: several mechanisms could be switched off without a red test: the hold, missed views, granted shares, fair tags, early refusal, the decrease.

--- /dev/null
+++ b/router/pool/fairness_test.go
@@ -0,0 +1,77 @@
+package pool
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"pgregory.net/rapid"
+)
+
+// TestFairnessProperty keeps asks of several teams waiting, a few teams with
+// many: what a team is served for its weight never differs from another's by
+// more than one ask of each.
+func TestFairnessProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clk := clock.NewManual(start)
+		p := New(clk, WithQueue(1000), WithoutBudgets()).(*pools)
+		runners := engines(1, 1, 1)
+		p.Update(alone(runners))
+		clk.Advance(time.Second)
+		teams := rapid.IntRange(2, 5).Draw(t, "teams")
+		weights := make([]float64, teams)
+		for i := range weights {
+			weights[i] = float64(rapid.IntRange(1, 4).Draw(t, "weight"))
+		}
+		isPaying := rapid.Bool().Draw(t, "paying")
+		g, now := p.snapshot.Load().groups[groupKey{"generate", "m"}], p.now()
+		ask := func(team int) Ask {
+			return Ask{
+				Service: "generate", Model: "m", Team: fmt.Sprint(team), Paying: isPaying,
+				Weight: weights[team], Deadline: clk.Now().Add(time.Hour),
+			}
+		}
+		first := ask(0)
+		current, err := p.atOnce(g, &first, now)
+		if err != nil || current == nil {
+			t.Fatalf("no first place: %v", err)
+		}
+		waiting := map[*waiter]int{}
+		const rounds = 16
+		for team := range teams {
+			for range rounds * rapid.IntRange(1, 3).Draw(t, "size") {
+				w, err := p.enqueue(g, ask(team), now)
+				if err != nil {
+					t.Fatal(err)
+				}
+				waiting[w] = team
+			}
+		}
+		served := make([]float64, teams)
+		for range rounds {
+			current.Done(Result{Ending: Completed, Latency: time.Millisecond})
+			for w, team := range waiting {
+				if len(w.out) == 0 {
+					continue
+				}
+				current = (<-w.out).place
+				served[team]++
+				delete(waiting, w)
+			}
+			checkFair(t, served, weights)
+		}
+	})
+}
+
+func checkFair(t *rapid.T, served, weights []float64) {
+	for i := range served {
+		for j := range served {
+			apart := math.Abs(served[i]/weights[i] - served[j]/weights[j])
+			if bound := 1/weights[i] + 1/weights[j]; apart > bound+1e-9 {
+				t.Fatalf("teams %d and %d are %v apart, bound %v: %v %v", i, j, apart, bound, served, weights)
+			}
+		}
+	}
+}
--- a/router/pool/group.go
+++ b/router/pool/group.go
@@ -109,16 +109,20 @@
 	if !r.take(a.ask.Paying) {
 		return nil
 	}
-	pl := &place{p: a.p, r: r, g: a.g, paying: a.ask.Paying, reason: why}
-	if a.ask.Paying {
+	return a.claim(&place{p: a.p, r: r, g: a.g, paying: a.ask.Paying, reason: why})
+}
+
+// claim makes a place that was taken known and returns it, or nil when it was
+// given back. A free place is listed before the check, so that paying work
+// that begins to wait either is seen here or sees the place there.
+func (a *attempt) claim(pl *place) *place {
+	if pl.paying {
 		return pl
 	}
-	// The place is listed before the check, so that paying work that begins
-	// to wait either is seen here or sees the place there.
 	pl.link()
-	if r.payingWaits() {
+	if pl.r.payingWaits() {
 		pl.undo()
-		a.undone = r
+		a.undone = pl.r
 		return nil
 	}
 	return pl
--- /dev/null
+++ b/router/pool/limit_test.go
@@ -0,0 +1,281 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/runnerapi"
+	"github.com/matryer/is"
+)
+
+// single returns pools with one warm runner of a service without models.
+func single(clk *clock.Manual, desc bundle.Runner) (*pools, *group) {
+	desc.ID, desc.Zone, desc.Service = "r", "z", "s"
+	p := New(clk).(*pools)
+	p.Update(Topology{
+		Runners: []bundle.Runner{desc}, Zone: "z", Self: "a",
+		Instances: []string{"a", "b"}, Settled: true,
+	})
+	clk.Advance(time.Minute)
+	p.Report("r", runnerapi.Load{})
+	return p, p.snapshot.Load().groups[groupKey{service: "s"}]
+}
+
+func (p *pools) mustTake(is *is.I, g *group, ask Ask) *place {
+	is.Helper()
+	pl, err := p.atOnce(g, &ask, p.now())
+	is.NoErr(err)
+	is.True(pl != nil)
+	return pl
+}
+
+func serviceAsk(clk clock.Clock, isPaying bool) Ask {
+	return Ask{Service: "s", Team: "t", Paying: isPaying, Deadline: clk.Now().Add(time.Minute)}
+}
+
+// work runs n attempts one after the other.
+func (p *pools) work(is *is.I, g *group, n int, res Result) {
+	is.Helper()
+	for range n {
+		p.mustTake(is, g, serviceAsk(p.clk, true)).Done(res)
+	}
+}
+
+func TestLimitGrowsWhileUsedAndFallsOnOverload(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(start)
+	p, g := single(clk, bundle.Runner{Slots: 16, ColdSlots: 4, ReportsLoad: true})
+	good := Result{Ending: Completed, Latency: 10 * time.Millisecond, Load: &runnerapi.Load{Running: 3}}
+	p.work(is, g, 20, good)
+	is.Equal(p.Status()[0].Limit, 8.0) // the even share: nothing used it up
+	var held []*place
+	for range 400 {
+		ask := serviceAsk(clk, true)
+		if pl, err := p.atOnce(g, &ask, p.now()); err == nil && pl != nil {
+			held = append(held, pl)
+			continue
+		}
+		held[0].Done(good)
+		held = held[1:]
+	}
+	grown := p.Status()[0].Limit
+	is.True(grown > 12)
+	queued := Result{Ending: Completed, Latency: 10 * time.Millisecond, Load: &runnerapi.Load{Running: 16, Queued: 5}}
+	for range 3 {
+		held[0].Done(queued)
+		held = held[1:]
+		clk.Advance(time.Second)
+	}
+	is.True(p.Status()[0].Limit < grown*0.7)
+	is.True(p.Status()[0].Limit >= 8)
+}
+
+func TestSignsOfAColdStartCutTheLimitAtOnce(t *testing.T) {
+	signs := map[string]Result{
+		"report":  {Ending: Completed, Latency: 10 * time.Millisecond, Load: &runnerapi.Load{Cold: true}},
+		"refusal": {Ending: Refused, Load: &runnerapi.Load{Cold: true}},
+		"failure": {Ending: Failed, Latency: time.Millisecond},
+		"latency": {Ending: Completed, Latency: 60 * time.Millisecond},
+		"timeout": {Ending: TimedOut, Latency: 60 * time.Millisecond},
+	}
+	for name, sign := range signs {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clk := clock.NewManual(start)
+			p, g := single(clk, bundle.Runner{Slots: 16, ColdSlots: 2, ReportsLoad: true})
+			p.work(is, g, 20, Result{Ending: Completed, Latency: 10 * time.Millisecond})
+			is.Equal(p.Status()[0].Limit, 8.0)
+			p.work(is, g, 1, sign)
+			is.Equal(p.Status()[0].Limit, 1.0)
+			p.Report("r", runnerapi.Load{AgeMillis: 5})
+			is.True(p.Status()[0].Cold) // the report is older than the sign
+			clk.Advance(time.Second)
+			p.Report("r", runnerapi.Load{AgeMillis: 5})
+			is.True(!p.Status()[0].Cold)
+			is.Equal(p.Status()[0].Limit, 1.0) // the ramp begins
+			p.work(is, g, 20, Result{Ending: Completed, Latency: 10 * time.Millisecond})
+			is.Equal(p.Status()[0].Limit, 8.0)
+		})
+	}
+}
+
+func TestFreeWorkOverTheColdLimitIsDisplaced(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(start)
+	p, g := single(clk, bundle.Runner{Slots: 16, ColdSlots: 2, ReportsLoad: true})
+	p.work(is, g, 20, Result{Ending: Completed, Latency: 10 * time.Millisecond})
+	old := p.mustTake(is, g, serviceAsk(clk, false))
+	unsent := p.mustTake(is, g, serviceAsk(clk, false))
+	kept := p.mustTake(is, g, serviceAsk(clk, true))
+	p.Report("r", runnerapi.Load{Cold: true})
+	<-old.Displaced()
+	<-unsent.Displaced()
+	is.True(fault.Is(unsent.Check(), fault.NoRunner))
+	is.True(kept.Displaced() == nil)
+}
+
+func TestAsksThatComeTooLateAreRefusedBeforeTheyStart(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(start)
+	p, g := single(clk, bundle.Runner{Slots: 2, ColdSlots: 1, ReportsLoad: true})
+	p.work(is, g, 30, Result{Ending: Completed, Latency: 100 * time.Millisecond})
+	late := serviceAsk(clk, true)
+	late.Deadline = clk.Now().Add(50 * time.Millisecond)
+	_, err := p.atOnce(g, &late, p.now())
+	is.True(fault.Is(err, fault.DeadlineShort))
+
+	current := p.mustTake(is, g, serviceAsk(clk, true))
+	waiters := []*waiter{}
+	for range 6 {
+		w, err := p.enqueue(g, serviceAsk(clk, true), p.now())
+		is.NoErr(err)
+		waiters = append(waiters, w)
+	}
+	for range 3 {
+		clk.Advance(100 * time.Millisecond)
+		current.Done(Result{Ending: Completed, Latency: 100 * time.Millisecond})
+		current = (<-waiters[0].out).place
+		waiters = waiters[1:]
+	}
+	soon := serviceAsk(clk, true)
+	soon.Deadline = clk.Now().Add(350 * time.Millisecond)
+	_, err = p.enqueue(g, soon, p.now())
+	is.True(fault.Is(err, fault.Overloaded)) // three wait ahead for 100 ms each
+	is.True(fault.Of(err).RetryAfter() > 0)
+	soon.Deadline = clk.Now().Add(900 * time.Millisecond)
+	_, err = p.enqueue(g, soon, p.now())
+	is.NoErr(err)
+}
+
+func TestFullQueueRefusesTheLongestBacklog(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(start)
+	p, g := single(clk, bundle.Runner{Slots: 2, ColdSlots: 1, ReportsLoad: true})
+	p.cfg.queue = 4
+	p.mustTake(is, g, serviceAsk(clk, true))
+	var large []*waiter
+	for range 4 {
+		w, err := p.enqueue(g, serviceAsk(clk, true), p.now())
+		is.NoErr(err)
+		large = append(large, w)
+	}
+	_, err := p.enqueue(g, serviceAsk(clk, true), p.now())
+	is.True(fault.Is(err, fault.Overloaded))
+	small := serviceAsk(clk, true)
+	small.Team = "small"
+	_, err = p.enqueue(g, small, p.now())
+	is.NoErr(err)
+	is.True(fault.Is((<-large[3].out).err, fault.Overloaded))
+}
+
+// TestFreeWorkYieldsToAPayingAskThatBeginsToWait puts the beginning of the
+// wait between the two steps of a free ask.
+func TestFreeWorkYieldsToAPayingAskThatBeginsToWait(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(start)
+	p, g := single(clk, bundle.Runner{Slots: 2, ColdSlots: 1, ReportsLoad: true})
+	r := g.members.Load().at(0)
+	ask := serviceAsk(clk, false)
+	a := attempt{p: p, g: g, ask: &ask, now: p.now()}
+	is.True(r.take(false))
+	w, err := p.enqueue(g, serviceAsk(clk, true), p.now())
+	is.NoErr(err)
+	is.Equal(len(w.out), 0)
+	is.True(a.claim(&place{p: p, r: r, g: g}) == nil)
+	is.Equal(a.undone, r)
+	p.dispatch(a.undone, p.now())
+	is.Equal(len(w.out), 1)
+}
+
+func TestRunnerWithoutReportsIsWarmAfterItsWarmup(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(start)
+	p, g := single(clk, bundle.Runner{Slots: 8, ColdSlots: 2, WarmupMillis: 3000})
+	p.work(is, g, 1, Result{Ending: Failed})
+	res := Result{Ending: Completed, Latency: 10 * time.Millisecond}
+	p.work(is, g, 10, res)
+	is.True(p.Status()[0].Cold)
+	clk.Advance(3 * time.Second)
+	p.work(is, g, 1, res)
+	is.True(!p.Status()[0].Cold)
+}
+
+func TestPrefixStaysWithItsRunnerUntilItIsFarOverTheMean(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(start)
+	p := New(clk).(*pools)
+	runners := engines(8, 16, 16)
+	for i := range runners {
+		runners[i].Zone = "zone-0"
+	}
+	p.Update(alone(runners))
+	clk.Advance(time.Minute)
+	warmAll(p, runners)
+	g := p.snapshot.Load().groups[groupKey{"generate", "m"}]
+	ask := serviceAsk(clk, true)
+	ask.Affinity = 12345
+	seen := map[string]int{}
+	for range 20 {
+		pl := p.mustTake(is, g, ask)
+		seen[pl.r.id]++
+		pl.Done(Result{Ending: Completed, Latency: time.Millisecond, Load: &runnerapi.Load{}})
+	}
+	is.Equal(len(seen), 1)
+	for range 64 {
+		pl := p.mustTake(is, g, ask)
+		seen[pl.r.id]++
+	}
+	is.True(len(seen) >= 6) // 64 places, 11 at most on each
+	for _, row := range p.Status() {
+		is.True(row.InFlight <= 11) // a quarter over the mean of 8, and one
+	}
+}
+
+func TestColdShareEndsWithTheHold(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(start)
+	p, g := single(clk, bundle.Runner{Slots: 8, ColdSlots: 4, ReportsLoad: true})
+	p.Report("r", runnerapi.Load{Cold: true})
+	p.Hold(clk.Now().Add(time.Second))
+	pl := p.mustTake(is, g, serviceAsk(clk, true))
+	is.NoErr(pl.Check())
+	clk.Advance(time.Second)
+	is.True(fault.Is(pl.Check(), fault.NoRunner))
+	w, err := p.enqueue(g, serviceAsk(clk, true), p.now())
+	is.NoErr(err)
+	is.Equal(len(w.out), 0)
+	p.Hold(clk.Now().Add(time.Second))
+	is.Equal(len(w.out), 1)
+
+	clk.Advance(time.Second)
+	desc := *g.members.Load().at(0).desc.Load()
+	p.Update(Topology{
+		Runners: []bundle.Runner{desc}, Zone: "z", Self: "a", Instances: []string{"a", "b", "c"},
+	})
+	is.Equal(p.Status()[0].Permits, 0) // views may have been missed
+}
+
+func TestGrantedShareWaitsForTheFormerOwnersWork(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(start)
+	p, g := single(clk, bundle.Runner{Slots: 8, ColdSlots: 4, ReportsLoad: true})
+	p.Report("r", runnerapi.Load{Cold: true})
+	is.Equal(p.Status()[0].Limit, 2.0)
+	next := Topology{
+		Runners: []bundle.Runner{*g.members.Load().at(0).desc.Load()}, Zone: "z", Self: "a",
+		Instances: []string{"a"}, Settled: true,
+	}
+	p.Update(next)
+	is.Equal(p.Status()[0].Limit, 2.0)
+	clk.Advance(time.Second)
+	p.Report("r", runnerapi.Load{Cold: true, Running: 1})
+	is.Equal(p.Status()[0].Limit, 2.0)
+	p.Report("r", runnerapi.Load{Cold: true, AgeMillis: 1000})
+	is.Equal(p.Status()[0].Limit, 2.0) // made before the view was settled
+	clk.Advance(time.Millisecond)
+	p.Report("r", runnerapi.Load{Cold: true})
+	is.Equal(p.Status()[0].Limit, 4.0)
+}
