Bound a decision's allocations and growth

Cause: the ask escaped to the heap through the attempt that points to it: two allocations for each decision. Change: the attempt holds the ask by value; benchmarks and bounds.

--- /dev/null
+++ b/router/pool/bench_test.go
@@ -0,0 +1,155 @@
+//go:build !race
+
+package pool
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/runnerapi"
+	"github.com/matryer/is"
+)
+
+const benchTeams = 41_000
+
+// loaded returns warm pools of n runners for the benchmarks, at half load, and
+// the names of the teams.
+func loaded(n int) (Pools, []string) {
+	p := New(clock.System())
+	runners := engines(n, 64, 8)
+	t := alone(runners)
+	t.Longest = time.Nanosecond
+	for i := range 450 {
+		t.Instances = append(t.Instances, fmt.Sprintf("instance-%03d", i))
+	}
+	p.Update(t)
+	warmAll(p, runners)
+	// Two rounds of results end the ramps.
+	for range 64 * 4 {
+		pl, err := p.Acquire(context.Background(), benchAsk(p, "warm"))
+		if err == nil {
+			pl.Done(Result{Ending: Completed, Latency: time.Millisecond, Load: &runnerapi.Load{}})
+		}
+	}
+	teams := make([]string, benchTeams)
+	for i := range teams {
+		teams[i] = fmt.Sprintf("team-%05d", i)
+	}
+	return p, teams
+}
+
+func benchAsk(p Pools, team string) Ask {
+	return Ask{
+		Service: "generate", Model: "m", Team: team, Paying: true,
+		Deadline: p.(*pools).clk.Now().Add(4 * time.Second),
+	}
+}
+
+// decide takes one decision and gives the place back.
+func decide(p Pools, ask Ask) error {
+	pl, err := p.Acquire(context.Background(), ask)
+	if err != nil {
+		return err
+	}
+	pl.Done(Result{Ending: Unsent})
+	return nil
+}
+
+func BenchmarkAcquire(b *testing.B) {
+	for _, n := range []int{15, 150, 1500} {
+		for _, kind := range []string{"paying", "free", "prefix"} {
+			b.Run(fmt.Sprintf("runners=%d/%s", n, kind), func(b *testing.B) {
+				p, teams := loaded(n)
+				ask := benchAsk(p, "")
+				ask.Deadline = ask.Deadline.Add(time.Hour)
+				ask.Paying = kind != "free"
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					ask.Team = teams[i%benchTeams]
+					if kind == "prefix" {
+						ask.Affinity = uint64(i) | 1
+					}
+					if err := decide(p, ask); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkAcquireParallel(b *testing.B) {
+	p, teams := loaded(1500)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		ask := benchAsk(p, "")
+		ask.Deadline = ask.Deadline.Add(time.Hour)
+		for i := 0; pb.Next(); i++ {
+			ask.Team = teams[i%benchTeams]
+			if err := decide(p, ask); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	for _, n := range []int{15, 150, 1500} {
+		b.Run(fmt.Sprintf("runners=%d", n), func(b *testing.B) {
+			p := New(clock.System())
+			t := alone(engines(n, 64, 8))
+			for i := range 450 {
+				t.Instances = append(t.Instances, fmt.Sprintf("instance-%03d", i))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Update(t)
+			}
+		})
+	}
+}
+
+// TestDecisionAllocationsBound holds a decision for paying work and for free
+// work to one allocation.
+func TestDecisionAllocationsBound(t *testing.T) {
+	is := is.New(t)
+	p, teams := loaded(1500)
+	for _, isPaying := range []bool{true, false} {
+		i := 0
+		n := testing.AllocsPerRun(2000, func() {
+			ask := benchAsk(p, teams[i%benchTeams])
+			ask.Paying = isPaying
+			i++
+			is.NoErr(decide(p, ask))
+		})
+		is.True(n <= 1)
+	}
+}
+
+// TestDecisionGrowthBound holds the growth of a decision's time from 150 to
+// 1,500 runners below half of the linear one.
+func TestDecisionGrowthBound(t *testing.T) {
+	is := is.New(t)
+	const rounds, each = 9, 4000
+	few, teams := loaded(150)
+	many, _ := loaded(1500)
+	clk := clock.System()
+	measure := func(p Pools) time.Duration {
+		began := clk.Now()
+		for i := range each {
+			is.NoErr(decide(p, benchAsk(p, teams[i])))
+		}
+		return clk.Now().Sub(began)
+	}
+	var ratios []float64
+	for range rounds {
+		ratios = append(ratios, float64(measure(many))/float64(measure(few)))
+	}
+	slices.Sort(ratios)
+	is.True(ratios[rounds/2] < 5)
+}
--- a/router/pool/group.go
+++ b/router/pool/group.go
@@ -83,7 +83,7 @@
 type attempt struct {
 	p   *pools
 	g   *group
-	ask *Ask
+	ask Ask
 	now instant
 	// undone is set when free work gave a place back because paying work
 	// had begun to wait; the runner it was on needs a dispatch.
--- a/router/pool/limit_test.go
+++ b/router/pool/limit_test.go
@@ -179,7 +179,7 @@
 	p, g := single(clk, bundle.Runner{Slots: 2, ColdSlots: 1, ReportsLoad: true})
 	r := g.members.Load().at(0)
 	ask := serviceAsk(clk, false)
-	a := attempt{p: p, g: g, ask: &ask, now: p.now()}
+	a := attempt{p: p, g: g, ask: ask, now: p.now()}
 	is.True(r.take(false))
 	w, err := p.enqueue(g, serviceAsk(clk, true), p.now())
 	is.NoErr(err)
--- a/router/pool/pools.go
+++ b/router/pool/pools.go
@@ -96,7 +96,7 @@
 			left, ask.Service, need)
 	}
 	if !g.mustWait(ask.Paying) {
-		a := attempt{p: p, g: g, ask: ask, now: now}
+		a := attempt{p: p, g: g, ask: *ask, now: now}
 		pl := a.anywhere()
 		if a.undone != nil {
 			p.dispatch(a.undone, now)
@@ -349,7 +349,7 @@
 	var undone *runner
 	for len(q.heap) > 0 {
 		w := q.heap[0]
-		a := attempt{p: p, g: g, ask: &w.ask, now: now}
+		a := attempt{p: p, g: g, ask: w.ask, now: now}
 		var pl *place
 		if hint != nil {
 			pl = a.on(hint, reasonQueued)
