Divide team limits by the demand that instances report

Cause: a limit divided evenly refuses a team whose requests the balancer sends to few instances. Change: each team has a home instance by rendezvous hashing, which adds up the demand that the others report; shares follow it.

--- a/router/quota/quota.go
+++ b/router/quota/quota.go
@@ -1,5 +1,6 @@
 // Package quota keeps the teams' limits. A team's limit holds over all
-// instances together; each instance admits its share of it.
+// instances together; each instance admits its share of it, which follows the
+// demand that the instances tell one another of.
 package quota
 
 import (
@@ -18,12 +19,49 @@
 	Allow(team bundle.Team, now time.Time) (ok bool, retryAfter time.Duration)
 	// Update sets the instances among which limits are divided.
 	Update(instances []string, self string)
+	// Reports ends a period and returns what the instance has to tell the
+	// homes of the teams that it met in it, by the home's identifier. The
+	// report for this instance itself is among them.
+	Reports(now time.Time) map[string]Report
+	// Collect takes in the report of another instance, at the teams' home,
+	// and returns the answer to it.
+	Collect(r Report, now time.Time) Totals
+	// Learn takes in the answer of a home.
+	Learn(t Totals, now time.Time)
 }
 
+// Report is what an instance tells the home of some teams.
+type Report struct {
+	From  string   `json:"from"`
+	Teams []Demand `json:"teams"`
+}
+
+// Demand is the rate at which a team asks, admitted or not.
+type Demand struct {
+	Team      string  `json:"team"`
+	PerSecond float64 `json:"perSecond"`
+}
+
+// Totals is the answer to a report: the demand over all instances.
+type Totals struct {
+	Teams []Demand `json:"teams"`
+}
+
+// Defaults of the options.
 const (
 	// defaultBurst is the time over which an unused share may be saved up.
 	defaultBurst = time.Second
-	shardCount   = 64
+	// defaultEven is the part of a limit that is divided evenly when the
+	// demand exceeds it, so that demand may begin anywhere.
+	defaultEven = 0.1
+	// demandGain is the weight of the last period in the demand.
+	demandGain = 0.5
+	// life is how long a report or an answer counts.
+	life = 5 * time.Second
+	// least is the demand below which a team is no longer reported.
+	least = 0.01
+
+	shardCount = 64
 )
 
 // Option changes a default of New.
@@ -34,8 +72,8 @@
 
 // New returns Quotas for a lone instance; Update tells it of others.
 func New(options ...Option) Quotas {
-	q := &quotas{burst: defaultBurst}
-	q.instances.Store(1)
+	q := &quotas{burst: defaultBurst, even: defaultEven}
+	q.view.Store(&view{members: []uint64{0}, ids: []string{""}})
 	for _, o := range options {
 		o(q)
 	}
@@ -43,9 +81,19 @@
 }
 
 type quotas struct {
-	burst     time.Duration
-	instances atomic.Int64
-	shards    [shardCount]shard
+	burst time.Duration
+	even  float64
+	view  atomic.Pointer[view]
+
+	shards [shardCount]shard
+	homes  homes
+}
+
+// view is the set of instances. It is immutable.
+type view struct {
+	ids     []string
+	members []uint64
+	self    string
 }
 
 // shard holds a part of the teams, so that no lock is shared by all requests.
@@ -54,38 +102,25 @@
 	teams map[string]*team
 }
 
-type team struct {
-	// next is the theoretical arrival time of the generic cell rate
-	// algorithm, in Unix nanoseconds.
-	next atomic.Int64
-}
-
-func (q *quotas) Update(instances []string, _ string) {
-	q.instances.Store(int64(max(1, len(instances))))
+func (q *quotas) Update(instances []string, self string) {
+	v := &view{ids: instances, self: self}
+	if len(instances) == 0 {
+		v.ids = []string{self}
+	}
+	for _, id := range v.ids {
+		v.members = append(v.members, xxhash.Sum64String(id))
+	}
+	q.view.Store(v)
 }
 
 func (q *quotas) Allow(t bundle.Team, now time.Time) (ok bool, retryAfter time.Duration) {
 	if t.RatePerSecond <= 0 {
 		return true, 0
 	}
-	share := t.RatePerSecond / float64(q.instances.Load())
-	return q.team(t.ID).take(now.UnixNano(), share, q.burst)
-}
-
-// take admits one request at rate, saving up to burst.
-func (t *team) take(now int64, rate float64, burst time.Duration) (bool, time.Duration) {
-	gap := int64(float64(time.Second) / rate)
-	tolerance := max(int64(burst), gap)
-	for {
-		old := t.next.Load()
-		next := max(old, now) + gap
-		if over := next - now - tolerance; over > 0 {
-			return false, time.Duration(over)
-		}
-		if t.next.CompareAndSwap(old, next) {
-			return true, 0
-		}
-	}
+	own := q.team(t.ID)
+	own.asked.Add(1)
+	share := own.share(t.RatePerSecond, len(q.view.Load().ids), q.even, now)
+	return own.take(now.UnixNano(), share, q.burst)
 }
 
 func (q *quotas) team(id string) *team {
@@ -108,3 +143,11 @@
 	s.teams[id] = t
 	return t
 }
+
+// find returns the team if it was met, or nil.
+func (q *quotas) find(id string) *team {
+	s := &q.shards[xxhash.Sum64String(id)%shardCount]
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.teams[id]
+}
