--- /dev/null
+++ b/router/quota/property_test.go
@@ -0,0 +1,57 @@
+package quota_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/router/quota"
+	"pgregory.net/rapid"
+)
+
+// TestSharesProperty lets a team ask at steady, unequal rates: the instances
+// together admit no more than the limit and the burst, and what the limit
+// leaves room for.
+func TestSharesProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 7).Draw(t, "instances")
+		ids := make([]string, n)
+		rates := make([]int, n)
+		offered := 0
+		for i := range ids {
+			ids[i] = fmt.Sprintf("i%d", i)
+			rates[i] = rapid.IntRange(0, 60).Draw(t, "rate")
+			offered += rates[i]
+		}
+		quotas := map[string]quota.Quotas{}
+		for _, id := range ids {
+			quotas[id] = quota.New()
+			quotas[id].Update(ids, id)
+		}
+		limited := bundle.Team{ID: "t", RatePerSecond: float64(rapid.IntRange(n, 100).Draw(t, "limit"))}
+		const learning, seconds = 12, 20
+		admitted := 0
+		for second := range learning + seconds {
+			for i, id := range ids {
+				for k := range rates[i] {
+					now := start.Add(time.Duration(second)*time.Second + time.Duration(k)*time.Second/time.Duration(rates[i]))
+					if ok, _ := quotas[id].Allow(limited, now); ok && second >= learning {
+						admitted++
+					}
+				}
+			}
+			for _, id := range ids {
+				exchange(quotas, id, start.Add(time.Duration(second+1)*time.Second-1))
+			}
+		}
+		most := limited.RatePerSecond*(seconds+1) + float64(n)
+		if float64(admitted) > most*1.01 {
+			t.Fatalf("%d admitted of %v allowed", admitted, most)
+		}
+		should := min(float64(offered), limited.RatePerSecond) * seconds
+		if float64(admitted) < 0.85*should-float64(n) {
+			t.Fatalf("%d admitted of %v offered under the limit", admitted, should)
+		}
+	})
+}
