--- a/router/quota/quota.go
+++ b/router/quota/quota.go
@@ -53,7 +53,7 @@
 	defaultBurst = time.Second
 	// defaultEven is the part of a limit that is divided evenly when the
 	// demand exceeds it, so that demand may begin anywhere.
-	defaultEven = 0.1
+	defaultEven = 0.02
 	// demandGain is the weight of the last period in the demand.
 	demandGain = 0.5
 	// life is how long a report or an answer counts.
