Remove the marker with hashed sampling

Conclusion: shares by demand are the one way; even shares remain what an instance uses while it hears nothing of the others.

--- a/router/quota/measure_test.go
+++ b/router/quota/measure_test.go
@@ -19,7 +19,6 @@
 // way is one way to share a limit.
 type way struct {
 	name     string
-	options  []quota.Option
 	exchange bool
 }
 
@@ -78,7 +77,7 @@
 		ids[i] = fmt.Sprintf("instance-%d", i)
 	}
 	for _, id := range ids {
-		q := quota.New(w.options...)
+		q := quota.New()
 		q.Update(ids, id)
 		quotas[id] = q
 	}
@@ -148,10 +147,8 @@
 
 func ways() []way {
 	return []way{
-		{"even shares", nil, false},
-		{"shares by demand", nil, true},
-		{"marker, 20% sample", []quota.Option{quota.WithMarker(20)}, true},
-		{"marker, sample by demand", []quota.Option{quota.WithMarker(0)}, true},
+		{"even shares", false},
+		{"shares by demand", true},
 	}
 }
 
--- a/router/quota/quota.go
+++ b/router/quota/quota.go
@@ -83,9 +83,7 @@
 type quotas struct {
 	burst time.Duration
 	even  float64
-	// marker replaces the shares unless it is nil.
-	marker *marker
-	view   atomic.Pointer[view]
+	view  atomic.Pointer[view]
 
 	shards [shardCount]shard
 	homes  homes
@@ -121,9 +119,6 @@
 	}
 	own := q.team(t.ID)
 	own.asked.Add(1)
-	if q.marker != nil {
-		return q.marker.admit(own, xxhash.Sum64String(t.ID), t.RatePerSecond, now)
-	}
 	share := own.share(t.RatePerSecond, len(q.view.Load().ids), q.even, now)
 	return own.take(now.UnixNano(), share, q.burst)
 }
--- a/router/quota/quota_test.go
+++ b/router/quota/quota_test.go
@@ -29,3 +29,18 @@
 	ok, _ := q.Allow(bundle.Team{ID: "u"}, start)
 	is.True(ok)
 }
+
+func TestTeamIsForgottenWhenIdle(t *testing.T) {
+	is := is.New(t)
+	q := quota.New()
+	q.Update([]string{"a"}, "a")
+	q.Allow(bundle.Team{ID: "t", RatePerSecond: 5}, start)
+	now := start
+	for range 20 {
+		now = now.Add(time.Second)
+		for _, r := range q.Reports(now) {
+			q.Collect(r, now)
+		}
+	}
+	is.Equal(len(q.Reports(now.Add(time.Second))), 0)
+}
