--- a/router/pool/coldproperty_test.go
+++ b/router/pool/coldproperty_test.go
@@ -9,6 +9,7 @@
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/runnerapi"
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
@@ -314,15 +315,20 @@
 }
 
 func (f *fleet) check(t *rapid.T) {
+	if n := f.coldWork(); n > f.runner.ColdSlots {
+		t.Fatalf("the cold runner bears %d attempts of %d", n, f.runner.ColdSlots)
+	}
+}
+
+// coldWork counts what was sent by instances that knew the runner to be cold.
+func (f *fleet) coldWork() int {
 	n := 0
 	for _, s := range f.held {
 		if s.cold {
 			n++
 		}
 	}
-	if n > f.runner.ColdSlots {
-		t.Fatalf("the cold runner bears %d attempts of %d", n, f.runner.ColdSlots)
-	}
+	return n
 }
 
 // TestColdRunnerProperty lets instances move between views one by one and a
@@ -341,3 +347,45 @@
 		})
 	})
 }
+
+// TestColdRunnerAtFleetSize moves 450 instances through changes of the view in
+// front of one cold runner, a quarter of them late.
+func TestColdRunnerAtFleetSize(t *testing.T) {
+	for _, coldSlots := range []int{1, 8, 64, 1000} {
+		is := is.New(t)
+		f := &fleet{clk: clock.NewManual(start), cold: true, runner: bundle.Runner{
+			ID: "r", Zone: "z", Service: "s", Slots: 2000, ColdSlots: coldSlots,
+		}}
+		for i := range 450 {
+			m := &member{id: fmt.Sprintf("i%03d", i), p: New(f.clk).(*pools)}
+			f.instances = append(f.instances, m)
+			f.view = append(f.view, m.id)
+		}
+		for _, m := range f.instances {
+			f.tell(m, f.view, true)
+		}
+		f.settleDown(nil)
+		is.Equal(f.coldWork(), coldSlots) // all places are used
+		for round := range 4 {
+			f.announced = slices.Delete(slices.Clone(f.view), 100*round, 100*round+1)
+			for i, m := range f.instances {
+				if m.seen = i%4 != round; m.seen {
+					f.tell(m, f.announced, false)
+				}
+			}
+			f.askAll(nil)
+			is.True(f.coldWork() <= coldSlots)
+			f.pass(holdTime)
+			f.takeEffect(nil)
+			for i, m := range f.instances {
+				if i%2 == 0 {
+					f.tell(m, f.view, true)
+				}
+			}
+			f.askAll(nil)
+			is.True(f.coldWork() <= coldSlots)
+			f.settleDown(nil)
+			is.True(f.coldWork() <= coldSlots)
+		}
+	}
+}
--- a/router/pool/group.go
+++ b/router/pool/group.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -263,20 +262,3 @@
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
 	return x ^ (x >> 31)
 }
-
-// subset returns the runners that the instance at the given index uses: in
-// each round every runner goes to one instance, in an order that all
-// instances compute alike.
-func subset(list []*runner, size, index int) []*runner {
-	if len(list) <= size || size <= 0 {
-		return list
-	}
-	parts := len(list) / size
-	round, part := index/parts, index%parts
-	shuffled := slices.Clone(list)
-	rng := rand.New(rand.NewPCG(uint64(round), uint64(len(list))))
-	rng.Shuffle(len(shuffled), func(i, j int) {
-		shuffled[i], shuffled[j] = shuffled[j], shuffled[i]
-	})
-	return shuffled[part*size : (part+1)*size]
-}
--- /dev/null
+++ b/router/pool/subset_test.go
@@ -0,0 +1,35 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestEveryRunnerIsUsedBySeveralInstances(t *testing.T) {
+	for _, runners := range []int{10, 150, 1500} {
+		for _, instances := range []int{1, 5, 30, 450} {
+			t.Run(fmt.Sprint(runners, " runners ", instances, " instances"), func(t *testing.T) {
+				is := is.New(t)
+				list := make([]*runner, runners)
+				for i := range list {
+					list[i] = newRunner(engines(1, 1, 1)[0])
+				}
+				uses := map[*runner]int{}
+				most := 0
+				for i := range instances {
+					chosen := subset(list, defaultSubset, i, instances)
+					most = max(most, len(chosen))
+					for _, r := range chosen {
+						uses[r]++
+					}
+				}
+				for _, r := range list {
+					is.True(uses[r] >= min(instances, subsetCover)-1)
+				}
+				is.True(most <= max(2*defaultSubset, 2*subsetCover*runners/instances))
+			})
+		}
+	}
+}
--- a/router/pool/topology.go
+++ b/router/pool/topology.go
@@ -70,7 +70,7 @@
 		groups := p.join(next, lists, r, desc, t.Zone, open)
 		r.groups.Store(&groups)
 	}
-	p.publish(next, lists, self)
+	p.publish(next, lists, self, view)
 	p.runners, p.groups = next.runners, next.groups
 	return next
 }
@@ -163,7 +163,7 @@
 
 // publish puts the lists of runners in force; groups without a runner in the
 // topology lose theirs.
-func (p *pools) publish(next *snapshot, lists map[groupKey]*members, self int) {
+func (p *pools) publish(next *snapshot, lists map[groupKey]*members, self int, view permit.View) {
 	for key, g := range p.groups {
 		if next.groups[key] == nil {
 			g.members.Store(&members{})
@@ -171,35 +171,8 @@
 		}
 	}
 	for key, m := range lists {
-		m.local = p.narrow(m.local, self)
-		m.remote = p.narrow(m.remote, self)
+		m.local = p.narrow(m.local, self, view)
+		m.remote = p.narrow(m.remote, self, view)
 		next.groups[key].members.Store(m)
 	}
 }
-
-// narrow returns the instance's subset of the list, and besides the cold
-// runners of which it holds a permit.
-func (p *pools) narrow(list []*runner, self int) []*runner {
-	chosen := subset(list, p.cfg.subset, self)
-	if len(chosen) == len(list) {
-		return list
-	}
-	kept := slices.Clone(chosen)
-	for _, r := range list {
-		if len(kept) >= 2*p.cfg.subset {
-			break
-		}
-		if r.cold.Load() && r.mayUseCold() && !slices.Contains(chosen, r) {
-			kept = append(kept, r)
-		}
-	}
-	return kept
-}
-
-// mayUseCold reports whether the view gives this instance a share of the
-// runner while it is cold.
-func (r *runner) mayUseCold() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.permits.granted > 0
-}
