Order model engines under a lease with fencing numbers

Cause: loading models and changing roles must have one holder at a time, also for engines that ignore fencing numbers, while holders pause, leases lapse and answers of the store are lost.

Change: router/order has Tenure, Plan and Pace without I/O and a driver that holds orders/<runner> while something is to be ordered. The fencing number is the revision of the key. The guard directly before the write checks that more of the lease is left than the longest delivery; a new holder waits that long and reads the state again. router/runner gets a client for orders with a connection for each, reset when no answer comes. A model that a runner gives up needs a witness whose key is held too.

Found by the property test: a delete of a key whose answer is lost can take effect on the key created after it; the lease is given up then.

--- /dev/null
+++ b/router/order/order_test.go
@@ -0,0 +1,170 @@
+package order_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/router/journal"
+	"cicadawell.dev/router/order"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// start runs an instance's driver in the world until ctx ends.
+func (w *world) start(ctx context.Context, self string, perMille int64) order.Driver {
+	return w.startAt(ctx, self, perMille, func() order.Fleet { return w.fleet(self) })
+}
+
+// startWith runs an instance that knows the given fleet.
+func (w *world) startWith(ctx context.Context, self string, fleet func() order.Fleet, options ...order.Option) order.Driver {
+	return w.startAt(ctx, self, 0, fleet, options...)
+}
+
+func (w *world) startAt(ctx context.Context, self string, perMille int64, fleet func() order.Fleet, options ...order.Option) order.Driver {
+	guarded := new(bool)
+	clk := driftingClock{chance: w.chance(self + " clock"), start: clock.System().Now(), perMille: perMille, guarded: guarded}
+	engines := engineClient{w: w, guarded: guarded, reads: map[string]time.Time{}, mu: new(sync.Mutex), chances: map[string]chance{}}
+	for id := range w.engines {
+		engines.chances[id] = w.chance(self + " at " + id)
+	}
+	log := journal.New(hclog.NewNullLogger(), clock.System(), journal.WithKept(64))
+	store := storeClient{w: w, chance: w.chance(self + " store"), outUntil: new(time.Time)}
+	defaults := []order.Option{
+		order.WithLimits(limits()), order.WithPeriod(200 * time.Millisecond),
+		order.WithSettle(0), order.WithLoadInterval(0),
+	}
+	d := order.New(store, engines, fleet, log, clk, append(defaults, options...)...)
+	w.group.Go(func() { _ = d.Run(ctx) })
+	return d
+}
+
+// Two to five instances order the same runners, of which some ignore fencing
+// numbers, while instances pause, clocks drift, leases lapse, answers of the
+// store are lost, its writes take effect late, and orders are delayed.
+func TestOrdersOfOldHoldersProperty(t *testing.T) {
+	effects, changes := 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		instances := rapid.IntRange(2, 5).Draw(rt, "instances")
+		drift := rapid.SliceOfN(rapid.Int64Range(-47, 47), instances, instances).Draw(rt, "drift per mille")
+		var report string
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(seed, true,
+				bundle.Runner{ID: "checks", Service: "generate", Models: []string{"a"}, ChecksFencing: true},
+				bundle.Runner{ID: "ignores", Service: "generate", Models: []string{"a"}},
+				bundle.Runner{ID: "other", Service: "draft", Models: []string{"a"}},
+			)
+			ctx, cancel := context.WithTimeout(t.Context(), 4*time.Minute)
+			for i := range instances {
+				w.start(ctx, fmt.Sprintf("router-%d", i), drift[i])
+			}
+			churn := w.chance("bundle")
+			for ctx.Err() == nil {
+				pause(churn.upTo(10 * time.Second))
+				w.want(churn, []string{"a", "b", "c"})
+			}
+			cancel()
+			w.group.Wait()
+			effects += w.effects
+			for _, e := range w.engines {
+				changes += len(e.numbers)
+			}
+			report = w.report()
+		})
+		if report != "" {
+			rt.Fatal(report)
+		}
+	})
+	t.Logf("%d orders took effect, of %d holders", effects, changes)
+	is.New(t).True(changes > 100) // the faults left something to check
+}
+
+// The answers to renewals come late, and then the store goes down: the last
+// order is written early enough before the store drops the key.
+func TestLeaseCountsFromTheStartOfItsRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(1, false, bundle.Runner{ID: "r", Service: "generate", Models: []string{"a"}})
+		w.loadsFail = true
+		w.renewalDelay = 1500 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		w.start(ctx, "router-a", 0)
+		pause(20 * time.Second)
+		w.with(func() { w.storeDown = true })
+		pause(20 * time.Second)
+		cancel()
+		w.group.Wait()
+		l := limits()
+		is.True(w.lastWrite.After(w.renewed)) // the lease was used in the outage
+		is.True(!w.lastWrite.After(w.renewed.Add(l.LeaseTTL - l.Delivery)))
+	})
+}
+
+// The last order of the previous holder takes effect while a new one waits: the
+// new holder reads the state again, sees that nothing is left to do, and lets
+// the runner go.
+func TestNewHolderReadsTheStateAfterItsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(1, false, bundle.Runner{ID: "r", Service: "generate", Models: []string{"a"}})
+		w.stateDelay = 890 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		w.start(ctx, "router-a", 0)
+		for w.held() == 0 {
+			pause(time.Millisecond)
+		}
+		pause(600 * time.Millisecond)
+		is.NoErr(w.takeEffect("r", runnerapi.Order{Models: []string{"a"}}, 0))
+		pause(20 * time.Second)
+		cancel()
+		w.group.Wait()
+		is.Equal(w.effects, 1)
+		is.Equal(len(w.keys), 0)
+	})
+}
+
+// The members of a view divide the services among them, and each load waits for
+// the weight store.
+func TestFirstPlacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		runners := []bundle.Runner{}
+		for i := range 6 {
+			runners = append(runners, bundle.Runner{
+				ID: fmt.Sprintf("r%d", i), Service: fmt.Sprintf("service-%d", i%2), Models: []string{"a", "b"},
+			})
+		}
+		w := newWorld(1, false, runners...)
+		ctx, cancel := context.WithCancel(t.Context())
+		drivers := []order.Driver{}
+		for _, self := range []string{"router-a", "router-b", "router-c"} {
+			drivers = append(drivers, w.startWith(ctx, self, func() order.Fleet {
+				return order.Fleet{Runners: runners, Instances: []string{"router-a", "router-b", "router-c"}, Self: self}
+			}, order.WithLoadInterval(2*time.Second)))
+		}
+		pause(10 * time.Second)
+		w.with(func() { is.True(w.effects <= 4) }) // two loads in 12 s for each of the instances that order
+		pause(50 * time.Second)
+		w.with(func() { is.Equal(w.effects, 6) }) // each runner got one order
+		rows := 0
+		for _, d := range drivers {
+			for _, s := range d.Status() {
+				rows++
+				is.Equal(s.Reason, "")
+				is.Equal(s.Loaded, []string{"a", "b"})
+			}
+		}
+		is.Equal(rows, 6) // each runner has one instance that orders it
+		cancel()
+		w.group.Wait()
+		is.Equal(len(w.keys), 0)
+	})
+}
--- /dev/null
+++ b/router/runner/orders_test.go
@@ -0,0 +1,91 @@
+package runner_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/router/runner"
+	"github.com/matryer/is"
+)
+
+// serveOrders returns a runner whose orders go to handle.
+func serveOrders(t *testing.T, handle http.HandlerFunc) bundle.Runner {
+	t.Helper()
+	s := httptest.NewServer(handle)
+	t.Cleanup(s.Close)
+	return bundle.Runner{ID: "engine", Address: strings.TrimPrefix(s.URL, "http://")}
+}
+
+func allow() error { return nil }
+
+func TestOrderCarriesTheNumberAndReturnsTheState(t *testing.T) {
+	is := is.New(t)
+	to := serveOrders(t, func(w http.ResponseWriter, r *http.Request) {
+		var o runnerapi.Order
+		if r.Method == http.MethodPost {
+			is.NoErr(json.NewDecoder(r.Body).Decode(&o))
+		}
+		is.NoErr(json.NewEncoder(w).Encode(runnerapi.State{Models: o.Models, Fencing: o.Fencing}))
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	orders := runner.NewOrders(time.Minute)
+	state, err := orders.Order(ctx, to, runnerapi.Order{Fencing: 7, Models: []string{"m"}}, allow)
+	is.NoErr(err)
+	is.Equal(state.Fencing, uint64(7))
+	is.Equal(state.Models, []string{"m"})
+	state, err = orders.State(ctx, to)
+	is.NoErr(err)
+	is.Equal(state.Fencing, uint64(0))
+}
+
+func TestOrderWritesNothingWhenTheGuardFails(t *testing.T) {
+	is := is.New(t)
+	calls := 0
+	to := serveOrders(t, func(http.ResponseWriter, *http.Request) { calls++ })
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	held := errors.New("not held")
+	_, err := runner.NewOrders(time.Minute).Order(ctx, to, runnerapi.Order{}, func() error { return held })
+	is.True(errors.Is(err, held))
+	is.Equal(calls, 0)
+}
+
+func TestOrderErrors(t *testing.T) {
+	refuse := func(status int, refusal runnerapi.Refusal) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_ = json.NewEncoder(w).Encode(refusal)
+		}
+	}
+	cut := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	tests := map[string]struct {
+		handle  http.HandlerFunc
+		kind    fault.Kind
+		outcome fault.Outcome
+	}{
+		"old number":  {refuse(http.StatusConflict, runnerapi.Refusal{}), fault.Conflict, fault.NotRun},
+		"refused":     {refuse(http.StatusServiceUnavailable, runnerapi.Refusal{}), fault.RunnerFailed, fault.NotRun},
+		"half loaded": {refuse(http.StatusInternalServerError, runnerapi.Refusal{Ran: true}), fault.OutcomeUnknown, fault.Unknown},
+		"cut":         {cut, fault.OutcomeUnknown, fault.Unknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			_, err := runner.NewOrders(time.Minute).Order(ctx, serveOrders(t, tt.handle), runnerapi.Order{}, allow)
+			is.Equal(fault.Of(err).Kind(), tt.kind)
+			is.Equal(fault.Of(err).Outcome(), tt.outcome)
+		})
+	}
+}
