--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -11,6 +11,7 @@
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/splice"
 	"cicadawell.dev/router/catalog"
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/pipeline"
@@ -72,8 +73,15 @@
 // answer writes a whole answer and counts it.
 func (s *server) answer(c *gin.Context, x *exchange, answer callerapi.Answer) {
 	s.count(x)
+	output := answer.Output
+	answer.Output = nil
+	data, err := splice.Field(answer, "output", output)
+	if err != nil {
+		s.refuse(c, x, fault.Wrap(fault.Internal, err, "encode answer").WithOutcome(fault.Run))
+		return
+	}
 	s.boundWrite(c)
-	c.JSON(http.StatusOK, answer)
+	c.Data(http.StatusOK, "application/json; charset=utf-8", data)
 }
 
 func (s *server) count(x *exchange) {
@@ -81,10 +89,14 @@
 	s.Meter.Answered(x.team.Tier, x.pipeline.ID, now.Sub(x.arrived), !now.After(x.deadline))
 }
 
+func (s *server) countRefusal(x *exchange, e *fault.Error) {
+	s.Meter.Refused(x.team.Tier, x.pipeline.ID, e, s.Clock.Now().Sub(x.arrived))
+}
+
 // refuse writes an error with its row of the table from kind to answer.
 func (s *server) refuse(c *gin.Context, x *exchange, err error) {
 	e := fault.Of(err)
-	s.Meter.Refused(x.team.Tier, x.pipeline.ID, e.Kind())
+	s.countRefusal(x, e)
 	s.boundWrite(c)
 	if wait := e.RetryAfter(); wait > 0 {
 		seconds := int64((wait + time.Second - 1) / time.Second)
--- a/router/pipeline/executor.go
+++ b/router/pipeline/executor.go
@@ -41,6 +41,11 @@
 	Stream runner.Sink
 }
 
+// Places hands out places on runners.
+type Places interface {
+	Acquire(ctx context.Context, ask pool.Ask) (pool.Place, error)
+}
+
 // Budgets divides a request's time among its stages.
 type Budgets interface {
 	// Plan returns when the stage must end, or an error of kind
@@ -54,15 +59,18 @@
 type Retries interface {
 	Allow(service string) bool
 	Success(service string)
+	// HedgeAfter returns how long a stage runs before a second attempt
+	// beside it makes sense, and false while that is not known.
+	HedgeAfter(pipeline string, stage int) (time.Duration, bool)
 }
 
 // Meter counts what the stages cost.
 type Meter interface {
-	// Attempt counts the time that an attempt held its runner and the
-	// tokens that it brought.
-	Attempt(pipeline, stage string, paying bool, ending pool.Ending, held time.Duration, tokens int)
+	// Attempt counts the time that an attempt held its runner, which
+	// stands in zone, and the tokens that it brought.
+	Attempt(pipeline, stage, zone string, ending pool.Ending, held time.Duration, tokens, cached int)
 	// Foreign counts an answer that belonged to another attempt.
-	Foreign()
+	Foreign(service string)
 }
 
 // Identifiers mints identifiers of attempts.
@@ -75,7 +83,7 @@
 	Instance    string
 	Clock       clock.Clock
 	Catalog     *catalog.Current
-	Pools       pool.Pools
+	Places      Places
 	Budgets     Budgets
 	Retries     Retries
 	Runners     runner.Client
