--- /dev/null
+++ b/router/pages/pages_test.go
@@ -0,0 +1,233 @@
+// Package pages_test holds the pages under docs to the code that they describe.
+package pages_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/callerapi"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/config"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/router/caller"
+	"cicadawell.dev/router/catalog"
+	"cicadawell.dev/router/journal"
+	"cicadawell.dev/router/ledger"
+	"cicadawell.dev/router/pipeline"
+	"cicadawell.dev/router/quota"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write the generated parts of the pages anew")
+
+const (
+	root    = "../.."
+	callers = root + "/docs/CALLERS.md"
+)
+
+// part finds the text between a marker and the end of its part.
+func part(marker string) *regexp.Regexp {
+	return regexp.MustCompile(`(?s)(<!-- ` + marker + ` -->\n).*?(<!-- end -->)`)
+}
+
+// holds compares the part of a page with what it should be.
+func holds(t *testing.T, page, marker, want string) {
+	t.Helper()
+	is := is.New(t)
+	text, err := os.ReadFile(page)
+	is.NoErr(err)
+	pattern := part(marker)
+	is.True(pattern.Match(text)) // the page has the part
+	whole := pattern.ReplaceAllString(string(text), "${1}"+strings.ReplaceAll(want, "$", "$$")+"${2}")
+	if *update {
+		is.NoErr(os.WriteFile(page, []byte(whole), 0o644))
+		return
+	}
+	is.Equal(string(text), whole) // run the test with -update after a change
+}
+
+func TestCallersPageListsEveryKind(t *testing.T) {
+	var out strings.Builder
+	out.WriteString("| kind | HTTP status | outcome | repeat after |\n|---|---|---|---|\n")
+	for _, k := range fault.Kinds() {
+		a := fault.AnswerOf(k)
+		after := "no"
+		if a.RetryAfter > 0 {
+			after = a.RetryAfter.String()
+		}
+		fmt.Fprintf(&out, "| `%s` | %d | `%s` | %s |\n", k, a.Status, a.Outcome, after)
+	}
+	holds(t, callers, "kinds", out.String())
+}
+
+// behind stands in for what lies behind the interface for callers.
+type behind struct{}
+
+func (behind) Run(_ context.Context, job pipeline.Job) (callerapi.Answer, error) {
+	if job.Stream != nil {
+		for i, text := range []string{"Rank ", "7"} {
+			if err := job.Stream.Token(runnerapi.Token{Index: i, Text: text}); err != nil {
+				return callerapi.Answer{}, err
+			}
+		}
+	}
+	return callerapi.Answer{
+		Request: job.Request, Pipeline: job.Pipeline.ID, Outcome: fault.Run, Output: []byte(`"Rank 7"`),
+		Stages: []callerapi.Stage{
+			{Name: "encode", Runner: "encode1", Attempts: 1, Micros: 4100},
+			{Name: "generate", Runner: "generate1", Attempts: 1, Micros: 131800, Tokens: 2},
+		},
+	}, nil
+}
+
+func (behind) RunOnce(context.Context, ledger.Call, func() error) (callerapi.Answer, error) {
+	return callerapi.Answer{}, fault.New(fault.Internal, "not used")
+}
+
+func (behind) Close() {}
+
+func (behind) Do(_ context.Context, call ledger.Call) (callerapi.Answer, bool, error) {
+	return callerapi.Answer{
+		Request: call.Request, Pipeline: call.Pipeline, Outcome: fault.Run, Output: []byte(`{"booked":"14A"}`),
+		Stages: []callerapi.Stage{{Name: "bookings", Runner: "bookings1", Attempts: 1, Micros: 9400}},
+	}, false, nil
+}
+
+func (behind) NewRequest() string                                  { return "router-a1.1f0c9" }
+func (behind) Answered(string, string, time.Duration, bool)        {}
+func (behind) Refused(string, string, *fault.Error, time.Duration) {}
+func (behind) Replayed(string)                                     {}
+func exampleBundle(t *testing.T) bundle.Bundle {
+	t.Helper()
+	is := is.New(t)
+	b, err := config.Read(root+"/docs/examples/bundle.json", bundle.Bundle{})
+	is.NoErr(err)
+	is.NoErr(b.Check())
+	return b
+}
+
+// TestCallersPageExamples sends each example to the interface, with the example
+// bundle in force, and compares the page with what comes back.
+func TestCallersPageExamples(t *testing.T) {
+	is := is.New(t)
+	current := &catalog.Current{}
+	current.Advance(catalog.New(exampleBundle(t).WithVersion(1)))
+	clk := clock.System()
+	server := caller.NewServer(caller.Parts{
+		Clock: clk, Catalog: current, Executor: behind{}, Ledger: behind{}, Quotas: quota.New(),
+		Journal: journal.New(hclog.NewNullLogger(), clk), Meter: behind{}, Identifiers: behind{},
+	})
+	files, err := filepath.Glob(root + "/docs/examples/calls/*.http")
+	is.NoErr(err)
+	is.True(len(files) > 0)
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".http")
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			text, err := os.ReadFile(file)
+			is.NoErr(err)
+			answer := send(server.Handler(), string(text))
+			holds(t, callers, "example: "+name, "```http\n"+string(text)+"```\n\n```http\n"+answer+"```\n")
+		})
+	}
+}
+
+// send sends the request of an example and returns the answer's text.
+func send(handler http.Handler, text string) string {
+	head, body, _ := strings.Cut(text, "\n\n")
+	lines := strings.Split(head, "\n")
+	method, path, _ := strings.Cut(lines[0], " ")
+	r := httptest.NewRequest(method, path, strings.NewReader(strings.TrimSpace(body)))
+	for _, line := range lines[1:] {
+		key, value, _ := strings.Cut(line, ": ")
+		r.Header.Set(key, value)
+	}
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, r)
+	out := fmt.Sprintf("%d %s\n", w.Code, http.StatusText(w.Code))
+	for _, key := range []string{"Content-Type", callerapi.HeaderRequest, "Retry-After"} {
+		if v := w.Header().Get(key); v != "" {
+			out += key + ": " + v + "\n"
+		}
+	}
+	return out + "\n" + strings.TrimSpace(w.Body.String()) + "\n"
+}
+
+var (
+	testName = regexp.MustCompile("`(Test[A-Za-z0-9_]+)`")
+	testFunc = regexp.MustCompile(`(?m)^func (Test[A-Za-z0-9_]+)\(`)
+	metric   = regexp.MustCompile(`cicadawell_[a-z_]+`)
+	link     = regexp.MustCompile(`\]\(([^)#:]+)(#[^)]*)?\)`)
+)
+
+func TestProofsNameExistingTests(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile(root + "/docs/PROOFS.md")
+	is.NoErr(err)
+	exist := map[string]bool{}
+	is.NoErr(filepath.WalkDir(root, func(path string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, m := range testFunc.FindAllStringSubmatch(string(text), -1) {
+			exist[m[1]] = true
+		}
+		return err
+	}))
+	named := testName.FindAllStringSubmatch(string(page), -1)
+	is.True(len(named) > 0)
+	for _, m := range named {
+		if !exist[m[1]] {
+			t.Errorf("docs/PROOFS.md names %s, which no file defines", m[1])
+		}
+	}
+}
+
+func TestLinksLeadSomewhere(t *testing.T) {
+	is := is.New(t)
+	pages := []string{root + "/README.md", root + "/CONTRIBUTING.md"}
+	for _, pattern := range []string{"/docs/*.md", "/docs/*/*.md"} {
+		found, err := filepath.Glob(root + pattern)
+		is.NoErr(err)
+		pages = append(pages, found...)
+	}
+	slices.Sort(pages)
+	for _, page := range pages {
+		text, err := os.ReadFile(page)
+		is.NoErr(err)
+		for _, m := range link.FindAllStringSubmatch(string(text), -1) {
+			if _, err := os.Stat(filepath.Join(filepath.Dir(page), m[1])); err != nil {
+				t.Errorf("%s links to %s: %v", page, m[1], err)
+			}
+		}
+	}
+}
+
+func TestOperatingPageNamesExistingMetrics(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile(root + "/docs/OPERATING.md")
+	is.NoErr(err)
+	series, err := os.ReadFile(root + "/router/gauge/testdata/series.golden")
+	is.NoErr(err)
+	named := metric.FindAllString(string(page), -1)
+	is.True(len(named) > 0)
+	for _, m := range named {
+		if !strings.Contains(string(series), "\n"+m) && !strings.HasPrefix(string(series), m) {
+			t.Errorf("docs/OPERATING.md names %s, which gauge does not write", m)
+		}
+	}
+}
