Hedge over a new connection

Ruled out: an attempt timeout below the stage's budget, which repeats work from the start when a stage is merely slow; pinging connections before each attempt, a round trip for all.

Change: a runner client can renew its connections to a runner, and the second attempt beside a first does so.

Conclusion: free work and stages without measured latencies are not hedged; a silent connection still costs them their deadline.

--- a/router/pipeline/attempt.go
+++ b/router/pipeline/attempt.go
@@ -76,13 +76,16 @@
 	return second
 }
 
-// second runs the attempt beside the first. Without a place it has not run.
+// second runs the attempt beside the first, over a new connection: what holds
+// the first one may be a connection that went silent, and then the idle ones
+// are silent too. Without a place it has not run.
 func (s *stageRun) second(ctx context.Context, ask pool.Ask, deadline time.Time) outcome {
 	place, err := s.Places.Acquire(ctx, ask)
 	if err != nil {
 		return outcome{err: err}
 	}
 	s.record(journal.Hedged, "", place.Runner().ID, "the first attempt takes long", 0)
+	s.Runners.Renew(place.Runner())
 	return s.dispatch(ctx, place, deadline)
 }
 
--- a/router/pipeline/pipeline_test.go
+++ b/router/pipeline/pipeline_test.go
@@ -124,6 +124,8 @@
 	return s.Run(ctx, to, req, limit, nil)
 }
 
+func (s *scene) Renew(bundle.Runner) {}
+
 func (s *scene) Cancel(_ context.Context, _ bundle.Runner, attempt string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/router/runner/client.go
+++ b/router/runner/client.go
@@ -30,6 +30,9 @@
 	RunOnce(ctx context.Context, to bundle.Runner, req runnerapi.RunRequest, limit int64, guard func() error) (runnerapi.RunResult, error)
 	// Cancel asks the runner to stop an attempt; it does not wait long.
 	Cancel(ctx context.Context, to bundle.Runner, attempt string) error
+	// Renew closes the idle connections to a runner, so that the next attempt
+	// there goes over a new one.
+	Renew(to bundle.Runner)
 	// Load asks the runner for its load report.
 	Load(ctx context.Context, to bundle.Runner) (runnerapi.Load, error)
 	// Close closes the pooled connections.
@@ -125,6 +128,9 @@
 	return resp.Body.Close()
 }
 
+// Renew closes the idle connections to a runner.
+func (c *client) Renew(to bundle.Runner) { c.pool(to.Address).CloseIdleConnections() }
+
 // Load asks the runner for its load report.
 func (c *client) Load(ctx context.Context, to bundle.Runner) (runnerapi.Load, error) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
