Draft the orders to model engines

Cause: engines take orders to load models, and some ignore fencing numbers; the orders need one holder at a time.

--- /dev/null
+++ b/router/order/world_test.go
@@ -0,0 +1,363 @@
+package order_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/platformapi"
+	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/router/order"
+)
+
+// TestMain fixes the seed of property tests unless the command line sets one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
+	if !given {
+		if err := flag.Set("rapid.seed", "1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// limits are those of the tests: short, so that leases often lapse.
+func limits() order.Limits {
+	return order.Limits{LeaseTTL: 6 * time.Second, Delivery: time.Second, DriftPerMille: 10}
+}
+
+// world is a store, some engines, and the faults between them and the
+// instances. It checks each order at its effect.
+type world struct {
+	mu       sync.Mutex
+	rng      *rand.Rand
+	faulty   bool
+	group    sync.WaitGroup
+	revision uint64
+	lease    uint64
+	ends     map[uint64]time.Time
+	keys     map[string]platformapi.Entry
+	engines  map[string]*engine
+	bundle   []bundle.Runner
+	breaches []string
+	// holders is how many holders an engine saw at most; effects counts
+	// the orders that took effect.
+	effects int
+}
+
+// engine is one runner. It takes in orders at their effect.
+type engine struct {
+	checks bool
+	state  runnerapi.State
+	// written is the highest fencing number of an order written to it.
+	written uint64
+	// changed is when an order last took effect, and by whom.
+	changed time.Time
+	numbers map[uint64]bool
+}
+
+func newWorld(seed uint64, faulty bool, runners ...bundle.Runner) *world {
+	w := &world{
+		rng: rand.New(rand.NewPCG(seed, 1)), faulty: faulty, bundle: runners,
+		ends: map[uint64]time.Time{}, keys: map[string]platformapi.Entry{}, engines: map[string]*engine{},
+	}
+	for _, r := range runners {
+		w.engines[r.ID] = &engine{checks: r.ChecksFencing, numbers: map[uint64]bool{}}
+	}
+	return w
+}
+
+// upTo returns a random duration.
+func (w *world) upTo(d time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Duration(w.rng.Int64N(int64(d) + 1))
+}
+
+// happens reports whether a fault with chance of 1 in n happens.
+func (w *world) happens(n int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.faulty && w.rng.IntN(n) == 0
+}
+
+func (w *world) breach(format string, args ...any) {
+	w.breaches = append(w.breaches, fmt.Sprintf(format, args...))
+}
+
+// driftingClock is an instance's clock, which runs faster or slower than the
+// store's and whose instance may be paused after it read the time.
+type driftingClock struct {
+	w     *world
+	start time.Time
+	// perMille is how much faster the clock runs.
+	perMille int64
+	// guarded is set while the last check before a write reads the time.
+	guarded *bool
+}
+
+func (c driftingClock) Now() time.Time {
+	elapsed := clock.System().Now().Sub(c.start)
+	now := c.start.Add(elapsed + elapsed*time.Duration(c.perMille)/1000)
+	switch {
+	case *c.guarded && c.w.happens(2):
+		pause(c.w.upTo(limits().Delivery)) // what the wait of a new holder covers
+	case !*c.guarded && c.w.happens(60):
+		pause(c.w.upTo(20 * time.Second))
+	}
+	return now
+}
+
+func (c driftingClock) After(d time.Duration) <-chan time.Time { return clock.System().After(d) }
+
+func (c driftingClock) Sleep(ctx context.Context, d time.Duration) error {
+	return clock.System().Sleep(ctx, d)
+}
+
+func pause(d time.Duration) { <-clock.System().After(d) }
+
+// storeClient is one instance's way to the store.
+type storeClient struct{ w *world }
+
+// call runs effect at the store, unless a fault keeps it from there, and may
+// lose the answer.
+func (s storeClient) call(ctx context.Context, write bool, effect func() error) error {
+	w := s.w
+	lost := fault.New(fault.StoreUnavailable, "no answer").WithOutcome(fault.NotRun)
+	if write {
+		lost = lost.WithOutcome(fault.Unknown)
+	}
+	pause(w.upTo(50 * time.Millisecond))
+	if ctx.Err() != nil || w.happens(20) {
+		return fault.New(fault.StoreUnavailable, "refused").WithOutcome(fault.NotRun)
+	}
+	if write && w.happens(15) { // takes effect long after the caller gave up
+		late := w.upTo(8 * time.Second)
+		w.group.Go(func() {
+			pause(late)
+			_ = s.run(effect)
+		})
+		pause(w.upTo(time.Second))
+		return lost
+	}
+	err := s.run(effect)
+	pause(w.upTo(50 * time.Millisecond))
+	if w.happens(15) {
+		return lost
+	}
+	return err
+}
+
+func (s storeClient) run(effect func() error) error {
+	w := s.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for lease, end := range w.ends {
+		if !clock.System().Now().Before(end) {
+			delete(w.ends, lease)
+			w.drop(lease)
+		}
+	}
+	return effect()
+}
+
+func (w *world) drop(lease uint64) {
+	for key, e := range w.keys {
+		if e.Lease == lease {
+			delete(w.keys, key)
+		}
+	}
+}
+
+func (s storeClient) Get(ctx context.Context, key string) (entry *platformapi.Entry, revision uint64, err error) {
+	err = s.call(ctx, false, func() error {
+		if e, ok := s.w.keys[key]; ok {
+			entry = &e
+		}
+		return nil
+	})
+	return entry, revision, err
+}
+
+func (s storeClient) Put(ctx context.Context, put platformapi.PutRequest) (revision uint64, err error) {
+	err = s.call(ctx, true, func() error {
+		if _, ok := s.w.keys[put.Key]; ok {
+			return fault.New(fault.Conflict, "put")
+		}
+		if _, ok := s.w.ends[put.Lease]; !ok {
+			return fault.New(fault.NotFound, "put")
+		}
+		s.w.revision++
+		revision = s.w.revision
+		s.w.keys[put.Key] = platformapi.Entry{Key: put.Key, Value: put.Value, Revision: revision, Lease: put.Lease}
+		return nil
+	})
+	return revision, err
+}
+
+func (s storeClient) Delete(ctx context.Context, del platformapi.DeleteRequest) (revision uint64, err error) {
+	err = s.call(ctx, true, func() error {
+		if s.w.keys[del.Key].Revision != *del.IfRevision {
+			return fault.New(fault.Conflict, "delete")
+		}
+		delete(s.w.keys, del.Key)
+		return nil
+	})
+	return revision, err
+}
+
+func (s storeClient) Grant(ctx context.Context, ttl time.Duration) (lease uint64, err error) {
+	err = s.call(ctx, true, func() error {
+		s.w.lease++
+		lease = s.w.lease
+		s.w.ends[lease] = clock.System().Now().Add(ttl)
+		return nil
+	})
+	return lease, err
+}
+
+func (s storeClient) KeepAlive(ctx context.Context, lease uint64) error {
+	return s.call(ctx, true, func() error {
+		if _, ok := s.w.ends[lease]; !ok {
+			return fault.New(fault.NotFound, "keep alive")
+		}
+		s.w.ends[lease] = clock.System().Now().Add(limits().LeaseTTL)
+		return nil
+	})
+}
+
+func (s storeClient) Revoke(ctx context.Context, lease uint64) error {
+	return s.call(ctx, true, func() error {
+		delete(s.w.ends, lease)
+		s.w.drop(lease)
+		return nil
+	})
+}
+
+// engineClient is one instance's way to the engines.
+type engineClient struct {
+	w       *world
+	guarded *bool
+	// reads is when the state of a runner was last read.
+	reads map[string]time.Time
+	mu    *sync.Mutex
+}
+
+func (c engineClient) State(ctx context.Context, of bundle.Runner) (runnerapi.State, error) {
+	pause(c.w.upTo(100 * time.Millisecond))
+	if ctx.Err() != nil || c.w.happens(20) {
+		return runnerapi.State{}, fault.New(fault.RunnerFailed, "no state")
+	}
+	c.w.mu.Lock()
+	state := c.w.engines[of.ID].state
+	c.w.mu.Unlock()
+	c.mu.Lock()
+	c.reads[of.ID] = clock.System().Now()
+	c.mu.Unlock()
+	return state, nil
+}
+
+func (c engineClient) Order(ctx context.Context, to bundle.Runner, o runnerapi.Order, guard func() error) (runnerapi.State, error) {
+	w := c.w
+	e := w.engines[to.ID]
+	pause(w.upTo(100 * time.Millisecond))
+	*c.guarded = true
+	err := guard()
+	*c.guarded = false
+	if err != nil {
+		return runnerapi.State{}, err
+	}
+	c.mu.Lock()
+	w.write(to.ID, o, c.reads[to.ID])
+	c.mu.Unlock()
+	delay := w.upTo(limits().Delivery)
+	if e.checks && w.happens(3) {
+		delay = w.upTo(20 * time.Second)
+	}
+	done := make(chan error, 1)
+	w.group.Go(func() {
+		pause(delay)
+		done <- w.takeEffect(to.ID, o)
+	})
+	select {
+	case err := <-done:
+		if w.happens(4) {
+			break
+		}
+		return runnerapi.State{}, err
+	case <-ctx.Done():
+	}
+	return runnerapi.State{}, fault.New(fault.OutcomeUnknown, "no answer")
+}
+
+// write notes an order as it leaves its instance, which read the runner's
+// state at the given time.
+func (w *world) write(runner string, o runnerapi.Order, read time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.engines[runner]
+	if !e.checks && o.Fencing > e.written && read.Before(e.changed) {
+		w.breach("holder %d ordered %s by a state older than its predecessor's last order", o.Fencing, runner)
+	}
+	e.written = max(e.written, o.Fencing)
+}
+
+// takeEffect applies an order at its runner.
+func (w *world) takeEffect(runner string, o runnerapi.Order) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e := w.engines[runner]
+	if e.checks && o.Fencing < e.state.Fencing {
+		return fault.New(fault.Conflict, "old fencing number")
+	}
+	if !e.checks && o.Fencing < e.written {
+		w.breach("order %d took effect at %s after holder %d had ordered", o.Fencing, runner, e.written)
+	}
+	if o.Fencing < e.state.Fencing {
+		w.breach("order %d took effect at %s after one of holder %d", o.Fencing, runner, e.state.Fencing)
+	}
+	e.state.Models, e.state.Fencing = o.Models, o.Fencing
+	e.changed = clock.System().Now()
+	e.numbers[o.Fencing] = true
+	w.effects++
+	return nil
+}
+
+// want gives the runners other models.
+func (w *world) want(models []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	changed := slices.Clone(w.bundle)
+	for i := range changed {
+		n := 1 + w.rng.IntN(len(models))
+		changed[i].Models = nil
+		for _, k := range w.rng.Perm(len(models))[:n] {
+			changed[i].Models = append(changed[i].Models, models[k])
+		}
+		slices.Sort(changed[i].Models)
+	}
+	w.bundle = changed
+}
+
+// fleet is what the instance self knows; each believes itself alone, so that
+// all contend.
+func (w *world) fleet(self string) order.Fleet {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return order.Fleet{Runners: w.bundle, Instances: []string{self}, Self: self}
+}
+
+// report returns the breaches.
+func (w *world) report() string { return strings.Join(w.breaches, "\n") }
--- /dev/null
+++ b/router/runner/usertimeout_other.go
@@ -0,0 +1,11 @@
+//go:build !linux
+
+package runner
+
+import (
+	"net"
+	"time"
+)
+
+// setUserTimeout does nothing where the option does not exist.
+func setUserTimeout(*net.TCPConn, time.Duration) error { return nil }
