--- a/router/order/driver.go
+++ b/router/order/driver.go
@@ -224,7 +224,8 @@
 	now := d.clk.Now()
 	d.learn(s, now, err)
 	if fault.Is(err, fault.Conflict) || err != nil && s.Runner.ChecksFencing {
-		d.letGo(ctx, s.Runner.ID) // the next hold has a higher number
+		// The next hold has a higher number; this one is spent until then.
+		d.tenure = d.tenure.WithSpent(s.Runner.ID)
 	}
 	d.log.Record(journal.Decision{
 		Step: journal.Placed, Runner: s.Runner.ID, Reason: placedReason(s, err), Took: now.Sub(start),
--- a/router/order/hold.go
+++ b/router/order/hold.go
@@ -16,9 +16,13 @@
 	if err := d.keepLease(ctx); err != nil {
 		return err
 	}
-	if _, ok := d.tenure.Hold(runner); ok {
+	h, ok := d.tenure.Hold(runner)
+	if ok && !h.Spent {
 		return nil
 	}
+	if err := d.letGo(ctx, runner); err != nil {
+		return err
+	}
 	return d.create(ctx, self, runner)
 }
 
@@ -97,29 +101,36 @@
 func (d *driver) release(ctx context.Context, needed map[string]bool) {
 	for _, r := range d.tenure.Held() {
 		h, _ := d.tenure.Hold(r)
-		if needed[r] || d.clk.Now().Before(h.ReadyAt) {
+		if needed[r] && !h.Spent || d.clk.Now().Before(h.ReadyAt) {
 			continue
 		}
-		d.letGo(ctx, r)
+		_ = d.letGo(ctx, r) // the next pass tries again
 	}
 	if len(d.tenure.Held()) > 0 {
 		_ = d.keepLease(ctx) // the next pass tries again
 	}
 }
 
-// letGo deletes the key of a runner. A delete without an answer may take effect
-// at any time until the lease ends, also on a key that this instance believes
-// to hold; so the whole lease is given up then.
-func (d *driver) letGo(ctx context.Context, runner string) {
+// letGo deletes the key of a runner, if it is held. A delete that did not reach
+// the store leaves the hold spent. One without an answer may take effect at any
+// time until the lease ends, also on a key that this instance believes to hold;
+// so the whole lease is given up then.
+func (d *driver) letGo(ctx context.Context, runner string) error {
 	h, ok := d.tenure.Hold(runner)
 	if !ok {
-		return
+		return nil
 	}
-	d.tenure = d.tenure.WithoutHold(runner)
 	_, err := d.store.Delete(ctx, platformapi.DeleteRequest{Key: keyOf(runner), IfRevision: &h.Fencing})
-	if err != nil && fault.Of(err).Outcome() != fault.NotRun {
+	switch {
+	case err == nil || fault.Is(err, fault.Conflict):
+		d.tenure = d.tenure.WithoutHold(runner)
+		return nil
+	case fault.Of(err).Outcome() == fault.NotRun:
+		d.tenure = d.tenure.WithSpent(runner)
+	default:
 		d.tenure = Tenure{}
 	}
+	return err
 }
 
 // leave lets all runners go at the end. An order that was not answered can
--- a/router/order/observe.go
+++ b/router/order/observe.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"time"
 
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/runnerapi"
@@ -49,11 +50,12 @@
 		}
 	}
 	slices.SortFunc(seen, func(a, b Seen) int { return cmp.Compare(a.Runner.ID, b.Runner.ID) })
+	now := d.clk.Now()
 	var group errgroup.Group
 	group.SetLimit(observers)
 	for i := range seen {
 		group.Go(func() error {
-			seen[i] = d.see(ctx, seen[i])
+			seen[i] = d.see(ctx, seen[i], now)
 			return nil
 		})
 	}
@@ -61,7 +63,7 @@
 	return seen
 }
 
-func (d *driver) see(ctx context.Context, s Seen) Seen {
+func (d *driver) see(ctx context.Context, s Seen, now time.Time) Seen {
 	state, err := d.state(ctx, s.Runner)
 	if err != nil {
 		return s
@@ -69,7 +71,7 @@
 	s.Known = true
 	s.Models = state.Models
 	at, ordered := d.ordered[s.Runner.ID]
-	s.Settling = state.Load.Cold || ordered && d.clk.Now().Sub(at) < d.settle
+	s.Settling = state.Load.Cold || ordered && now.Sub(at) < d.settle
 	return s
 }
 
--- a/router/order/order_test.go
+++ b/router/order/order_test.go
@@ -20,10 +20,13 @@
 // start runs an instance's driver in the world until ctx ends.
 func (w *world) start(ctx context.Context, self string, perMille int64) order.Driver {
 	guarded := new(bool)
-	clk := driftingClock{w: w, start: clock.System().Now(), perMille: perMille, guarded: guarded}
-	engines := engineClient{w: w, guarded: guarded, reads: map[string]time.Time{}, mu: new(sync.Mutex)}
+	clk := driftingClock{chance: w.chance(self + " clock"), start: clock.System().Now(), perMille: perMille, guarded: guarded}
+	engines := engineClient{w: w, guarded: guarded, reads: map[string]time.Time{}, mu: new(sync.Mutex), chances: map[string]chance{}}
+	for id := range w.engines {
+		engines.chances[id] = w.chance(self + " at " + id)
+	}
 	log := journal.New(hclog.NewNullLogger(), clock.System(), journal.WithKept(64))
-	d := order.New(storeClient{w: w, outUntil: new(time.Time)}, engines, func() order.Fleet { return w.fleet(self) }, log, clk,
+	d := order.New(storeClient{w: w, chance: w.chance(self + " store"), outUntil: new(time.Time)}, engines, func() order.Fleet { return w.fleet(self) }, log, clk,
 		order.WithLimits(limits()), order.WithPeriod(time.Second),
 		order.WithSettle(500*time.Millisecond), order.WithLoadInterval(0))
 	w.group.Go(func() { _ = d.Run(ctx) })
@@ -50,9 +53,10 @@
 			for i := range instances {
 				w.start(ctx, fmt.Sprintf("router-%d", i), drift[i])
 			}
+			churn := w.chance("bundle")
 			for ctx.Err() == nil {
-				pause(w.upTo(10 * time.Second))
-				w.want([]string{"a", "b", "c"})
+				pause(churn.upTo(10 * time.Second))
+				w.want(churn, []string{"a", "b", "c"})
 			}
 			cancel()
 			w.group.Wait()
--- a/router/order/tenure.go
+++ b/router/order/tenure.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"cicadawell.dev/fleet/fault"
@@ -29,6 +30,8 @@
 	// ReadyAt is when every order that was written before has either taken
 	// effect or never will.
 	ReadyAt time.Time
+	// Spent tells that the number is not to be used again.
+	Spent bool
 }
 
 // WithLease returns a tenure with a new lease, asked for at start, and without
@@ -65,6 +68,18 @@
 	return t
 }
 
+// WithSpent returns a copy that gives no more orders to a runner under the hold
+// that it has.
+func (t Tenure) WithSpent(runner string) Tenure {
+	h, ok := t.holds[runner]
+	if !ok {
+		return t
+	}
+	h.Spent = true
+	t.holds = withEntry(t.holds, runner, h)
+	return t
+}
+
 // WithoutHold returns a copy that does not hold a runner.
 func (t Tenure) WithoutHold(runner string) Tenure {
 	t.holds = maps.Clone(t.holds)
@@ -78,12 +93,13 @@
 	return h, ok
 }
 
-// Held returns the runners that are held, in no order.
+// Held returns the runners that are held, in ascending order.
 func (t Tenure) Held() []string {
 	runners := make([]string, 0, len(t.holds))
 	for r := range t.holds {
 		runners = append(runners, r)
 	}
+	slices.Sort(runners)
 	return runners
 }
 
@@ -97,7 +113,7 @@
 // CheckHeld returns an error, not run, unless the runner is held at now and
 // for long enough to cover the longest delivery of an order written at once.
 func (t Tenure) CheckHeld(runner string, now time.Time, l Limits) error {
-	if _, ok := t.holds[runner]; !ok {
+	if h, ok := t.holds[runner]; !ok || h.Spent {
 		return fault.New(fault.HomeUnsettled, "the orders to the runner are not held").WithField(runner)
 	}
 	if left := t.Left(now); left < l.wait() {
--- a/router/order/world_test.go
+++ b/router/order/world_test.go
@@ -18,6 +18,7 @@
 	"cicadawell.dev/fleet/platformapi"
 	"cicadawell.dev/fleet/runnerapi"
 	"cicadawell.dev/router/order"
+	"github.com/cespare/xxhash/v2"
 )
 
 // TestMain fixes the seed of property tests unless the command line sets one.
@@ -42,7 +43,7 @@
 // instances. It checks each order at its effect.
 type world struct {
 	mu       sync.Mutex
-	rng      *rand.Rand
+	seed     uint64
 	faulty   bool
 	group    sync.WaitGroup
 	revision uint64
@@ -72,7 +73,7 @@
 
 func newWorld(seed uint64, faulty bool, runners ...bundle.Runner) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 1)), faulty: faulty, bundle: runners,
+		seed: seed, faulty: faulty, bundle: runners,
 		ends: map[uint64]time.Time{}, keys: map[string]platformapi.Entry{}, engines: map[string]*engine{},
 	}
 	for _, r := range runners {
@@ -81,27 +82,32 @@
 	return w
 }
 
+// chance draws the faults of one actor. Each actor has its own, so that a seed
+// gives the same run however the goroutines of one instant are ordered.
+type chance struct {
+	rng    *rand.Rand
+	faulty bool
+}
+
+func (w *world) chance(actor string) chance {
+	return chance{rand.New(rand.NewPCG(w.seed, xxhash.Sum64String(actor))), w.faulty}
+}
+
 // upTo returns a random duration.
-func (w *world) upTo(d time.Duration) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return time.Duration(w.rng.Int64N(int64(d) + 1))
+func (c chance) upTo(d time.Duration) time.Duration {
+	return time.Duration(c.rng.Int64N(int64(d) + 1))
 }
 
 // longest returns d in two of three cases, and else a random part of it.
-func (w *world) longest(d time.Duration) time.Duration {
-	if w.happens(3) {
-		return w.upTo(d)
+func (c chance) longest(d time.Duration) time.Duration {
+	if c.rng.IntN(3) == 0 {
+		return c.upTo(d)
 	}
 	return d
 }
 
-// happens reports whether a fault with chance of 1 in n happens.
-func (w *world) happens(n int) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.faulty && w.rng.IntN(n) == 0
-}
+// happens reports whether a fault with a chance of 1 in n happens.
+func (c chance) happens(n int) bool { return c.faulty && c.rng.IntN(n) == 0 }
 
 func (w *world) breach(format string, args ...any) {
 	w.breaches = append(w.breaches, fmt.Sprintf(format, args...))
@@ -110,8 +116,8 @@
 // driftingClock is an instance's clock, which runs faster or slower than the
 // store's and whose instance may be paused after it read the time.
 type driftingClock struct {
-	w     *world
-	start time.Time
+	chance chance
+	start  time.Time
 	// perMille is how much faster the clock runs.
 	perMille int64
 	// guarded is set while the last check before a write reads the time.
@@ -122,10 +128,10 @@
 	elapsed := clock.System().Now().Sub(c.start)
 	now := c.start.Add(elapsed + elapsed*time.Duration(c.perMille)/1000)
 	switch {
-	case *c.guarded && c.w.happens(2):
-		pause(c.w.longest(limits().Delivery)) // what the wait of a new holder covers
-	case !*c.guarded && c.w.happens(20):
-		pause(c.w.upTo(8 * time.Second))
+	case *c.guarded && c.chance.happens(2):
+		pause(c.chance.longest(limits().Delivery)) // what the wait of a new holder covers
+	case !*c.guarded && c.chance.happens(20):
+		pause(c.chance.upTo(8 * time.Second))
 	}
 	return now
 }
@@ -140,7 +146,8 @@
 
 // storeClient is one instance's way to the store.
 type storeClient struct {
-	w *world
+	w      *world
+	chance chance
 	// outUntil is the end of an outage.
 	outUntil *time.Time
 }
@@ -153,28 +160,28 @@
 	if write {
 		lost = lost.WithOutcome(fault.Unknown)
 	}
-	pause(w.upTo(50 * time.Millisecond))
-	if w.happens(30) {
-		*s.outUntil = clock.System().Now().Add(w.upTo(12 * time.Second))
+	pause(s.chance.upTo(50 * time.Millisecond))
+	if s.chance.happens(30) {
+		*s.outUntil = clock.System().Now().Add(s.chance.upTo(12 * time.Second))
 	}
 	if ctx.Err() != nil || clock.System().Now().Before(*s.outUntil) {
 		return fault.New(fault.StoreUnavailable, "refused").WithOutcome(fault.NotRun)
 	}
-	if write && w.happens(15) { // takes effect long after the caller gave up
-		late := w.upTo(8 * time.Second)
+	if write && s.chance.happens(15) { // takes effect long after the caller gave up
+		late := s.chance.upTo(8 * time.Second)
 		w.group.Go(func() {
 			pause(late)
 			_ = s.run(effect)
 		})
-		pause(w.upTo(time.Second))
+		pause(s.chance.upTo(time.Second))
 		return lost
 	}
 	err := s.run(effect)
-	pause(w.upTo(50 * time.Millisecond))
-	if w.happens(4) {
-		pause(w.upTo(2 * time.Second))
+	pause(s.chance.upTo(50 * time.Millisecond))
+	if s.chance.happens(4) {
+		pause(s.chance.upTo(2 * time.Second))
 	}
-	if w.happens(15) {
+	if s.chance.happens(15) {
 		return lost
 	}
 	return err
@@ -270,14 +277,17 @@
 type engineClient struct {
 	w       *world
 	guarded *bool
+	// chances are by runner.
+	chances map[string]chance
 	// reads is when the state of a runner was last read.
 	reads map[string]time.Time
 	mu    *sync.Mutex
 }
 
 func (c engineClient) State(ctx context.Context, of bundle.Runner) (runnerapi.State, error) {
-	pause(c.w.upTo(100 * time.Millisecond))
-	if ctx.Err() != nil || c.w.happens(20) {
+	x := c.chances[of.ID]
+	pause(x.upTo(100 * time.Millisecond))
+	if ctx.Err() != nil || x.happens(20) {
 		return runnerapi.State{}, fault.New(fault.RunnerFailed, "no state")
 	}
 	c.w.mu.Lock()
@@ -290,9 +300,9 @@
 }
 
 func (c engineClient) Order(ctx context.Context, to bundle.Runner, o runnerapi.Order, guard func() error) (runnerapi.State, error) {
-	w := c.w
+	w, x := c.w, c.chances[to.ID]
 	e := w.engines[to.ID]
-	pause(w.upTo(100 * time.Millisecond))
+	pause(x.upTo(100 * time.Millisecond))
 	*c.guarded = true
 	err := guard()
 	*c.guarded = false
@@ -302,10 +312,11 @@
 	c.mu.Lock()
 	n := w.write(to.ID, o, c.reads[to.ID])
 	c.mu.Unlock()
-	delay := w.longest(limits().Delivery)
-	if e.checks && w.happens(3) {
-		delay = w.upTo(20 * time.Second)
+	delay := x.longest(limits().Delivery)
+	if e.checks && x.happens(3) {
+		delay = x.upTo(20 * time.Second)
 	}
+	answered := !x.happens(4)
 	done := make(chan error, 1)
 	w.group.Go(func() {
 		pause(delay)
@@ -313,10 +324,9 @@
 	})
 	select {
 	case err := <-done:
-		if w.happens(4) {
-			break
+		if answered {
+			return runnerapi.State{}, err
 		}
-		return runnerapi.State{}, err
 	case <-ctx.Done():
 	}
 	return runnerapi.State{}, fault.New(fault.OutcomeUnknown, "no answer")
@@ -362,14 +372,14 @@
 }
 
 // want gives the runners other models.
-func (w *world) want(models []string) {
+func (w *world) want(x chance, models []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	changed := slices.Clone(w.bundle)
 	for i := range changed {
-		n := 1 + w.rng.IntN(len(models))
+		n := 1 + x.rng.IntN(len(models))
 		changed[i].Models = nil
-		for _, k := range w.rng.Perm(len(models))[:n] {
+		for _, k := range x.rng.Perm(len(models))[:n] {
 			changed[i].Models = append(changed[i].Models, models[k])
 		}
 		slices.Sort(changed[i].Models)
