--- a/router/order/order_test.go
+++ b/router/order/order_test.go
@@ -27,8 +27,8 @@
 	}
 	log := journal.New(hclog.NewNullLogger(), clock.System(), journal.WithKept(64))
 	d := order.New(storeClient{w: w, chance: w.chance(self + " store"), outUntil: new(time.Time)}, engines, func() order.Fleet { return w.fleet(self) }, log, clk,
-		order.WithLimits(limits()), order.WithPeriod(time.Second),
-		order.WithSettle(500*time.Millisecond), order.WithLoadInterval(0))
+		order.WithLimits(limits()), order.WithPeriod(200*time.Millisecond),
+		order.WithSettle(0), order.WithLoadInterval(0))
 	w.group.Go(func() { _ = d.Run(ctx) })
 	return d
 }
