--- a/router/pipeline/executor.go
+++ b/router/pipeline/executor.go
@@ -41,6 +41,11 @@
 	Stream runner.Sink
 }
 
+// Places hands out places on runners.
+type Places interface {
+	Acquire(ctx context.Context, ask pool.Ask) (pool.Place, error)
+}
+
 // Budgets divides a request's time among its stages.
 type Budgets interface {
 	// Plan returns when the stage must end, or an error of kind
@@ -54,6 +59,9 @@
 type Retries interface {
 	Allow(service string) bool
 	Success(service string)
+	// HedgeAfter returns how long a stage runs before a second attempt
+	// beside it makes sense, and false while that is not known.
+	HedgeAfter(pipeline string, stage int) (time.Duration, bool)
 }
 
 // Meter counts what the stages cost.
@@ -75,7 +83,7 @@
 	Instance    string
 	Clock       clock.Clock
 	Catalog     *catalog.Current
-	Pools       pool.Pools
+	Places      Places
 	Budgets     Budgets
 	Retries     Retries
 	Runners     runner.Client
