--- a/standin/measure/measure.go
+++ b/standin/measure/measure.go
@@ -207,7 +207,8 @@
 // cost is the time that runs held places, by stage, and the part of it that was
 // spent on calls that missed their deadline.
 type cost struct {
-	stages        map[string]time.Duration
+	// stages and lost are by the name of the stage.
+	stages, lost  map[string]time.Duration
 	total, wasted time.Duration
 }
 
@@ -218,13 +219,14 @@
 			met[id] = true
 		}
 	}
-	c := cost{stages: map[string]time.Duration{}}
+	c := cost{stages: map[string]time.Duration{}, lost: map[string]time.Duration{}}
 	for _, rec := range t.recs {
 		for _, run := range rec.Runs {
 			busy := time.Duration(run.BusyMicros) * time.Microsecond
 			c.stages[run.Stage] += busy
 			c.total += busy
 			if !met[run.Request] {
+				c.lost[run.Stage] += busy
 				c.wasted += busy
 			}
 		}
--- a/standin/measure/report.go
+++ b/standin/measure/report.go
@@ -99,15 +99,15 @@
 
 // writeStages writes the time of each stage and what it cost.
 func writeStages(w io.Writer, trials []trial) {
-	fmt.Fprintln(w, "\n"+row("policy", "stage", "paying p50", "paying p95", "paying p99", "runner-seconds"))
-	fmt.Fprintln(w, row(slices.Repeat([]string{"---"}, 6)...))
+	fmt.Fprintln(w, "\n"+row("policy", "stage", "paying p50", "paying p95", "paying p99", "runner-seconds", "of them wasted"))
+	fmt.Fprintln(w, row(slices.Repeat([]string{"---"}, 7)...))
 	for _, t := range trials {
-		spent := costOf(t).stages
+		spent := costOf(t)
 		stages := t.result.Class(payingClass).Stages
 		for _, name := range slices.Sorted(maps.Keys(stages)) {
 			times := load.TimesOf(stages[name])
 			fmt.Fprintln(w, row(t.name, name, millis(times.P50), millis(times.P95), millis(times.P99),
-				fmt.Sprintf("%.1f", spent[name].Seconds())))
+				fmt.Sprintf("%.1f", spent.stages[name].Seconds()), fmt.Sprintf("%.1f", spent.lost[name].Seconds())))
 		}
 	}
 }
