--- a/standin/measure/measure_test.go
+++ b/standin/measure/measure_test.go
@@ -70,6 +70,7 @@
 	sc := scenario{name: "zone", duration: 2 * time.Second, events: make([]event, 2)}
 	var buf bytes.Buffer
 	writeTable(&buf, sc, []trial{sample()})
+	writeRefusals(&buf, []trial{sample()})
 	golden(t, "table.md", buf.Bytes())
 }
 
--- a/standin/measure/report.go
+++ b/standin/measure/report.go
@@ -43,6 +43,7 @@
 		plan.Capacity(tokens), tokens, 100*sc.paying, 100*sc.free)
 	writeTable(page, sc, trials)
 	writeStages(page, trials)
+	writeRefusals(page, trials)
 	fmt.Fprintf(page, "\n![attainment of the paying calls by second](%s.png)\n", base)
 	return draw(sc, trials, filepath.Join(cfg.Dir, base+".png"))
 }
@@ -112,6 +113,38 @@
 	}
 }
 
+// writeRefusals writes what became of the calls without an answer in time.
+func writeRefusals(w io.Writer, trials []trial) {
+	fmt.Fprintln(w, "\n"+row("policy", "callers", "sent", "late", "broken", "refused by kind", "seconds with refusals"))
+	fmt.Fprintln(w, row(slices.Repeat([]string{"---"}, 7)...))
+	for _, t := range trials {
+		for _, c := range t.result.Classes {
+			var kinds []string
+			for _, k := range slices.Sorted(maps.Keys(c.Refused)) {
+				kinds = append(kinds, fmt.Sprintf("%s %d", k, c.Refused[k]))
+			}
+			fmt.Fprintln(w, row(t.name, c.Name, fmt.Sprint(c.Sent), fmt.Sprint(c.Late), fmt.Sprint(c.Unknown),
+				strings.Join(kinds, ", "), spans(c)))
+		}
+	}
+}
+
+// spans names the seconds in which calls arrived that missed their deadline, as
+// ranges.
+func spans(c *load.ClassResult) string {
+	var all []string
+	for i := 0; i < len(c.Seconds); i++ {
+		from := i
+		for i < len(c.Seconds) && c.Seconds[i].Met < c.Seconds[i].Sent {
+			i++
+		}
+		if i > from {
+			all = append(all, fmt.Sprintf("%d–%d", from, i))
+		}
+	}
+	return strings.Join(all, ", ")
+}
+
 // draw plots the paying calls' attainment by the second of their arrival.
 func draw(sc scenario, trials []trial, file string) error {
 	p := plot.New()
