--- a/standin/measure/measure_test.go
+++ b/standin/measure/measure_test.go
@@ -70,6 +70,7 @@
 	sc := scenario{name: "zone", duration: 2 * time.Second, events: make([]event, 2)}
 	var buf bytes.Buffer
 	writeTable(&buf, sc, []trial{sample()})
+	writeRefusals(&buf, []trial{sample()})
 	golden(t, "table.md", buf.Bytes())
 }
 
@@ -86,7 +87,7 @@
 func TestPageAndPlotAreWritten(t *testing.T) {
 	is := is.New(t)
 	dir := t.TempDir()
-	sc, err := find("zone")
+	sc, err := find("zone") // with its events
 	is.NoErr(err)
 	plan, err := scene.PlanOf("taxiline")
 	is.NoErr(err)
