--- a/standin/measure/report.go
+++ b/standin/measure/report.go
@@ -43,6 +43,7 @@
 		plan.Capacity(tokens), tokens, 100*sc.paying, 100*sc.free)
 	writeTable(page, sc, trials)
 	writeStages(page, trials)
+	writeRefusals(page, trials)
 	fmt.Fprintf(page, "\n![attainment of the paying calls by second](%s.png)\n", base)
 	return draw(sc, trials, filepath.Join(cfg.Dir, base+".png"))
 }
@@ -62,7 +63,7 @@
 		"free answers per second", "runner time wasted", "cold load over bearable", "collapses",
 		"wrong", "run twice", "false outcome", "unknown",
 	}
-	zoned := len(sc.events) == 2 && sc.name == "zone"
+	zoned := sc.name == "zone"
 	if zoned {
 		head = append(head, "out to last new run")
 	}
@@ -99,19 +100,51 @@
 
 // writeStages writes the time of each stage and what it cost.
 func writeStages(w io.Writer, trials []trial) {
-	fmt.Fprintln(w, "\n"+row("policy", "stage", "paying p50", "paying p95", "paying p99", "runner-seconds"))
-	fmt.Fprintln(w, row(slices.Repeat([]string{"---"}, 6)...))
+	fmt.Fprintln(w, "\n"+row("policy", "stage", "paying p50", "paying p95", "paying p99", "runner-seconds", "of them wasted"))
+	fmt.Fprintln(w, row(slices.Repeat([]string{"---"}, 7)...))
 	for _, t := range trials {
-		spent := costOf(t).stages
+		spent := costOf(t)
 		stages := t.result.Class(payingClass).Stages
 		for _, name := range slices.Sorted(maps.Keys(stages)) {
 			times := load.TimesOf(stages[name])
 			fmt.Fprintln(w, row(t.name, name, millis(times.P50), millis(times.P95), millis(times.P99),
-				fmt.Sprintf("%.1f", spent[name].Seconds())))
+				fmt.Sprintf("%.1f", spent.stages[name].Seconds()), fmt.Sprintf("%.1f", spent.lost[name].Seconds())))
 		}
 	}
 }
 
+// writeRefusals writes what became of the calls without an answer in time.
+func writeRefusals(w io.Writer, trials []trial) {
+	fmt.Fprintln(w, "\n"+row("policy", "callers", "sent", "late", "broken", "refused by kind", "seconds with refusals"))
+	fmt.Fprintln(w, row(slices.Repeat([]string{"---"}, 7)...))
+	for _, t := range trials {
+		for _, c := range t.result.Classes {
+			var kinds []string
+			for _, k := range slices.Sorted(maps.Keys(c.Refused)) {
+				kinds = append(kinds, fmt.Sprintf("%s %d", k, c.Refused[k]))
+			}
+			fmt.Fprintln(w, row(t.name, c.Name, fmt.Sprint(c.Sent), fmt.Sprint(c.Late), fmt.Sprint(c.Unknown),
+				strings.Join(kinds, ", "), spans(c)))
+		}
+	}
+}
+
+// spans names the seconds in which calls arrived that missed their deadline, as
+// ranges.
+func spans(c *load.ClassResult) string {
+	var all []string
+	for i := 0; i < len(c.Seconds); i++ {
+		from := i
+		for i < len(c.Seconds) && c.Seconds[i].Met < c.Seconds[i].Sent {
+			i++
+		}
+		if i > from {
+			all = append(all, fmt.Sprintf("%d–%d", from, i))
+		}
+	}
+	return strings.Join(all, ", ")
+}
+
 // draw plots the paying calls' attainment by the second of their arrival.
 func draw(sc scenario, trials []trial, file string) error {
 	p := plot.New()
