Let calls in flight outlast the address of their instance

Cause: an instance that stops is dropped from the known addresses while it still answers what it has begun; closing its connection there made the outcome of forwarded calls unknown at every planned stop. Change: a dropped connection with calls in flight closes once they have ended. Conclusion: TestCallInFlightOutlastsItsAddress fails without it, passes with.

--- a/router/instance/network.go
+++ b/router/instance/network.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -31,6 +33,7 @@
 		handlers:  make(map[string]Handler),
 		listeners: make(map[net.Listener]struct{}),
 		accepted:  make(map[*incoming]struct{}),
+		retired:   make(map[*peer]struct{}),
 	}
 	for _, opt := range opts {
 		opt(&n.config)
@@ -58,6 +61,8 @@
 	closed    bool
 	listeners map[net.Listener]struct{}
 	accepted  map[*incoming]struct{}
+	// retired are peers that Learn dropped while calls were in flight.
+	retired map[*peer]struct{}
 }
 
 func (n *network) Handle(method string, h Handler) { n.handlers[method] = h }
@@ -77,11 +82,41 @@
 	n.peers.Store(&next)
 	for id, p := range old {
 		if next[id] != p {
+			n.retire(p)
+		}
+	}
+}
+
+// retire ends the connection to a peer that is no longer called, once the calls
+// in flight have ended. The caller holds mu.
+func (n *network) retire(p *peer) {
+	if c := p.conn.Load(); c != nil && c.inFlight.Load() > 0 {
+		n.retired[p] = struct{}{}
+		return
+	}
+	p.close()
+}
+
+// checkRetired closes the connections of retired peers that have become idle.
+func (n *network) checkRetired() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for p := range n.retired {
+		if c := p.conn.Load(); c == nil || c.inFlight.Load() == 0 {
 			p.close()
+			delete(n.retired, p)
 		}
 	}
 }
 
+// open returns the peers that may have a connection.
+func (n *network) open() []*peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	all := slices.Collect(maps.Values(*n.peers.Load()))
+	return slices.AppendSeq(all, maps.Keys(n.retired))
+}
+
 func (n *network) Call(ctx context.Context, to, method string, params, result any) error {
 	if to == n.id {
 		return n.callSelf(ctx, method, params, result)
@@ -147,13 +182,14 @@
 func (n *network) watch() {
 	for n.clock.Sleep(n.ctx, n.checkEvery) == nil {
 		var checks errgroup.Group
-		for _, p := range *n.peers.Load() {
+		for _, p := range n.open() {
 			checks.Go(func() error {
 				p.check(n.ctx)
 				return nil
 			})
 		}
 		_ = checks.Wait()
+		n.checkRetired()
 		n.closeSilent()
 	}
 }
@@ -183,16 +219,13 @@
 	for l := range n.listeners {
 		errs = append(errs, l.Close())
 	}
-	open := make([]*incoming, 0, len(n.accepted))
-	for in := range n.accepted {
-		open = append(open, in)
-	}
+	accepted := slices.Collect(maps.Keys(n.accepted))
 	n.mu.Unlock()
 	n.cancel()
-	for _, in := range open {
+	for _, in := range accepted {
 		in.close()
 	}
-	for _, p := range *n.peers.Load() {
+	for _, p := range n.open() {
 		p.close()
 	}
 	n.group.Wait()
--- a/router/instance/network_test.go
+++ b/router/instance/network_test.go
@@ -161,6 +161,28 @@
 	is.NoErr(group.Wait())
 }
 
+func TestCallInFlightOutlastsItsAddress(t *testing.T) {
+	is := is.New(t)
+	b := instance.New(instance.WithID("b"))
+	entered, leave := make(chan struct{}), make(chan struct{})
+	b.Handle("wait", func(context.Context, string, json.RawMessage) (any, error) {
+		close(entered)
+		<-leave
+		return number{N: 1}, nil
+	})
+	a := instance.New(instance.WithID("a"))
+	serve(t, a)
+	a.Learn(map[string]string{"b": serve(t, b)})
+	var out number
+	var group errgroup.Group
+	group.Go(func() error { return a.Call(t.Context(), "b", "wait", nil, &out) })
+	<-entered
+	a.Learn(nil) // b has left, but still answers what it has begun
+	close(leave)
+	is.NoErr(group.Wait())
+	is.Equal(out.N, 1)
+}
+
 // cuttable is a connection that can go silent: bytes vanish in both
 // directions and neither end is told.
 type cuttable struct {
