Send repeatable calls without a ping

Cause: an ask a second to each member found its connection idle, so that each was preceded by a ping: twice the messages of the exchange. Change: a call marked as repeatable trusts a connection whose last call was answered within 3 s; a lost one makes the next prove the connection. Conclusion: TestRepeatableCallOverASilentConnectionIsLostOnce passes.

--- a/router/instance/network_test.go
+++ b/router/instance/network_test.go
@@ -228,6 +228,25 @@
 	is.Equal(out.N, 4)
 }
 
+func TestRepeatableCallOverASilentConnectionIsLostOnce(t *testing.T) {
+	is := is.New(t)
+	b := instance.New(instance.WithID("b"))
+	b.Handle("double", double)
+	dial, silence := silenceable()
+	a := instance.New(instance.WithID("a"), instance.WithDialer(dial), instance.WithPing(0, 50*time.Millisecond))
+	serve(t, a)
+	a.Learn(map[string]string{"b": serve(t, b)})
+	call := func() error {
+		ctx, cancel := context.WithTimeout(instance.Repeatable(t.Context()), 500*time.Millisecond)
+		defer cancel()
+		return a.Call(ctx, "b", "double", number{N: 1}, nil)
+	}
+	is.NoErr(call())
+	silence()
+	is.Equal(fault.Of(call()).Outcome(), fault.Unknown)
+	is.NoErr(call())
+}
+
 func TestCallInFlightOverASilentConnectionEndsAsUnknown(t *testing.T) {
 	is := is.New(t)
 	b := instance.New(instance.WithID("b"))
--- a/router/instance/options.go
+++ b/router/instance/options.go
@@ -25,6 +25,8 @@
 	// provenFor is how long after a byte from the other side a connection
 	// is trusted without a ping.
 	provenFor time.Duration
+	// answeredFor is how long it is trusted with a repeatable call.
+	answeredFor time.Duration
 	// pingWithin bounds the wait for the answer to a ping.
 	pingWithin time.Duration
 	// dialWithin bounds a new connection together with its greeting.
@@ -50,6 +52,7 @@
 		log:          hclog.NewNullLogger(),
 		dial:         dialTCP,
 		provenFor:    20 * time.Millisecond,
+		answeredFor:  3 * time.Second,
 		pingWithin:   300 * time.Millisecond,
 		dialWithin:   500 * time.Millisecond,
 		writeWithin:  time.Second,
--- a/router/instance/peer.go
+++ b/router/instance/peer.go
@@ -32,7 +32,7 @@
 
 // connect returns a connection that is new or has just proved itself alive.
 func (p *peer) connect(ctx context.Context) (*connection, error) {
-	if c := p.conn.Load(); c != nil && c.fresh() {
+	if c := p.conn.Load(); c != nil && (c.fresh() || repeatable(ctx) && c.answers()) {
 		return c, nil
 	}
 	asked := p.network.clock.Now()
@@ -117,19 +117,40 @@
 	wire *wire
 	// inFlight counts the calls that wait for their answer.
 	inFlight atomic.Int64
+	// doubted is true when the last call to end was not answered.
+	doubted atomic.Bool
 	// proving holds one token, so that concurrent proofs share one ping.
 	proving chan struct{}
 }
 
 func (c *connection) fresh() bool {
+	return c.isOpen() && c.wire.silentFor() <= c.wire.cfg.provenFor
+}
+
+// answers reports whether the last call was answered, not long ago.
+func (c *connection) answers() bool {
+	return c.isOpen() && !c.doubted.Load() && c.wire.silentFor() <= c.wire.cfg.answeredFor
+}
+
+func (c *connection) isOpen() bool {
 	select {
 	case <-c.rpc.DisconnectNotify():
 		return false
 	default:
-		return c.wire.silentFor() <= c.wire.cfg.provenFor
+		return true
 	}
 }
 
+// Repeatable marks the calls of ctx as repeatable: they are sent without a ping
+// over a connection whose last call was answered.
+func Repeatable(ctx context.Context) context.Context {
+	return context.WithValue(ctx, repeatableKey{}, true)
+}
+
+type repeatableKey struct{}
+
+func repeatable(ctx context.Context) bool { return ctx.Value(repeatableKey{}) != nil }
+
 // prove returns nil when the other side answers within the bound.
 func (c *connection) prove(ctx context.Context) error {
 	select {
@@ -166,8 +187,9 @@
 	var raw json.RawMessage
 	err = waiter.Wait(ctx, &raw)
 	var answered *jsonrpc2.Error
+	c.doubted.Store(err != nil && !errors.As(err, &answered))
 	switch {
-	case errors.As(err, &answered):
+	case answered != nil:
 		return decodeError(method, answered)
 	case err != nil:
 		return fault.Wrap(fault.OutcomeUnknown, err, "call %s was sent and not answered", method)
--- a/router/roster/view.go
+++ b/router/roster/view.go
@@ -7,6 +7,7 @@
 
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/platformapi"
+	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/roster/hold"
 )
 
@@ -100,7 +101,7 @@
 
 // askOnce runs one round of asking.
 func (r *roster) askOnce(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, r.askWithin)
+	ctx, cancel := context.WithTimeout(instance.Repeatable(ctx), r.askWithin)
 	defer cancel()
 	var ask hold.Ask
 	var targets []hold.Member
