Draw more changes and fewer recoveries in the property of the holds

Change: one run in six ends with the recovery, which took most of the time, and members are isolated more often.

--- a/router/roster/hold/machine_test.go
+++ b/router/roster/hold/machine_test.go
@@ -17,7 +17,7 @@
 	flag.Parse()
 	given := make(map[string]bool)
 	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "400"} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1500"} {
 		if !given[name] {
 			_ = flag.Set(name, value)
 		}
@@ -375,9 +375,9 @@
 		w.heal()
 	case 1:
 		w.partition()
-	case 2:
+	case 2, 3:
 		w.isolate(w.draw())
-	case 3:
+	case 4:
 		w.cut[[2]int{w.draw().index, w.draw().index}] = true
 	}
 	if rapid.Bool().Draw(w.t, "storeCuts") {
@@ -445,7 +445,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		w.quiet = true
-		w.run(15 * time.Second)
+		w.run(8 * time.Second)
 		if w.effective == 0 {
 			t.Fatal("no view without faults")
 		}
@@ -454,7 +454,9 @@
 			w.disturb()
 			w.run(time.Duration(rapid.IntRange(100, 3000).Draw(t, "wait")) * time.Millisecond)
 		}
-		w.settle()
+		if rapid.IntRange(0, 5).Draw(t, "settle") == 0 {
+			w.settle()
+		}
 	})
 }
 
