Take the roster's agreed view into the router

Cause: homes of keys and shares of cold runners came from the platform's lagging list, which two instances can see differently. Ruled out: keeping the list as a second source for the view (only addresses come from it now, for the time when the store is out). Change: roster wired; the pools learn the members, whether the view is settled, and how long it is sure to stand.

--- a/router/entry.go
+++ b/router/entry.go
@@ -22,6 +22,7 @@
 	"cicadawell.dev/router/pool"
 	"cicadawell.dev/router/quota"
 	"cicadawell.dev/router/roll"
+	"cicadawell.dev/router/roster"
 	"cicadawell.dev/router/runner"
 	"cicadawell.dev/router/settings"
 )
@@ -39,6 +40,7 @@
 	Metrics   gauge.Metrics
 	Catalog   *catalog.Current
 	Mesh      instance.Network
+	Roster    roster.Roster
 	Registry  *registry
 	Rolls     roll.Rolls
 	Topology  *topology
@@ -52,8 +54,10 @@
 	Operators operators
 }
 
-func newTopology(cfg settings.Settings, c *catalog.Current, r *registry, pools pool.Pools, quotas quota.Quotas) *topology {
-	return &topology{cfg: cfg, catalog: c, out: noTakeouts{}, roster: r, pools: pools, quotas: quotas}
+func newTopology(cfg settings.Settings, c *catalog.Current, r roster.Roster, pools pool.Pools, quotas quota.Quotas, clk clock.Clock) *topology {
+	t := &topology{cfg: cfg, catalog: c, out: noTakeouts{}, roster: r, pools: pools, quotas: quotas, clk: clk}
+	r.Subscribe(t.update)
+	return t
 }
 
 // start makes the instance known, brings the bundle in force and only then
@@ -62,20 +66,20 @@
 	e.Fleet.handle()
 	e.Metrics.WatchPools(e.Pools.Status)
 	e.Metrics.Watch("cicadawell_bundle_version", func() float64 { return float64(e.Catalog.Version()) })
-	e.Registry.changed = e.Topology.update
 	e.Rolls.Subscribe(e.Topology.adopt)
 	if err := e.Mesh.Start(e.Loops.ctx); err != nil {
 		return err
 	}
 	e.Loops.start("mesh", func(context.Context) error { return e.Mesh.Serve(e.Listeners.instances) })
 	e.Loops.start("journal", e.Journal.Run)
-	e.Loops.start("registration", e.Registry.keep)
+	e.Loops.start("roster", e.Roster.Run)
 	e.Loops.start("list", e.Registry.follow)
 	if err := e.Rolls.Start(ctx); err != nil {
 		return err
 	}
 	e.Loops.start("rolls", e.Rolls.Run)
 	e.Loops.start("loads", e.Exchange.Run)
+	e.Loops.start("topology", e.Topology.follow)
 	e.Loops.start("operators", func(context.Context) error { return serveHTTPOn(e.Operators.Server, e.Listeners.operators) })
 	e.Loops.start("callers", func(context.Context) error { return e.Callers.Serve(e.Listeners.callers) })
 	return e.Listeners.announce(os.Stdout, e.Settings.ID)
--- a/router/pages/pages_test.go
+++ b/router/pages/pages_test.go
@@ -76,6 +76,8 @@
 // behind stands in for what lies behind the interface for callers.
 type behind struct{}
 
+func (behind) Ready() error { return nil }
+
 func (behind) Run(_ context.Context, job pipeline.Job) (callerapi.Answer, error) {
 	if job.Stream != nil {
 		for i, text := range []string{"Rank ", "7"} {
@@ -127,7 +129,7 @@
 	current.Advance(catalog.New(exampleBundle(t).WithVersion(1)))
 	clk := clock.System()
 	server := caller.NewServer(caller.Parts{
-		Clock: clk, Catalog: current, Executor: behind{}, Ledger: behind{}, Quotas: quota.New(),
+		Clock: clk, Readiness: behind{}, Catalog: current, Executor: behind{}, Ledger: behind{}, Quotas: quota.New(),
 		Journal: journal.New(hclog.NewNullLogger(), clk), Meter: behind{}, Identifiers: behind{},
 	})
 	files, err := filepath.Glob(root + "/docs/examples/calls/*.http")
--- a/router/parts.go
+++ b/router/parts.go
@@ -16,12 +16,14 @@
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/ledger"
 	"cicadawell.dev/router/loads"
+	"cicadawell.dev/router/peers"
 	"cicadawell.dev/router/pipeline"
 	"cicadawell.dev/router/platform"
 	"cicadawell.dev/router/pool"
 	"cicadawell.dev/router/quota"
 	"cicadawell.dev/router/retry"
 	"cicadawell.dev/router/roll"
+	"cicadawell.dev/router/roster"
 	"cicadawell.dev/router/runner"
 	"cicadawell.dev/router/settings"
 )
@@ -42,6 +44,7 @@
 		newList,
 		newMesh,
 		newRunners,
+		newRoster,
 		newRegistry,
 		newRolls,
 		newPools,
@@ -111,7 +114,7 @@
 func newQuotas() quota.Quotas { return quota.New() }
 
 func newRolls(cfg settings.Settings, store platform.Store, mesh instance.Network, f *registry, clk clock.Clock, log hclog.Logger) roll.Rolls {
-	self := roll.Peer{ID: cfg.ID, Zone: cfg.Zone}
+	self := peers.Peer{ID: cfg.ID, Zone: cfg.Zone}
 	return roll.New(self, store, mesh, f, clk, log.Named("roll"))
 }
 
@@ -150,7 +153,7 @@
 	Clock    clock.Clock
 	Log      hclog.Logger
 	Mesh     instance.Network
-	Registry *registry
+	Roster   roster.Roster
 	Executor pipeline.Executor
 }
 
@@ -160,7 +163,7 @@
 		ledger.WithClock(in.Clock),
 		ledger.WithLogger(in.Log.Named("ledger")),
 		ledger.WithMesh(in.Mesh),
-		ledger.WithRoster(in.Registry),
+		ledger.WithRoster(homes{roster: in.Roster, clk: in.Clock}),
 		ledger.WithRunner(in.Executor),
 	)
 }
--- a/router/topology.go
+++ b/router/topology.go
@@ -1,13 +1,17 @@
 package main
 
 import (
+	"context"
 	"sync"
+	"time"
 
 	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/router/catalog"
-	"cicadawell.dev/router/ledger"
 	"cicadawell.dev/router/pool"
 	"cicadawell.dev/router/quota"
+	"cicadawell.dev/router/roster"
+	"cicadawell.dev/router/roster/hold"
 	"cicadawell.dev/router/settings"
 )
 
@@ -23,9 +27,10 @@
 	cfg     settings.Settings
 	catalog *catalog.Current
 	out     absences
-	roster  ledger.Roster
+	roster  roster.Roster
 	pools   pool.Pools
 	quotas  quota.Quotas
+	clk     clock.Clock
 	// mu makes updates follow one another, so that the last one has read
 	// the newest of each part.
 	mu sync.Mutex
@@ -45,21 +50,50 @@
 	if err != nil {
 		return
 	}
-	view := t.roster.View()
+	state := t.roster.State()
+	members := ids(state.View.Members)
 	t.pools.Update(pool.Topology{
 		Runners:   current.Bundle().Runners,
 		ZonesOut:  t.out.Zones(),
 		Draining:  t.out.Runners(),
 		Zone:      t.cfg.Zone,
-		Instances: view.Members,
+		Instances: members,
 		Self:      t.cfg.ID,
-		Settled:   true,
+		Settled:   state.Effective,
 	})
-	t.quotas.Update(view.Members, t.cfg.ID)
+	t.renew()
+	t.quotas.Update(members, t.cfg.ID)
+}
+
+// renewPeriod is how often the pools learn how long the view is sure to stand.
+const renewPeriod = 250 * time.Millisecond
+
+// renew tells the pools how long the view is sure to stand.
+func (t *topology) renew() {
+	state := t.roster.State()
+	t.pools.Hold(state.Held.Add(state.Hold))
+}
+
+// follow renews until ctx ends.
+func (t *topology) follow(ctx context.Context) error {
+	for {
+		t.renew()
+		if err := t.clk.Sleep(ctx, renewPeriod); err != nil {
+			return err
+		}
+	}
+}
+
+func ids(members []hold.Member) []string {
+	out := make([]string, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.ID)
+	}
+	return out
 }
 
 // Members returns the instances that share the runners.
-func (t *topology) Members() []string { return t.roster.View().Members }
+func (t *topology) Members() []string { return ids(t.roster.State().View.Members) }
 
 // Runners returns the runners of the bundle in force.
 func (t *topology) Runners() []bundle.Runner {
