Take zones and runners out with totally ordered orders

Cause: a zone taken out gets no new work within seconds, also while the store is out, and comes back only by a write to the store. Ruled out: one document for all orders (racing operators on different zones would conflict); pushing an order by every holder (messages grow with the square of the fleet). Change: router/takeout with a generation for each name, out before in at a tie, spread by the store, by direct calls and by exchanges; a start and a pause learn from the store and from the others before work is sent.

--- /dev/null
+++ b/router/takeout/takeout_test.go
@@ -0,0 +1,165 @@
+package takeout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/operatorapi"
+	"github.com/matryer/is"
+)
+
+func order(generation uint64, out bool, id string) Order {
+	return Order{Kind: Zone, Takeout: operatorapi.Takeout{Name: "a", Generation: generation, Out: out, Order: id}}
+}
+
+func TestOrdersAreTotallyOrdered(t *testing.T) {
+	is := is.New(t)
+	ascending := []Order{
+		order(1, false, "y"), order(1, false, "z"), order(1, true, "a"), order(1, true, "b"),
+		order(2, false, "a"), order(2, true, "a"),
+	}
+	for i, low := range ascending {
+		for _, high := range ascending[i+1:] {
+			is.Equal(newSet(nil).With(low).With(high).Find(Zone, "a"), high)
+			is.Equal(newSet(nil).With(high).With(low).Find(Zone, "a"), high)
+			is.Equal(newSet(nil).With(high, low).Zones["a"], high.Out)
+		}
+	}
+}
+
+// inFleet runs f with started instances and stops them after.
+func inFleet(t *testing.T, size int, f func(is *is.I, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(1)
+		w.changed = make(chan struct{})
+		for i := range size {
+			w.start(fmt.Sprintf("i%03d", i+1))
+		}
+		passes(10 * time.Second)
+		f(is.New(t), w)
+		for _, p := range w.procs {
+			p.stop()
+		}
+		for _, p := range w.procs {
+			p.done.Wait()
+		}
+		passes(time.Minute)
+		for _, v := range w.violations {
+			t.Error(v)
+		}
+	})
+}
+
+// TestOutReachesAllInTime orders a zone out with and without the store and
+// counts what that takes.
+func TestOutReachesAllInTime(t *testing.T) {
+	for _, size := range []int{5, 50, 150} {
+		for _, storeOut := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d instances, store out %v", size, storeOut), func(t *testing.T) {
+				inFleet(t, size, func(is *is.I, w *world) {
+					w.mu.Lock()
+					w.storeOut = storeOut
+					messages, bytes := w.messages, w.bytes
+					w.mu.Unlock()
+					begin := bubble.Now()
+					s, err := w.procs[0].node.Of(Zone).Out(context.Background(), "ann", "a", newOrder(0))
+					is.NoErr(err)
+					is.Equal(s.Stored, !storeOut)
+					took := bubble.Now().Sub(begin)
+					for _, p := range w.procs {
+						is.True(p.node.Current().Zones["a"])
+					}
+					is.True(took <= 3*time.Second)
+					t.Logf("acknowledged with all holding it after %v of virtual time; %d messages, %d bytes an instance",
+						took, (w.messages-messages)/size, (w.bytes-bytes)/size)
+				})
+			})
+		}
+	}
+}
+
+// TestStartLearnsFromOthers starts an instance while the store does not know
+// an order: it is out, or does not hold the order yet.
+func TestStartLearnsFromOthers(t *testing.T) {
+	for _, storeOut := range []bool{true, false} {
+		inFleet(t, 3, func(is *is.I, w *world) {
+			w.mu.Lock()
+			w.storeOut = storeOut
+			for _, p := range w.procs {
+				p.cutStore = true
+			}
+			w.mu.Unlock()
+			_, err := w.procs[0].node.Of(Zone).Out(context.Background(), "ann", "a", newOrder(0))
+			is.NoErr(err)
+			p := w.start("i009")
+			for p.node.Ready() != nil {
+				is.True(!p.node.started.Load() || p.node.Current().Zones["a"])
+				passes(time.Millisecond)
+			}
+			is.True(p.node.Current().Zones["a"]) // before it serves
+		})
+	}
+}
+
+func TestOutAloneIsNotAcknowledged(t *testing.T) {
+	inFleet(t, 3, func(is *is.I, w *world) {
+		p := w.procs[0]
+		w.mu.Lock()
+		p.cutStore, p.cutPeers = true, true
+		w.mu.Unlock()
+		_, err := p.node.Of(Zone).Out(context.Background(), "ann", "a", newOrder(0))
+		is.True(fault.Is(err, fault.StoreUnavailable))
+		is.Equal(fault.Of(err).Outcome(), fault.Unknown)
+		is.True(p.node.Current().Zones["a"]) // in force here
+		w.mu.Lock()
+		p.cutStore, p.cutPeers = false, false
+		w.mu.Unlock()
+		passes(5 * time.Second)
+		is.True(w.procs[1].node.Current().Zones["a"]) // tried again
+		rows, err := p.node.Of(Zone).List(context.Background())
+		is.NoErr(err)
+		is.True(rows[0].Out && rows[0].Complete())
+	})
+}
+
+// TestInNeedsTheOrderThatStands lets an operator bring a zone back who has not
+// seen the latest order, and one while the store is out.
+func TestInNeedsTheOrderThatStands(t *testing.T) {
+	inFleet(t, 3, func(is *is.I, w *world) {
+		ctx := context.Background()
+		_, err := w.procs[0].node.Of(Zone).Out(ctx, "ann", "a", newOrder(0))
+		is.NoErr(err)
+		second, err := w.procs[2].node.Of(Zone).Out(ctx, "ben", "a", newOrder(1))
+		is.NoErr(err)
+		_, err = w.procs[1].node.Of(Zone).In(ctx, "ann", "a", newOrder(1))
+		is.True(fault.Is(err, fault.Conflict))
+		is.True(strings.Contains(err.Error(), "ben ordered it out with generation 2"))
+		var r operatorapi.Refusal
+		var c *conflictError
+		is.True(errors.As(err, &c))
+		c.Stands(&r)
+		is.Equal(r.Takeout.Order, second.Order)
+		w.mu.Lock()
+		w.storeOut = true
+		w.mu.Unlock()
+		_, err = w.procs[1].node.Of(Zone).In(ctx, "ann", "a", newOrder(2))
+		is.True(fault.Is(err, fault.StoreUnavailable))
+		for _, p := range w.procs {
+			is.True(p.node.Current().Zones["a"])
+		}
+		w.mu.Lock()
+		w.storeOut = false
+		w.mu.Unlock()
+		s, err := w.procs[1].node.Of(Zone).In(ctx, "ann", "a", newOrder(2))
+		is.NoErr(err)
+		is.True(s.Complete() && !s.Out)
+		_, err = w.procs[1].node.Of(Runner).Out(ctx, "ann", "nobody", newOrder(0))
+		is.True(fault.Is(err, fault.NotFound))
+	})
+}
