Test the operators' interface and pages

Cause: operators read tables and pages; both have to stay true. Ruled out: canned outputs beside the pages (they would drift from them). Change: each command of docs/operating/bundles.md and zones.md is run and its output compared with the page; golden tables; exit codes; the HTTP server's rights, limits and refusals. ctl now tells a call that was sent without an answer (exit code 6) from one that reached no server (4).

--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -83,7 +83,9 @@
 		if err == nil || !tryNext(err) {
 			return err
 		}
-		last = err
+		if last == nil || !onlyUnreachable(err) {
+			last = err
+		}
 	}
 	if last == nil {
 		last = eris.New("no server named")
@@ -91,6 +93,12 @@
 	return last
 }
 
+// onlyUnreachable reports whether a call certainly did nothing at a server.
+func onlyUnreachable(err error) bool {
+	var u *UnreachableError
+	return errors.As(err, &u) && !u.Sent
+}
+
 // tryNext reports whether another server may do better.
 func tryNext(err error) bool {
 	return errors.Is(err, ErrUnreachable) || fault.Is(err, fault.StoreUnavailable) ||
@@ -106,12 +114,12 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return unreachable(err, target)
+		return &UnreachableError{Sent: method != http.MethodGet && !isDial(err), cause: eris.Wrapf(err, "call %s", target)}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, 2*operatorapi.MaxBundleBytes))
 	if err != nil {
-		return unreachable(err, target)
+		return &UnreachableError{Sent: method != http.MethodGet, cause: eris.Wrapf(err, "answer of %s", target)}
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		return refusal(resp.StatusCode, data)
@@ -122,14 +130,23 @@
 	return nil
 }
 
-// unreachableError is a call without an answer.
-type unreachableError struct{ cause error }
+// UnreachableError is a call without an answer.
+type UnreachableError struct {
+	// Sent tells that the call may have changed something.
+	Sent  bool
+	cause error
+}
+
+// Error returns the cause's text.
+func (e *UnreachableError) Error() string { return e.cause.Error() }
 
-func (e *unreachableError) Error() string   { return e.cause.Error() }
-func (e *unreachableError) Unwrap() []error { return []error{ErrUnreachable, e.cause} }
+// Unwrap returns ErrUnreachable and the cause.
+func (e *UnreachableError) Unwrap() []error { return []error{ErrUnreachable, e.cause} }
 
-func unreachable(err error, target string) error {
-	return &unreachableError{cause: eris.Wrapf(err, "call %s", target)}
+// isDial reports whether no connection was made.
+func isDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
 }
 
 func refusal(status int, data []byte) error {
--- a/ctl/exit.go
+++ b/ctl/exit.go
@@ -40,6 +40,7 @@
 // exitCode returns the exit code for err.
 func exitCode(err error) int {
 	var usage *usageError
+	var unreachable *client.UnreachableError
 	switch {
 	case err == nil:
 		return ExitOK
@@ -47,6 +48,8 @@
 		return ExitUsage
 	case errors.Is(err, errIncomplete), errors.Is(err, context.Canceled):
 		return ExitIncomplete
+	case errors.As(err, &unreachable) && unreachable.Sent:
+		return ExitUnknown
 	case errors.Is(err, client.ErrUnreachable):
 		return ExitUnreachable
 	case fault.Is(err, fault.Conflict):
--- /dev/null
+++ b/ctl/server_test.go
@@ -0,0 +1,188 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/operatorapi"
+)
+
+// server answers as an instance does, with fixed times.
+type server struct {
+	status   operatorapi.BundleStatus
+	contents map[uint64]bundle.Bundle
+	zones    map[string]*operatorapi.TakeoutStatus
+	runners  map[string]*operatorapi.TakeoutStatus
+	now      time.Time
+}
+
+func newServer(t *testing.T) *httptest.Server {
+	s := &server{
+		status:   operatorapi.BundleStatus{Instance: "i1"},
+		contents: map[uint64]bundle.Bundle{},
+		zones:    map[string]*operatorapi.TakeoutStatus{},
+		runners:  map[string]*operatorapi.TakeoutStatus{},
+		now:      time.Date(2026, 5, 4, 9, 0, 0, 0, time.UTC),
+	}
+	for _, z := range []string{"jhb-1", "jhb-2"} {
+		s.zones[z] = &operatorapi.TakeoutStatus{Takeout: operatorapi.Takeout{Name: z}, Stored: true, Holding: []string{"i1", "i2"}}
+	}
+	s.zones["jhb-2"].InFlight = 3
+	s.runners["gen-1"] = &operatorapi.TakeoutStatus{
+		Takeout: operatorapi.Takeout{Name: "gen-1"}, Stored: true, Holding: []string{"i1", "i2"},
+		Service: "generate", Zone: "jhb-1", InFlight: 2,
+	}
+	m := http.NewServeMux()
+	m.HandleFunc("GET "+operatorapi.PathBundle, answer(func(*http.Request) (any, error) { return s.status, nil }))
+	m.HandleFunc("POST "+operatorapi.PathDrafts, answer(s.write))
+	m.HandleFunc("GET "+operatorapi.PathVersion, answer(func(r *http.Request) (any, error) {
+		return s.contents[number64(r)], nil
+	}))
+	m.HandleFunc("POST "+operatorapi.PathSign, answer(s.step(s.sign)))
+	m.HandleFunc("POST "+operatorapi.PathRoll, answer(s.step(s.roll)))
+	for _, list := range []struct {
+		path string
+		rows map[string]*operatorapi.TakeoutStatus
+	}{{operatorapi.PathZones, s.zones}, {operatorapi.PathRunners, s.runners}} {
+		m.HandleFunc("GET "+list.path, answer(func(*http.Request) (any, error) { return rowsOf(list.rows), nil }))
+	}
+	m.HandleFunc("POST "+operatorapi.PathZoneOut, answer(s.order(s.zones, "zone", true)))
+	m.HandleFunc("POST "+operatorapi.PathZoneIn, answer(s.order(s.zones, "zone", false)))
+	m.HandleFunc("POST "+operatorapi.PathDrain, answer(s.order(s.runners, "runner", true)))
+	m.HandleFunc("POST "+operatorapi.PathUndrain, answer(s.order(s.runners, "runner", false)))
+	m.HandleFunc("GET "+operatorapi.PathRequest, answer(s.explain))
+	m.HandleFunc("GET "+operatorapi.PathInstances, answer(s.instances))
+	h := httptest.NewServer(m)
+	t.Cleanup(h.Close)
+	return h
+}
+
+func number64(r *http.Request) uint64 {
+	n, _ := strconv.ParseUint(r.PathValue("version"), 10, 64)
+	return n
+}
+
+// by returns the operator, whose key is the name.
+func by(r *http.Request) string {
+	return strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+}
+
+// conflict is a refusal that shows what stands.
+type conflict struct{ operatorapi.Refusal }
+
+func (c *conflict) Error() string { return c.Refusal.Error.Detail }
+
+func answer(h func(r *http.Request) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		v, err := h(r)
+		var c *conflict
+		if errors.As(err, &c) {
+			w.WriteHeader(http.StatusConflict)
+			_ = json.NewEncoder(w).Encode(c.Refusal)
+			return
+		}
+		if err != nil {
+			w.WriteHeader(fault.AnswerOf(fault.Of(err).Kind()).Status)
+			v = operatorapi.Refusal{Error: fault.Of(err).Message()}
+		}
+		_ = json.NewEncoder(w).Encode(v)
+	}
+}
+
+func (s *server) tick() time.Time {
+	s.now = s.now.Add(time.Minute)
+	return s.now
+}
+
+func (s *server) write(r *http.Request) (any, error) {
+	var w operatorapi.WriteRequest
+	var b bundle.Bundle
+	_ = json.NewDecoder(r.Body).Decode(&w)
+	_ = json.Unmarshal(w.Bundle, &b)
+	digest, _ := b.Digest()
+	v := operatorapi.Version{
+		Version: uint64(len(s.status.Versions) + 1), Phase: operatorapi.Draft, Base: b.Version, Digest: digest,
+		Writer: by(r), WrittenAt: s.tick(), Note: w.Note,
+	}
+	s.status.Versions = append(s.status.Versions, v)
+	s.contents[v.Version] = b.WithVersion(v.Version)
+	return v, nil
+}
+
+func (s *server) step(do func(v *operatorapi.Version, who string) error) func(r *http.Request) (any, error) {
+	return func(r *http.Request) (any, error) {
+		var p operatorapi.StepRequest
+		_ = json.NewDecoder(r.Body).Decode(&p)
+		v := &s.status.Versions[number64(r)-1]
+		if v.Phase != operatorapi.Accepted && p.Seen != s.status.InForce || v.Base != s.status.InForce {
+			e := fault.New(fault.Conflict, "version %d was made from version %d; now version %d is in force", v.Version, v.Base, s.status.InForce)
+			return nil, &conflict{operatorapi.Refusal{Error: e.Message(), Bundle: &s.status}}
+		}
+		err := do(v, by(r))
+		return v, err
+	}
+}
+
+func (s *server) sign(v *operatorapi.Version, who string) error {
+	if v.Writer == who {
+		return fault.New(fault.Forbidden, "%s wrote version %d; another operator has to sign it off", who, v.Version)
+	}
+	v.Phase, v.Signer, v.SignedAt = operatorapi.Signed, who, s.tick()
+	return nil
+}
+
+func (s *server) roll(v *operatorapi.Version, who string) error {
+	v.Phase, v.Roller, v.RolledAt = operatorapi.Accepted, who, s.tick()
+	v.DecidedAt, v.AcceptedAt, v.MemberCount = s.tick(), s.tick(), 2
+	s.status.InForce, s.status.InForceHere = v.Version, v.Version
+	return nil
+}
+
+func rowsOf(rows map[string]*operatorapi.TakeoutStatus) operatorapi.TakeoutList {
+	var l operatorapi.TakeoutList
+	for _, name := range []string{"jhb-1", "jhb-2", "gen-1"} {
+		if r, ok := rows[name]; ok {
+			l.Rows = append(l.Rows, *r)
+		}
+	}
+	return l
+}
+
+func (s *server) order(rows map[string]*operatorapi.TakeoutStatus, param string, out bool) func(r *http.Request) (any, error) {
+	return func(r *http.Request) (any, error) {
+		var o operatorapi.TakeoutRequest
+		_ = json.NewDecoder(r.Body).Decode(&o)
+		row := rows[r.PathValue(param)]
+		row.Out, row.By, row.Reason, row.At, row.Order = out, by(r), o.Reason, s.tick(), o.Order
+		row.Generation++
+		return row, nil
+	}
+}
+
+func (s *server) explain(r *http.Request) (any, error) {
+	at := s.now
+	return operatorapi.Explanation{
+		Request: r.PathValue("request"),
+		Decisions: []operatorapi.Decision{
+			{At: at, Instance: "i1", Step: "admitted", Reason: "team ranks, tier gold"},
+			{At: at.Add(2 * time.Millisecond), Instance: "i1", Step: "chosen", Stage: "encode", Runner: "enc-1", Reason: "least in flight of two"},
+			{At: at.Add(9 * time.Millisecond), Instance: "i1", Step: "answered", Stage: "encode", Runner: "enc-1", Micros: 6500},
+		},
+		Silent: []string{"i2"},
+	}, nil
+}
+
+func (s *server) instances(*http.Request) (any, error) {
+	return operatorapi.InstanceList{Rows: []operatorapi.InstanceStatus{
+		{ID: "i1", Zone: "jhb-1", Address: "10.0.0.1:7200", State: "live", Bundle: 3},
+		{ID: "i2", Zone: "jhb-2", Address: "10.0.0.2:7200", State: "leaving", Bundle: 3},
+	}}, nil
+}
--- a/ctl/takeout.go
+++ b/ctl/takeout.go
@@ -124,7 +124,7 @@
 		if row, err = takeoutRow(s, t, order.Name); err != nil {
 			return "", false, err
 		}
-		if row.Generation > order.Generation && row.Out != order.Out {
+		if row.Generation >= order.Generation && row.Out != order.Out {
 			return "", false, fault.New(fault.Conflict, "%s ordered %s %s with generation %d",
 				row.By, t.noun, outOrIn(row.Out), row.Generation)
 		}
