--- a/router/roll/roll.go
+++ b/router/roll/roll.go
@@ -28,6 +28,9 @@
 	Handle(method string, h instance.Handler)
 }
 
+// Peer is an instance of the platform's list.
+type Peer = peers.Peer
+
 // Fleet tells which instances there are.
 type Fleet interface {
 	// Registered returns the instances registered in the store, read from
--- a/router/takeout/takeout.go
+++ b/router/takeout/takeout.go
@@ -46,6 +46,9 @@
 type Takeouts interface {
 	// Current returns what is out. It never blocks and is never nil.
 	Current() *Set
+	// Zones and Runners return those that are out; they must not be changed.
+	Zones() map[string]bool
+	Runners() map[string]bool
 	// Subscribe calls f with what is out and after each change, in order.
 	// An order is acknowledged to others only after f has returned.
 	Subscribe(f func(*Set))
@@ -125,6 +128,10 @@
 
 func (n *node) Current() *Set { return n.current.Load() }
 
+func (n *node) Zones() map[string]bool { return n.Current().Zones }
+
+func (n *node) Runners() map[string]bool { return n.Current().Runners }
+
 func (n *node) Subscribe(f func(*Set)) {
 	n.change.Lock()
 	defer n.change.Unlock()
