Test that wrongly numbered tokens are found

Cause: with the check of the index switched off all tests passed. Change: a stream whose numbers are off by one.

--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -51,11 +51,12 @@
 	return callerapi.Answer{Request: "r", Outcome: fault.Run, Output: output}, tokens
 }
 
-// stream writes the tokens from first to last and then the end mark.
-func stream(w http.ResponseWriter, req callerapi.Request, first, last int, end bool) {
+// stream writes the tokens from first to last, numbered from number on, and
+// then the end mark.
+func stream(w http.ResponseWriter, req callerapi.Request, first, last, number int, end bool) {
 	answer, tokens := answerTo(req)
 	for i := first; i < last; i++ {
-		data, _ := json.Marshal(callerapi.Token{Index: i, Text: tokens[i]})
+		data, _ := json.Marshal(callerapi.Token{Index: number + i - first, Text: tokens[i]})
 		fmt.Fprintf(w, "event: token\ndata: %s\n\n", data)
 	}
 	if end {
@@ -69,20 +70,21 @@
 		Pipeline: generate, Work: runner.Work{Text: "x", Tokens: 4}, Deadline: 300 * time.Millisecond, Stream: true,
 	}
 	for _, tc := range []struct {
-		name        string
-		first, last int
-		end         bool
-		outcome     fault.Outcome
+		name                string
+		first, last, number int
+		end                 bool
+		outcome             fault.Outcome
 	}{
-		{"whole", 0, 4, true, fault.Run},
-		{"without its end mark", 0, 4, false, fault.Unknown},
-		{"without its last token", 0, 3, true, fault.Unknown},
-		{"without its first token", 1, 4, true, fault.Unknown},
+		{"whole", 0, 4, 0, true, fault.Run},
+		{"without its end mark", 0, 4, 0, false, fault.Unknown},
+		{"without its last token", 0, 3, 0, true, fault.Unknown},
+		{"without its first token", 1, 4, 1, true, fault.Unknown},
+		{"wrongly numbered", 0, 4, 1, true, fault.Unknown},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			client := serve(t, func(w http.ResponseWriter, req callerapi.Request, _ int64) {
-				stream(w, req, tc.first, tc.last, tc.end)
+				stream(w, req, tc.first, tc.last, tc.number, tc.end)
 			})
 			reply := client.Do(t.Context(), call)
 			is.Equal(reply.Outcome, tc.outcome)
