--- a/router/order/plan.go
+++ b/router/order/plan.go
@@ -166,11 +166,12 @@
 	return ""
 }
 
-// witness returns another runner that serves m and will go on to, or "".
+// witness returns another runner that serves m and will go on to, or "". No
+// runner in service is settling by now.
 func (p *planner) witness(s Seen, m string) string {
 	for _, other := range p.seen {
 		keeps := slices.Contains(other.Models, m) && slices.Contains(other.Runner.Models, m)
-		if other.Runner.ID != s.Runner.ID && other.Known && !other.Settling && !other.Out && keeps {
+		if other.Runner.ID != s.Runner.ID && other.Known && !other.Out && keeps {
 			return other.Runner.ID
 		}
 	}
--- a/router/order/tenure_test.go
+++ b/router/order/tenure_test.go
@@ -14,13 +14,13 @@
 
 var epoch = time.Unix(1_000_000, 0)
 
-// at returns what the clock shows when the store's shows real.
-func (r rate) at(real time.Duration) time.Time {
-	return epoch.Add(real + real*time.Duration(r)/1000)
+// at returns what the clock shows when the store's shows stored.
+func (r rate) at(stored time.Duration) time.Time {
+	return epoch.Add(stored + stored*time.Duration(r)/1000)
 }
 
-// real returns the store's time when the clock shows own, rounded down.
-func (r rate) real(own time.Time) time.Duration {
+// stored returns the store's time when the clock shows own, rounded down.
+func (r rate) stored(own time.Time) time.Duration {
 	return time.Duration(int64(own.Sub(epoch)) * 1000 / (1000 + int64(r)))
 }
 
@@ -32,21 +32,26 @@
 	).Draw(t, name)
 }
 
+// drift draws a clock that is often as fast or slow as it may be.
+func drift(t *rapid.T, name string) rate {
+	return rate(rapid.OneOf(rapid.SampledFrom([]int64{-47, 47}), rapid.Int64Range(-47, 47)).Draw(t, name))
+}
+
 // One holder orders as late as its tenure allows, is paused after the last
 // check, and its order takes as long as it may; its lease lapses, the next
 // holder creates the key at once and orders as early as its tenure allows.
 func TestHandoverProperty(t *testing.T) {
 	l := limits()
 	rapid.Check(t, func(t *rapid.T) {
-		a := rate(rapid.Int64Range(-47, 47).Draw(t, "drift of the old holder"))
-		b := rate(rapid.Int64Range(-47, 47).Draw(t, "drift of the new holder"))
+		a := drift(t, "drift of the old holder")
+		b := drift(t, "drift of the new holder")
 		tenure, lapse, held := oldTenure(t, a, l)
 
 		// The old holder writes at some time at which the check passes.
-		latest := a.real(tenure.Until)
+		latest := a.stored(tenure.Until)
 		write := max(held, latest-edge(t, "before the end", 2*l.Delivery))
 		if tenure.Check("r", a.at(write), l) != nil {
-			write = max(held, latest-l.Delivery-l.Delivery/5)
+			write = max(held, a.stored(tenure.Until.Add(-l.Delivery-l.Delivery/10)))
 		}
 		if tenure.Check("r", a.at(write), l) != nil {
 			return // it held for too short a time to order at all
@@ -58,7 +63,7 @@
 		learnt := created + edge(t, "answer", time.Second)
 		next := order.Tenure{}.WithLease(2, b.at(created), l).WithHold("r", 2, b.at(learnt), l)
 		hold, _ := next.Hold("r")
-		for _, first := range []time.Duration{created, learnt, b.real(hold.ReadyAt), b.real(hold.ReadyAt) + 1} {
+		for _, first := range []time.Duration{created, learnt, b.stored(hold.ReadyAt), b.stored(hold.ReadyAt) + 1} {
 			if next.Check("r", b.at(first), l) == nil && first <= effect {
 				t.Fatalf("new holder orders at %v, the old one's order takes effect at %v", first, effect)
 			}
@@ -73,7 +78,7 @@
 	effect := start + edge(t, "grant", time.Second)
 	tenure = order.Tenure{}.WithLease(1, a.at(start), l).WithHold("r", 1, a.at(effect), l)
 	hold, _ := tenure.Hold("r")
-	held = a.real(hold.ReadyAt) + 1
+	held = a.stored(hold.ReadyAt) + 1
 	lapse = effect + l.LeaseTTL
 	for range rapid.IntRange(0, 3).Draw(t, "renewals") {
 		start = effect + edge(t, "until renewal", l.LeaseTTL/2)
--- a/router/order/world_test.go
+++ b/router/order/world_test.go
@@ -53,8 +53,25 @@
 	engines  map[string]*engine
 	bundle   []bundle.Runner
 	breaches []string
-	// effects counts the orders that took effect.
-	effects int
+	// effects counts the orders that took effect, and lastWrite is when the
+	// latest was written.
+	effects   int
+	lastWrite time.Time
+	// renewed is when the store last renewed a lease.
+	renewed time.Time
+	faults
+}
+
+// faults are those that a test switches by hand.
+type faults struct {
+	// storeDown fails all calls to the store.
+	storeDown bool
+	// renewalDelay holds the answers to renewals back.
+	renewalDelay time.Duration
+	// stateDelay holds the states of runners back.
+	stateDelay time.Duration
+	// loadsFail keeps the runners as they are after an order.
+	loadsFail bool
 }
 
 // engine is one runner. It takes in orders at their effect.
@@ -110,6 +127,23 @@
 // happens reports whether a fault with a chance of 1 in n happens.
 func (c chance) happens(n int) bool { return c.faulty && c.rng.IntN(n) == 0 }
 
+// with calls f while the world stands still.
+func (w *world) with(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+func (w *world) switches() (f faults) {
+	w.with(func() { f = w.faults })
+	return f
+}
+
+func (w *world) held() (n int) {
+	w.with(func() { n = len(w.keys) })
+	return n
+}
+
 func (w *world) breach(format string, args ...any) {
 	w.breaches = append(w.breaches, fmt.Sprintf(format, args...))
 }
@@ -165,7 +199,7 @@
 	if s.chance.happens(12) {
 		*s.outUntil = clock.System().Now().Add(s.chance.upTo(12 * time.Second))
 	}
-	if ctx.Err() != nil || clock.System().Now().Before(*s.outUntil) {
+	if ctx.Err() != nil || w.switches().storeDown || clock.System().Now().Before(*s.outUntil) {
 		return fault.New(fault.StoreUnavailable, "refused").WithOutcome(fault.NotRun)
 	}
 	if write && s.chance.happens(15) { // takes effect long after the caller gave up
@@ -209,18 +243,20 @@
 	}
 }
 
-func (s storeClient) Get(ctx context.Context, key string) (entry *platformapi.Entry, revision uint64, err error) {
-	err = s.call(ctx, false, func() error {
+func (s storeClient) Get(ctx context.Context, key string) (*platformapi.Entry, uint64, error) {
+	var entry *platformapi.Entry
+	err := s.call(ctx, false, func() error {
 		if e, ok := s.w.keys[key]; ok {
 			entry = &e
 		}
 		return nil
 	})
-	return entry, revision, err
+	return entry, 0, err
 }
 
-func (s storeClient) Put(ctx context.Context, put platformapi.PutRequest) (revision uint64, err error) {
-	err = s.call(ctx, true, func() error {
+func (s storeClient) Put(ctx context.Context, put platformapi.PutRequest) (uint64, error) {
+	var revision uint64
+	err := s.call(ctx, true, func() error {
 		if _, ok := s.w.keys[put.Key]; ok {
 			return fault.New(fault.Conflict, "put")
 		}
@@ -232,38 +268,50 @@
 		s.w.keys[put.Key] = platformapi.Entry{Key: put.Key, Value: put.Value, Revision: revision, Lease: put.Lease}
 		return nil
 	})
-	return revision, err
+	if err != nil {
+		return 0, err // the effect may come later
+	}
+	return revision, nil
 }
 
-func (s storeClient) Delete(ctx context.Context, del platformapi.DeleteRequest) (revision uint64, err error) {
-	err = s.call(ctx, true, func() error {
+func (s storeClient) Delete(ctx context.Context, del platformapi.DeleteRequest) (uint64, error) {
+	err := s.call(ctx, true, func() error {
 		if s.w.keys[del.Key].Revision != *del.IfRevision {
 			return fault.New(fault.Conflict, "delete")
 		}
 		delete(s.w.keys, del.Key)
 		return nil
 	})
-	return revision, err
+	return 0, err
 }
 
-func (s storeClient) Grant(ctx context.Context, ttl time.Duration) (lease uint64, err error) {
-	err = s.call(ctx, true, func() error {
+func (s storeClient) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	var lease uint64
+	err := s.call(ctx, true, func() error {
 		s.w.lease++
 		lease = s.w.lease
 		s.w.ends[lease] = clock.System().Now().Add(ttl)
 		return nil
 	})
-	return lease, err
+	if err != nil {
+		return 0, err // the effect may come later
+	}
+	return lease, nil
 }
 
 func (s storeClient) KeepAlive(ctx context.Context, lease uint64) error {
-	return s.call(ctx, true, func() error {
+	err := s.call(ctx, true, func() error {
 		if _, ok := s.w.ends[lease]; !ok {
 			return fault.New(fault.NotFound, "keep alive")
 		}
-		s.w.ends[lease] = clock.System().Now().Add(limits().LeaseTTL)
+		s.w.renewed = clock.System().Now()
+		s.w.ends[lease] = s.w.renewed.Add(limits().LeaseTTL)
 		return nil
 	})
+	if err == nil {
+		pause(s.w.switches().renewalDelay)
+	}
+	return err
 }
 
 func (s storeClient) Revoke(ctx context.Context, lease uint64) error {
@@ -297,6 +345,7 @@
 	c.mu.Lock()
 	c.reads[of.ID] = clock.System().Now()
 	c.mu.Unlock()
+	pause(c.w.switches().stateDelay)
 	return state, nil
 }
 
@@ -314,6 +363,9 @@
 	n := w.write(to.ID, o, c.reads[to.ID])
 	c.mu.Unlock()
 	delay := x.longest(limits().Delivery)
+	if !w.faulty {
+		delay = 10 * time.Millisecond
+	}
 	if e.checks && x.happens(3) {
 		delay = x.upTo(20 * time.Second)
 	}
@@ -344,6 +396,7 @@
 	}
 	e.written = max(e.written, o.Fencing)
 	e.orders++
+	w.lastWrite = clock.System().Now()
 	return e.orders
 }
 
@@ -366,7 +419,7 @@
 	}
 	e.latest = n
 	e.state.Fencing = o.Fencing
-	if !e.chance.faulty || e.chance.happens(4) { // else the load fails, and the holder goes on
+	if !w.loadsFail && (!w.faulty || e.chance.happens(4)) { // else the load fails, and the holder goes on
 		e.state.Models = o.Models
 	}
 	e.changed = clock.System().Now()
--- a/router/pool/group.go
+++ b/router/pool/group.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -33,6 +32,9 @@
 	waiting [2]atomic.Int64
 	turn    atomic.Uint32
 
+	// waits are the estimated waits of a new ask, in nanoseconds.
+	waits [2]atomic.Int64
+
 	// mu guards the queues. It is taken before a runner's mu.
 	mu     sync.Mutex
 	queues [2]queue
@@ -69,6 +71,14 @@
 	return !isPaying && g.waiting[free].Load() > 0
 }
 
+// changed puts out the length of a queue and the wait that it means; g.mu is
+// held.
+func (g *group) changed(class int) {
+	q := &g.queues[class]
+	g.waiting[class].Store(int64(q.size))
+	g.waits[class].Store(int64(q.interval * float64(q.size+1)))
+}
+
 // usable reports whether the ask has a runner at all.
 func (g *group) usable(ask *Ask) bool {
 	for r := range g.members.Load().all {
@@ -83,7 +93,7 @@
 type attempt struct {
 	p   *pools
 	g   *group
-	ask *Ask
+	ask Ask
 	now instant
 	// undone is set when free work gave a place back because paying work
 	// had begun to wait; the runner it was on needs a dispatch.
@@ -109,16 +119,20 @@
 	if !r.take(a.ask.Paying) {
 		return nil
 	}
-	pl := &place{p: a.p, r: r, g: a.g, paying: a.ask.Paying, reason: why}
-	if a.ask.Paying {
+	return a.claim(&place{p: a.p, r: r, g: a.g, paying: a.ask.Paying, reason: why})
+}
+
+// claim makes a place that was taken known and returns it, or nil when it was
+// given back. A free place is listed before the check, so that paying work
+// that begins to wait either is seen here or sees the place there.
+func (a *attempt) claim(pl *place) *place {
+	if pl.paying {
 		return pl
 	}
-	// The place is listed before the check, so that paying work that begins
-	// to wait either is seen here or sees the place there.
 	pl.link()
-	if r.payingWaits() {
+	if pl.r.payingWaits() {
 		pl.undo()
-		a.undone = r
+		a.undone = pl.r
 		return nil
 	}
 	return pl
@@ -248,20 +262,3 @@
 	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
 	return x ^ (x >> 31)
 }
-
-// subset returns the runners that the instance at the given index uses: in
-// each round every runner goes to one instance, in an order that all
-// instances compute alike.
-func subset(list []*runner, size, index int) []*runner {
-	if len(list) <= size || size <= 0 {
-		return list
-	}
-	parts := len(list) / size
-	round, part := index/parts, index%parts
-	shuffled := slices.Clone(list)
-	rng := rand.New(rand.NewPCG(uint64(round), uint64(len(list))))
-	rng.Shuffle(len(shuffled), func(i, j int) {
-		shuffled[i], shuffled[j] = shuffled[j], shuffled[i]
-	})
-	return shuffled[part*size : (part+1)*size]
-}
