Shorten the stand-ins; test cancels and lost connections

Cause: bodies were decoded in four ways. Change: endpoint.Bind; orders are recorded as they came; cancels in a sync.Map. Two tests of what a lost connection and a cancel stop.

--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -133,10 +133,19 @@
 	return nil
 }
 
-func (e *Endpoint) setFaults(c *gin.Context) {
-	var f Faults
-	if err := c.ShouldBindJSON(&f); err != nil {
+// Bind decodes the body of a call; ok is false when it could not, which the
+// call is then told.
+func Bind[T any](c *gin.Context) (req T, ok bool) {
+	err := c.ShouldBindJSON(&req)
+	if err != nil {
 		c.String(http.StatusBadRequest, err.Error())
+	}
+	return req, err == nil
+}
+
+func (e *Endpoint) setFaults(c *gin.Context) {
+	f, ok := Bind[Faults](c)
+	if !ok {
 		return
 	}
 	e.faults.Store(&f)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -137,10 +137,9 @@
 // handle decodes the body and answers with what f returns.
 func handle[T any](f func(*gin.Context, T) (int, any)) gin.HandlerFunc {
 	return func(c *gin.Context) {
-		var req T
 		c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, maxBodyBytes)
-		if err := c.ShouldBindJSON(&req); err != nil {
-			c.String(http.StatusBadRequest, err.Error())
+		req, ok := endpoint.Bind[T](c)
+		if !ok {
 			return
 		}
 		if status, res := f(c, req); !c.IsAborted() {
--- a/standin/runner/record.go
+++ b/standin/runner/record.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"cicadawell.dev/fleet/runnerapi"
 )
 
 // Ending tells what became of a run.
@@ -41,10 +43,8 @@
 
 // Ordered is one order that a runner got.
 type Ordered struct {
+	runnerapi.Order
 	At       time.Time `json:"at"`
-	Fencing  uint64    `json:"fencing"`
-	Role     string    `json:"role,omitempty"`
-	Models   []string  `json:"models"`
 	Accepted bool      `json:"accepted"`
 }
 
--- a/standin/runner/runner.go
+++ b/standin/runner/runner.go
@@ -54,9 +54,10 @@
 	dropBefore atomic.Int64
 	dropAfter  atomic.Int64
 
+	// cancels has a context.CancelFunc for each attempt in flight.
+	cancels sync.Map
+
 	mu sync.Mutex
-	// cancels stop the attempts in flight.
-	cancels map[string]context.CancelFunc
 	// order is the last accepted one.
 	order runnerapi.Order
 }
@@ -68,7 +69,6 @@
 		cfg:      cfg,
 		clock:    clk,
 		model:    newModel(cfg, clk),
-		cancels:  map[string]context.CancelFunc{},
 		order:    runnerapi.Order{Models: cfg.Models},
 	}
 	r.recorder.rec = Record{Runner: cfg.ID, Zone: cfg.Zone, ColdSlots: cfg.ColdSlots}
@@ -146,13 +146,9 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cancels[req.Attempt] = cancel
+	r.cancels.Store(req.Attempt, cancel)
 	return ctx, func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		delete(r.cancels, req.Attempt)
+		r.cancels.Delete(req.Attempt)
 		cancel()
 	}
 }
@@ -266,23 +262,18 @@
 }
 
 func (r *Runner) cancel(c *gin.Context) {
-	var req runnerapi.Cancel
-	if err := c.ShouldBindJSON(&req); err != nil {
-		c.String(http.StatusBadRequest, err.Error())
+	req, ok := endpoint.Bind[runnerapi.Cancel](c)
+	if !ok {
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if cancel, ok := r.cancels[req.Attempt]; ok {
-		cancel()
+	if cancel, running := r.cancels.Load(req.Attempt); running {
+		cancel.(context.CancelFunc)()
 	}
-	c.Status(http.StatusOK)
 }
 
 func (r *Runner) takeOrder(c *gin.Context) {
-	var o runnerapi.Order
-	if err := c.ShouldBindJSON(&o); err != nil {
-		c.String(http.StatusBadRequest, err.Error())
+	o, ok := endpoint.Bind[runnerapi.Order](c)
+	if !ok {
 		return
 	}
 	r.mu.Lock()
@@ -293,9 +284,7 @@
 	}
 	r.mu.Unlock()
 	r.recorder.note(func(rec *Record) {
-		rec.Orders = append(rec.Orders, Ordered{
-			At: r.clock.Now(), Fencing: o.Fencing, Role: o.Role, Models: o.Models, Accepted: accepted,
-		})
+		rec.Orders = append(rec.Orders, Ordered{At: r.clock.Now(), Order: o, Accepted: accepted})
 	})
 	if loads {
 		r.model.turnCold()
--- a/standin/runner/runner_test.go
+++ b/standin/runner/runner_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -138,3 +139,39 @@
 	is.Equal(r.recorder.rec.Runs[0].Key, "k")
 	is.Equal(r.recorder.rec.Runs[0].Ending, Done)
 }
+
+func TestLostConnectionStopsOnlyWorkWithoutAKey(t *testing.T) {
+	for key, want := range map[string]Ending{"": Cancelled, "k": Done} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := New(Config{Slots: 1, ColdSlots: 1, Latency: time.Second}, clock.System())
+			ctx, cancel := context.WithCancel(t.Context())
+			body := `{"attempt":"a1","stage":"book","idempotencyKey":"` + key + `","input":{"text":"x"}}`
+			req := httptest.NewRequestWithContext(ctx, http.MethodPost, runnerapi.PathRun, strings.NewReader(body))
+			var group sync.WaitGroup
+			group.Go(func() { r.ServeHTTP(httptest.NewRecorder(), req) })
+			synctest.Wait()
+			cancel()
+			group.Wait()
+			is.Equal(r.recorder.rec.Runs[0].Ending, want)
+			is.Equal(r.model.running, 0)
+		})
+	}
+}
+
+func TestCancelStopsAnAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := New(Config{Slots: 1, ColdSlots: 1, Latency: time.Hour}, clock.System())
+		done := make(chan int, 1)
+		go func() {
+			status, _ := post(t, r, runnerapi.PathRun, runnerapi.RunRequest{Attempt: "a1", Input: json.RawMessage(`{"text":"x"}`)})
+			done <- status
+		}()
+		synctest.Wait()
+		status, _ := post(t, r, runnerapi.PathCancel, runnerapi.Cancel{Attempt: "a1"})
+		is.Equal(status, http.StatusOK)
+		is.Equal(<-done, http.StatusInternalServerError)
+		is.Equal(r.recorder.rec.Runs[0].Ending, Cancelled)
+	})
+}
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -108,10 +108,10 @@
 	defer s.mu.Unlock()
 	s.expire()
 	if _, ok := s.leases[req.Lease]; !ok && req.Lease != 0 {
-		return platformapi.WriteResponse{Revision: s.revision, Current: s.entry(req.Key)}, LeaseEnded
+		return s.standing(req.Key), LeaseEnded
 	}
 	if !s.matches(req.Key, req.IfRevision) {
-		return platformapi.WriteResponse{Revision: s.revision, Current: s.entry(req.Key)}, Differs
+		return s.standing(req.Key), Differs
 	}
 	s.revision++
 	e := platformapi.Entry{Key: req.Key, Value: req.Value, Revision: s.revision, Lease: req.Lease}
@@ -126,12 +126,17 @@
 	defer s.mu.Unlock()
 	s.expire()
 	if !s.matches(req.Key, req.IfRevision) {
-		return platformapi.WriteResponse{Revision: s.revision, Current: s.entry(req.Key)}, Differs
+		return s.standing(req.Key), Differs
 	}
 	s.remove(req.Key)
 	return platformapi.WriteResponse{Revision: s.revision}, Written
 }
 
+// standing is the answer to a write that did not take effect.
+func (s *Store) standing(key string) platformapi.WriteResponse {
+	return platformapi.WriteResponse{Revision: s.revision, Current: s.entry(key)}
+}
+
 // matches reports whether key has the wanted revision.
 func (s *Store) matches(key string, want *uint64) bool {
 	return want == nil || s.entries[key].Revision == *want
