--- a/standin/load/call.go
+++ b/standin/load/call.go
@@ -56,8 +56,8 @@
 	// that were all refused as not run.
 	Key     string
 	GivenUp []string
-	Tries    int
-	Took     time.Duration
+	Tries   int
+	Took    time.Duration
 	// FirstToken is the time until a stream's first token.
 	FirstToken time.Duration
 	// Wrong says what is wrong with a whole answer, or is empty.
