--- a/standin/measure/measure.go
+++ b/standin/measure/measure.go
@@ -49,8 +49,31 @@
 	verdict scene.Verdict
 }
 
-// Run runs the scenario under each of its policies and writes the results.
+// bothSizes is how many of the scenarios All runs at both users' sizes.
+const bothSizes = 2
+
+// Run runs a scenario, or all of them, and writes the results.
 func Run(ctx context.Context, cfg Config) error {
+	if cfg.Scenario != All {
+		return runScenario(ctx, cfg)
+	}
+	for i, sc := range scenarios() {
+		sizes := []string{"taxiline", "loimekoda"}
+		if i >= bothSizes {
+			sizes = sizes[:1]
+		}
+		for _, cfg.Size = range sizes {
+			cfg.Scenario = sc.name
+			if err := runScenario(ctx, cfg); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// runScenario runs a scenario under each of its policies.
+func runScenario(ctx context.Context, cfg Config) error {
 	sc, err := find(cfg.Scenario)
 	if err != nil {
 		return err
@@ -184,7 +207,8 @@
 // cost is the time that runs held places, by stage, and the part of it that was
 // spent on calls that missed their deadline.
 type cost struct {
-	stages        map[string]time.Duration
+	// stages and lost are by the name of the stage.
+	stages, lost  map[string]time.Duration
 	total, wasted time.Duration
 }
 
@@ -195,13 +219,14 @@
 			met[id] = true
 		}
 	}
-	c := cost{stages: map[string]time.Duration{}}
+	c := cost{stages: map[string]time.Duration{}, lost: map[string]time.Duration{}}
 	for _, rec := range t.recs {
 		for _, run := range rec.Runs {
 			busy := time.Duration(run.BusyMicros) * time.Microsecond
 			c.stages[run.Stage] += busy
 			c.total += busy
 			if !met[run.Request] {
+				c.lost[run.Stage] += busy
 				c.wasted += busy
 			}
 		}
