--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -90,6 +90,9 @@
 }
 
 func (s *server) countRefusal(x *exchange, e *fault.Error) {
+	if x.id != "" {
+		s.Journal.Record(journal.Decision{At: s.Clock.Now(), Step: journal.Refused, Request: x.id, Reason: e.Error()})
+	}
 	s.Meter.Refused(x.team.Tier, x.pipeline.ID, e, s.Clock.Now().Sub(x.arrived))
 }
 
--- a/router/entry.go
+++ b/router/entry.go
@@ -18,6 +18,7 @@
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/ledger"
 	"cicadawell.dev/router/loads"
+	"cicadawell.dev/router/order"
 	"cicadawell.dev/router/pipeline"
 	"cicadawell.dev/router/pool"
 	"cicadawell.dev/router/quota"
@@ -25,6 +26,7 @@
 	"cicadawell.dev/router/roster"
 	"cicadawell.dev/router/runner"
 	"cicadawell.dev/router/settings"
+	"cicadawell.dev/router/takeout"
 )
 
 // entry is a running instance: it starts its parts in order and stops them in
@@ -43,6 +45,8 @@
 	Roster    roster.Roster
 	Registry  *registry
 	Rolls     roll.Rolls
+	Takeouts  takeout.Takeouts
+	Orders    order.Driver
 	Topology  *topology
 	Pools     pool.Pools
 	Ledger    ledger.Book
@@ -54,8 +58,8 @@
 	Operators operators
 }
 
-func newTopology(cfg settings.Settings, c *catalog.Current, r roster.Roster, pools pool.Pools, quotas quota.Quotas, clk clock.Clock) *topology {
-	t := &topology{cfg: cfg, catalog: c, out: noTakeouts{}, roster: r, pools: pools, quotas: quotas, clk: clk}
+func newTopology(cfg settings.Settings, c *catalog.Current, out takeout.Takeouts, r roster.Roster, pools pool.Pools, quotas quota.Quotas, clk clock.Clock) *topology {
+	t := &topology{cfg: cfg, catalog: c, out: out, roster: r, pools: pools, quotas: quotas, clk: clk}
 	r.Subscribe(t.update)
 	return t
 }
@@ -67,6 +71,7 @@
 	e.Metrics.WatchPools(e.Pools.Status)
 	e.Metrics.Watch("cicadawell_bundle_version", func() float64 { return float64(e.Catalog.Version()) })
 	e.Rolls.Subscribe(e.Topology.adopt)
+	e.Takeouts.Subscribe(func(*takeout.Set) { e.Topology.update() })
 	if err := e.Mesh.Start(e.Loops.ctx); err != nil {
 		return err
 	}
@@ -77,7 +82,12 @@
 	if err := e.Rolls.Start(ctx); err != nil {
 		return err
 	}
+	if err := e.Takeouts.Start(ctx); err != nil {
+		return err
+	}
 	e.Loops.start("rolls", e.Rolls.Run)
+	e.Loops.start("takeouts", e.Takeouts.Run)
+	e.Loops.start("orders", e.Orders.Run)
 	e.Loops.start("loads", e.Exchange.Run)
 	e.Loops.start("topology", e.Topology.follow)
 	e.Loops.start("operators", func(context.Context) error { return serveHTTPOn(e.Operators.Server, e.Listeners.operators) })
@@ -92,24 +102,42 @@
 	return nil
 }
 
-// stop cuts off no request: it asks callers to leave, goes on as long as the
-// balancer may still send some, and waits for all that runs.
+// stop cuts off no request: it asks callers to leave, leaves the view and hands
+// over what others must know of its keys, all the while taking what the balancer
+// still sends, and waits for all that runs.
 func (e entry) stop(ctx context.Context) error {
 	e.Log.Info("leaving", "underWay", e.Callers.UnderWay())
 	e.Callers.Leave()
-	err := e.Clock.Sleep(ctx, e.Settings.BalancerLag())
-	err = errors.Join(err, e.Callers.Shutdown(ctx))
+	lag := e.Clock.After(e.Settings.BalancerLag())
+	e.leaveView(ctx)
+	<-lag
+	err := e.Callers.Shutdown(ctx)
 	e.Executor.Close()
 	e.Ledger.Close()
 	err = errors.Join(err, e.Operators.Shutdown(ctx))
-	err = errors.Join(err, e.Mesh.Close())
 	e.Loops.cancel()
+	err = errors.Join(err, e.Mesh.Close())
 	err = errors.Join(err, e.Loops.stop())
 	e.Runners.Close()
 	e.Log.Info("left", "error", err)
 	return err
 }
 
+// leaveView leaves the view and hands keys over. It takes at most half of the
+// grace: while the store is out nobody can leave, which cuts off no request, and
+// the keys of this instance are then unknown to the others as after a crash.
+func (e entry) leaveView(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, e.Settings.StopGrace()/2)
+	defer cancel()
+	if err := e.Roster.Leave(ctx); err != nil {
+		e.Log.Warn("view not left", "error", err)
+		return
+	}
+	if err := e.Ledger.Leave(ctx); err != nil {
+		e.Log.Warn("keys not handed over", "error", err)
+	}
+}
+
 // serve runs an instance until a signal ends it. It returns an error when the
 // instance could not start or cut off a request.
 func serve(cfg settings.Settings) error {
--- a/router/parts.go
+++ b/router/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"go.uber.org/fx"
@@ -16,6 +17,7 @@
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/ledger"
 	"cicadawell.dev/router/loads"
+	"cicadawell.dev/router/order"
 	"cicadawell.dev/router/peers"
 	"cicadawell.dev/router/pipeline"
 	"cicadawell.dev/router/platform"
@@ -26,6 +28,7 @@
 	"cicadawell.dev/router/roster"
 	"cicadawell.dev/router/runner"
 	"cicadawell.dev/router/settings"
+	"cicadawell.dev/router/takeout"
 )
 
 // parts are the constructors of everything that an instance consists of.
@@ -47,6 +50,8 @@
 		newRoster,
 		newRegistry,
 		newRolls,
+		newInventory,
+		newTakeouts,
 		newPools,
 		newBudgets,
 		newRetries,
@@ -57,6 +62,7 @@
 		newCallers,
 		newFleet,
 		newExchange,
+		newOrders,
 		newOperators,
 	),
 )
@@ -118,6 +124,11 @@
 	return roll.New(self, store, mesh, f, clk, log.Named("roll"))
 }
 
+func newTakeouts(cfg settings.Settings, store platform.Store, mesh instance.Network, g *registry, i *inventory, clk clock.Clock, log hclog.Logger) takeout.Takeouts {
+	self := peers.Peer{ID: cfg.ID, Zone: cfg.Zone}
+	return takeout.New(self, store, mesh, g, i, clk, log.Named("takeout"))
+}
+
 type executorIn struct {
 	fx.In
 	Settings    settings.Settings
@@ -147,6 +158,14 @@
 	})
 }
 
+const (
+	// callerSkew is how far ahead of ours a caller's clock may be.
+	callerSkew = 500 * time.Millisecond
+	// instanceSkew bounds how far an instance's clock is off. Keys minted
+	// within callerSkew + 2 instanceSkew after a takeover stay unknown.
+	instanceSkew = 100 * time.Millisecond
+)
+
 type ledgerIn struct {
 	fx.In
 	Settings settings.Settings
@@ -163,7 +182,8 @@
 		ledger.WithClock(in.Clock),
 		ledger.WithLogger(in.Log.Named("ledger")),
 		ledger.WithMesh(in.Mesh),
-		ledger.WithRoster(homes{roster: in.Roster, clk: in.Clock}),
+		ledger.WithRoster(in.Roster),
+		ledger.WithSkew(callerSkew, instanceSkew),
 		ledger.WithRunner(in.Executor),
 	)
 }
@@ -191,11 +211,17 @@
 	})
 }
 
+func newOrders(store platform.Store, t *topology, j journal.Writer, clk clock.Clock) order.Driver {
+	engines := runner.NewOrders(order.DefaultLimits().Delivery)
+	return order.New(store, engines, t.orders, j, clk)
+}
+
 type callersIn struct {
 	fx.In
 	Settings    settings.Settings
 	Clock       clock.Clock
 	Rolls       roll.Rolls
+	Takeouts    takeout.Takeouts
 	Catalog     *catalog.Current
 	Executor    pipeline.Executor
 	Ledger      ledger.Book
@@ -208,7 +234,7 @@
 func newCallers(in callersIn) caller.Server {
 	return caller.NewServer(caller.Parts{
 		Clock:       in.Clock,
-		Readiness:   in.Rolls,
+		Readiness:   readiness{in.Rolls, in.Takeouts},
 		Catalog:     in.Catalog,
 		Executor:    in.Executor,
 		Ledger:      in.Ledger,
--- a/router/pipeline/executor.go
+++ b/router/pipeline/executor.go
@@ -162,12 +162,6 @@
 	if job.Pipeline.Idempotent() && (s.index > 0 || s.touched) {
 		e = e.WithOutcome(fault.Unknown)
 	}
-	x.Journal.Record(journal.Decision{
-		At:      x.Clock.Now(),
-		Step:    journal.Refused,
-		Request: job.Request,
-		Stage:   s.stage().Name,
-		Reason:  e.Error(),
-	})
+	e = fault.Wrap(e.Kind(), e, "stage %s", s.stage().Name).WithField(e.Field()).WithOutcome(e.Outcome()).WithRetryAfter(e.RetryAfter())
 	return e
 }
--- a/router/topology.go
+++ b/router/topology.go
@@ -8,25 +8,21 @@
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/router/catalog"
+	"cicadawell.dev/router/order"
 	"cicadawell.dev/router/pool"
 	"cicadawell.dev/router/quota"
 	"cicadawell.dev/router/roster"
 	"cicadawell.dev/router/roster/hold"
 	"cicadawell.dev/router/settings"
+	"cicadawell.dev/router/takeout"
 )
 
-// absences tells which availability zones and runners receive no new work.
-type absences interface {
-	Zones() map[string]bool
-	Runners() map[string]bool
-}
-
 // topology puts what the pools choose from together whenever the bundle, the
 // orders to take out or the view change.
 type topology struct {
 	cfg     settings.Settings
 	catalog *catalog.Current
-	out     absences
+	out     takeout.Takeouts
 	roster  roster.Roster
 	pools   pool.Pools
 	quotas  quota.Quotas
@@ -103,3 +99,15 @@
 	}
 	return current.Bundle().Runners
 }
+
+// orders returns what the placement of models is planned from.
+func (t *topology) orders() order.Fleet {
+	runners := t.Runners()
+	out := map[string]bool{}
+	for _, r := range runners {
+		if t.out.Zones()[r.Zone] || t.out.Runners()[r.ID] {
+			out[r.ID] = true
+		}
+	}
+	return order.Fleet{Runners: runners, Out: out, Instances: t.Members(), Self: t.cfg.ID}
+}
