--- a/router/pause/pause.go
+++ b/router/pause/pause.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -72,6 +73,17 @@
 	}
 }
 
+// During looks at the clock while f runs.
+func (w *Watch) During(ctx context.Context, c clock.Clock, unconfirmed chan<- struct{}, f func() error) error {
+	running, stop := context.WithCancel(ctx)
+	w.Beat(c.Now())
+	var wg sync.WaitGroup
+	wg.Go(func() { w.Run(running, c, unconfirmed) })
+	defer wg.Wait()
+	defer stop()
+	return f()
+}
+
 // ConfirmAll calls confirm for each pause until it succeeds. since is when the
 // first try for the latest pause began.
 func (w *Watch) ConfirmAll(ctx context.Context, c clock.Clock, unconfirmed <-chan struct{}, confirm func(since time.Time) error) {
--- a/router/roll/join.go
+++ b/router/roll/join.go
@@ -12,20 +12,21 @@
 )
 
 func (n *node) Start(ctx context.Context) error {
-	n.pauses.Beat(n.clock.Now())
+	return n.pauses.During(ctx, n.clock, n.resumed, func() error { return n.start(ctx) })
+}
+
+func (n *node) start(ctx context.Context) error {
 	begin := n.clock.Now()
 	for {
 		count := n.pauses.Count()
 		patience := n.cfg.joinPatience - n.clock.Now().Sub(begin)
 		err := n.confirm(ctx, patience)
 		if err == nil {
-			n.pauses.Beat(n.clock.Now())
 			n.pauses.Confirm(count)
 			n.started.Store(true)
 			return nil
 		}
 		n.log.Info("the bundle in force is not known yet", "error", err)
-		n.pauses.Beat(n.clock.Now())
 		if err := n.clock.Sleep(ctx, n.cfg.retryPause); err != nil {
 			return fault.Wrap(fault.NotReady, err, "start")
 		}
--- a/router/takeout/takeout.go
+++ b/router/takeout/takeout.go
@@ -205,12 +205,14 @@
 }
 
 func (n *node) Start(ctx context.Context) error {
-	n.pauses.Beat(n.clock.Now())
+	return n.pauses.During(ctx, n.clock, n.resumed, func() error { return n.start(ctx) })
+}
+
+func (n *node) start(ctx context.Context) error {
 	begin := n.clock.Now()
 	for {
 		count := n.pauses.Count()
 		err := n.confirm(ctx, joinPatience-n.clock.Now().Sub(begin))
-		n.pauses.Beat(n.clock.Now())
 		if err == nil {
 			n.pauses.Confirm(count)
 			n.started.Store(true)
