--- /dev/null
+++ b/router/pipeline/stage.go
@@ -0,0 +1,196 @@
+package pipeline
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/callerapi"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/router/journal"
+	"cicadawell.dev/router/pool"
+	"cicadawell.dev/router/runner"
+)
+
+// maxAttempts bounds the attempts of one stage of one request.
+const maxAttempts = 3
+
+var (
+	// errDeadline ends the contexts of a request whose deadline passed.
+	errDeadline = fault.New(fault.DeadlineMissed, "the deadline passed")
+	// errDisplaced ends the attempt of free work that gave way.
+	errDisplaced = fault.New(fault.Displaced, "a paying caller needed the place")
+	// errSuperseded ends an attempt of which another one was faster.
+	errSuperseded = fault.Wrap(fault.RunnerFailed, runner.ErrSuperseded, "attempt given up")
+)
+
+// stageRun is one stage of one request.
+type stageRun struct {
+	*executor
+	job      Job
+	index    int
+	guard    func() error
+	input    json.RawMessage
+	affinity uint64
+	// attempts counts the dispatches so far.
+	attempts int
+	// exclude are the runners that failed this stage.
+	exclude []string
+	// touched is true once an attempt may have run.
+	touched bool
+	// speaker is the attempt whose tokens reach the caller; it never
+	// changes once it is set, since another attempt's tokens could differ.
+	speaker atomic.Pointer[string]
+}
+
+func (s *stageRun) stage() bundle.Stage { return s.job.Pipeline.Stages[s.index] }
+
+func (s *stageRun) record(step journal.Step, attempt, runnerID, reason string, took time.Duration) {
+	s.Journal.Record(journal.Decision{
+		At:      s.Clock.Now(),
+		Step:    step,
+		Request: s.job.Request,
+		Stage:   s.stage().Name,
+		Attempt: attempt,
+		Runner:  runnerID,
+		Reason:  reason,
+		Took:    took,
+	})
+}
+
+// run tries the stage until it has a result, may not be tried again, or is out
+// of time.
+func (s *stageRun) run(ctx context.Context) (json.RawMessage, callerapi.Stage, error) {
+	start := s.Clock.Now()
+	deadline, err := s.Budgets.Plan(s.job.Pipeline, s.index, start, s.job.Deadline)
+	if err != nil {
+		return nil, callerapi.Stage{}, err
+	}
+	for {
+		o := s.try(ctx, deadline)
+		if o.err == nil {
+			took := s.Clock.Now().Sub(start)
+			s.Budgets.Observe(s.job.Pipeline.ID, s.index, took)
+			return o.result.Output, s.report(o, took), nil
+		}
+		if !s.again(ctx, o.err) {
+			return nil, callerapi.Stage{}, s.final(ctx, o.err)
+		}
+		s.record(journal.Retried, o.attempt, o.runner, o.err.Error(), 0)
+	}
+}
+
+func (s *stageRun) report(o outcome, took time.Duration) callerapi.Stage {
+	return callerapi.Stage{
+		Name:     s.stage().Name,
+		Runner:   o.runner,
+		Attempts: s.attempts,
+		Micros:   took.Microseconds(),
+		Tokens:   o.result.Tokens,
+	}
+}
+
+func (s *stageRun) ask(deadline time.Time) pool.Ask {
+	stage := s.stage()
+	ask := pool.Ask{
+		Service:  stage.Service,
+		Model:    stage.Model,
+		Team:     s.job.Team.ID,
+		Weight:   s.job.Team.Weight,
+		Paying:   s.job.Team.Paying,
+		Deadline: deadline,
+		Exclude:  s.exclude,
+	}
+	if stage.Streams {
+		ask.Affinity = s.affinity
+	}
+	return ask
+}
+
+// send sends the attempt, over a fresh connection when it may not be repeated.
+func (s *stageRun) send(ctx context.Context, place pool.Place, id string, deadline time.Time) (runnerapi.RunResult, error) {
+	stage := s.stage()
+	if deadline.Before(s.job.Deadline) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadlineCause(ctx, deadline, errDeadline)
+		defer cancel()
+	}
+	req := s.message(id, deadline)
+	if !stage.Idempotent {
+		return s.Runners.RunOnce(ctx, place.Runner(), req, stage.MaxResultBytes, func() error { return s.last(place) })
+	}
+	ctx, stop := s.watchDisplaced(ctx, place)
+	defer stop()
+	result, err := s.Runners.Run(ctx, place.Runner(), req, stage.MaxResultBytes, s.sink(id))
+	if err != nil && ctx.Err() != nil {
+		s.cancelAt(place.Runner(), id)
+		return result, fault.Wrap(causeOf(ctx), err, "attempt given up")
+	}
+	return result, err
+}
+
+// last is the check directly before the write of a call that may not be
+// repeated.
+func (s *stageRun) last(place pool.Place) error {
+	if err := place.Check(); err != nil {
+		return err
+	}
+	if s.guard == nil {
+		return fault.New(fault.Internal, "stage %s without a guard", s.stage().Name).WithOutcome(fault.NotRun)
+	}
+	return s.guard()
+}
+
+func (s *stageRun) message(id string, deadline time.Time) runnerapi.RunRequest {
+	stage := s.stage()
+	req := runnerapi.RunRequest{
+		Attempt:         id,
+		Request:         s.job.Request,
+		Pipeline:        s.job.Pipeline.ID,
+		Stage:           stage.Name,
+		Team:            s.job.Team.ID,
+		Model:           stage.Model,
+		Priority:        runnerapi.PriorityFree,
+		RemainingMillis: runner.TimeLeft(s.Clock.Now(), deadline),
+		Stream:          stage.Streams && s.job.Stream != nil,
+		From:            s.Instance,
+		Input:           s.input,
+	}
+	if s.job.Team.Paying {
+		req.Priority = runnerapi.PriorityPaying
+	}
+	if !stage.Idempotent {
+		req.IdempotencyKey = s.job.Key
+	}
+	return req
+}
+
+// sink passes the tokens of an attempt on, unless another attempt of the stage
+// was first.
+func (s *stageRun) sink(id string) runner.Sink {
+	if s.job.Stream == nil || !s.stage().Streams {
+		return nil
+	}
+	return sinkFunc(func(t runnerapi.Token) error {
+		if !s.speaks(id) {
+			return errSuperseded
+		}
+		return s.job.Stream.Token(t)
+	})
+}
+
+// speaks reports whether the attempt is the one whose tokens reach the caller,
+// and makes it so when there is none.
+func (s *stageRun) speaks(id string) bool {
+	if s.speaker.CompareAndSwap(nil, &id) {
+		return true
+	}
+	return *s.speaker.Load() == id
+}
+
+type sinkFunc func(runnerapi.Token) error
+
+func (f sinkFunc) Token(t runnerapi.Token) error { return f(t) }
--- /dev/null
+++ b/router/registry.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/platformapi"
+	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/peers"
+	"cicadawell.dev/router/platform"
+	"cicadawell.dev/router/roster"
+	"cicadawell.dev/router/settings"
+)
+
+// listPeriod is the time between two reads of the platform's list.
+const listPeriod = 2 * time.Second
+
+// registry knows the instances and their addresses, from the registrations and,
+// while the store is out, from the platform's list.
+type registry struct {
+	store  platform.Store
+	list   platform.List
+	mesh   instance.Network
+	roster roster.Roster
+	clk    clock.Clock
+
+	mu sync.Mutex
+	// listed are the addresses of the platform's list as last read.
+	listed map[string]string
+}
+
+func newRegistry(store platform.Store, list platform.List, mesh instance.Network, r roster.Roster, clk clock.Clock) *registry {
+	g := &registry{store: store, list: list, mesh: mesh, roster: r, clk: clk}
+	r.Subscribe(g.learn)
+	return g
+}
+
+func newRoster(cfg settings.Settings, at *listeners, store platform.Store, mesh instance.Network, clk clock.Clock, log hclog.Logger) roster.Roster {
+	self := roster.Registration{
+		Instance:    platformapi.Instance{ID: cfg.ID, Address: at.advertise, Zone: cfg.Zone, State: platformapi.Live},
+		Incarnation: uuid.NewString(),
+	}
+	return roster.New(self,
+		roster.WithClock(clk),
+		roster.WithLogger(log.Named("roster")),
+		roster.WithStore(store),
+		roster.WithMesh(mesh),
+	)
+}
+
+// Registered returns the identifiers registered in the store, read now.
+func (g *registry) Registered(ctx context.Context) ([]string, error) {
+	entries, _, err := g.store.List(ctx, roster.RegistrationPrefix)
+	if err != nil {
+		return nil, err
+	}
+	ids := make([]string, 0, len(entries))
+	for _, e := range entries {
+		ids = append(ids, strings.TrimPrefix(e.Key, roster.RegistrationPrefix))
+	}
+	return ids, nil
+}
+
+// Listed returns the instances of the platform's list.
+func (g *registry) Listed(ctx context.Context) ([]peers.Peer, error) {
+	rows, err := g.list.Instances(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]peers.Peer, 0, len(rows))
+	addresses := make(map[string]string, len(rows))
+	for _, row := range rows {
+		out = append(out, peers.Peer{ID: row.ID, Zone: row.Zone})
+		addresses[row.ID] = row.Address
+	}
+	g.mu.Lock()
+	g.listed = addresses
+	g.mu.Unlock()
+	g.learn()
+	return out, nil
+}
+
+// learn tells the mesh all known addresses; a registration goes before the
+// list, which lags.
+func (g *registry) learn() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	addresses := maps.Clone(g.listed)
+	if addresses == nil {
+		addresses = map[string]string{}
+	}
+	for _, r := range g.roster.Registered() {
+		addresses[r.ID] = r.Address
+	}
+	g.mesh.Learn(addresses)
+}
+
+// follow reads the list until ctx ends.
+func (g *registry) follow(ctx context.Context) error {
+	for {
+		// The list is read again soon; what was known stays known.
+		_, _ = g.Listed(ctx)
+		if err := g.clk.Sleep(ctx, listPeriod); err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/router/runner/pooled.go
@@ -0,0 +1,77 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+
+	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/fleet/splice"
+)
+
+// Run sends an attempt that may be repeated, over a pooled connection.
+func (c *client) Run(ctx context.Context, to bundle.Runner, req runnerapi.RunRequest, limit int64, sink Sink) (runnerapi.RunResult, error) {
+	body, err := encodeAttempt(req)
+	if err != nil {
+		return runnerapi.RunResult{}, err
+	}
+	resp, err := c.post(ctx, to.Address, runnerapi.PathRun, body)
+	if err != nil {
+		c.distrust(ctx, to.Address)
+		return runnerapi.RunResult{}, lost(err, to)
+	}
+	defer closeBody(resp)
+	result, err := c.read(ctx, resp, to, req, limit, sink)
+	if err != nil {
+		c.distrust(ctx, to.Address)
+	}
+	return result, err
+}
+
+// encodeAttempt returns the body of an attempt. Its input was checked when it
+// was read, so it is not read again.
+func encodeAttempt(req runnerapi.RunRequest) ([]byte, error) {
+	input := req.Input
+	req.Input = nil
+	body, err := splice.Field(req, "input", input)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "encode attempt").WithOutcome(fault.NotRun)
+	}
+	return body, nil
+}
+
+// distrust closes the pooled connections after a sign that one went silent,
+// so that the next attempt opens a new one. A caller that left is no such sign.
+func (c *client) distrust(ctx context.Context, address string) {
+	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(context.Cause(ctx), ErrSuperseded) {
+		c.pool(address).CloseIdleConnections()
+	}
+}
+
+func (c *client) post(ctx context.Context, address, path string, body []byte) (*http.Response, error) {
+	req := &http.Request{
+		Method:        http.MethodPost,
+		URL:           &url.URL{Scheme: "http", Host: address, Path: path},
+		Header:        http.Header{"Content-Type": {"application/json"}},
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
+	}
+	return c.pool(address).RoundTrip(req.WithContext(ctx))
+}
+
+// lost describes an attempt without a response. Without a connection no byte
+// left; otherwise some may have.
+func lost(err error, to bundle.Runner) error {
+	e := fault.Wrap(fault.RunnerFailed, err, "no answer from runner %s", to.ID)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return e.WithOutcome(fault.NotRun)
+	}
+	return e
+}
