Plan stages with the waits ahead, and measure the runner's time

Cause: Plan was given the whole deadline and Observe the time with waits. Change: the executor takes the waits of later stages off the deadline, times AdmissionFactor at the first, and observes the attempt's own time; a topology carries the bundle's longest deadline, for which granted shares of cold runners wait.

--- a/router/pipeline/attempt.go
+++ b/router/pipeline/attempt.go
@@ -19,7 +19,9 @@
 	attempt string
 	runner  string
 	result  runnerapi.RunResult
-	err     error
+	// took is how long the runner had the attempt.
+	took time.Duration
+	err  error
 }
 
 // try runs an attempt and, when it takes long and the stage may be hedged, a
@@ -103,6 +105,7 @@
 	sent := s.Clock.Now()
 	o.result, o.err = s.send(ctx, place, o.attempt, deadline)
 	took := s.Clock.Now().Sub(sent)
+	o.took = took
 	ending := endingOf(ctx, o.err)
 	place.Done(pool.Result{Ending: ending, Latency: took, Load: loadOf(o.result, o.err)})
 	s.Meter.Attempt(s.job.Pipeline.ID, s.stage().Name, to.Zone, ending, took, o.result.Tokens, o.result.CachedTokens)
--- a/router/pipeline/executor.go
+++ b/router/pipeline/executor.go
@@ -44,6 +44,8 @@
 // Places hands out places on runners.
 type Places interface {
 	Acquire(ctx context.Context, ask pool.Ask) (pool.Place, error)
+	// Wait estimates how long a new ask would wait for a place.
+	Wait(service, model string, paying bool) time.Duration
 }
 
 // Budgets divides a request's time among its stages.
@@ -51,7 +53,7 @@
 	// Plan returns when the stage must end, or an error of kind
 	// DeadlineShort when the rest can no longer make the deadline.
 	Plan(p bundle.Pipeline, stage int, now, deadline time.Time) (time.Time, error)
-	// Observe takes in how long a stage took.
+	// Observe takes in how long a runner took for a stage.
 	Observe(pipeline string, stage int, took time.Duration)
 }
 
--- a/router/pipeline/pipeline_test.go
+++ b/router/pipeline/pipeline_test.go
@@ -64,6 +64,8 @@
 func (s *scene) Explain(string) []journal.Decision  { return nil }
 func (s *scene) Foreign(string)                     { s.foreign++ }
 
+func (s *scene) Wait(string, string, bool) time.Duration { return 0 }
+
 func (s *scene) Acquire(_ context.Context, ask pool.Ask) (pool.Place, error) {
 	return &place{scene: s, runner: bundle.Runner{ID: fmt.Sprintf("r%d", len(ask.Exclude)+1)}}, nil
 }
--- a/router/pipeline/stage.go
+++ b/router/pipeline/stage.go
@@ -65,7 +65,7 @@
 // of time.
 func (s *stageRun) run(ctx context.Context) (json.RawMessage, callerapi.Stage, error) {
 	start := s.Clock.Now()
-	deadline, err := s.Budgets.Plan(s.job.Pipeline, s.index, start, s.job.Deadline)
+	deadline, err := s.Budgets.Plan(s.job.Pipeline, s.index, start, s.job.Deadline.Add(-s.waitsAhead()))
 	if err != nil {
 		return nil, callerapi.Stage{}, err
 	}
@@ -73,7 +73,7 @@
 		o := s.try(ctx, deadline)
 		if o.err == nil {
 			took := s.Clock.Now().Sub(start)
-			s.Budgets.Observe(s.job.Pipeline.ID, s.index, took)
+			s.Budgets.Observe(s.job.Pipeline.ID, s.index, o.took)
 			return o.result.Output, s.report(o, took), nil
 		}
 		if !s.again(ctx, o.err) {
@@ -83,6 +83,20 @@
 	}
 }
 
+// waitsAhead returns the time that the request is to keep for waits at the
+// stages after this one. At the first stage it is more than they take, so that
+// a request is refused there rather than after work was spent on it.
+func (s *stageRun) waitsAhead() time.Duration {
+	sum := time.Duration(0)
+	for _, stage := range s.job.Pipeline.Stages[s.index+1:] {
+		sum += s.Places.Wait(stage.Service, stage.Model, s.job.Team.Paying)
+	}
+	if s.index == 0 {
+		sum *= pool.AdmissionFactor
+	}
+	return sum
+}
+
 func (s *stageRun) report(o outcome, took time.Duration) callerapi.Stage {
 	return callerapi.Stage{
 		Name:     s.stage().Name,
--- a/router/topology.go
+++ b/router/topology.go
@@ -60,11 +60,21 @@
 		Instances: members,
 		Self:      t.cfg.ID,
 		Settled:   state.Effective,
+		Longest:   longest(current.Bundle().Pipelines),
 	})
 	t.renew()
 	t.quotas.Update(members, t.cfg.ID)
 }
 
+// longest returns the longest deadline that a request may name.
+func longest(pipelines []bundle.Pipeline) time.Duration {
+	most := time.Duration(0)
+	for _, p := range pipelines {
+		most = max(most, p.MaxDeadline())
+	}
+	return most
+}
+
 // renewPeriod is how often the pools learn how long the view is sure to stand.
 const renewPeriod = 250 * time.Millisecond
 
