Count hedges and cancellations left out of the log by their own names

Ruled out: nothing.

Change: the steps are in the list, and a test compares the list with the constants.

Conclusion: TestEveryStepIsCounted was red before.

--- a/router/journal/journal_test.go
+++ b/router/journal/journal_test.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"regexp"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -106,3 +108,22 @@
 	is.NoErr(err)
 	is.Equal(got, string(want))
 }
+
+// Each step of journal.go has a count of its own.
+func TestEveryStepIsCounted(t *testing.T) {
+	is := is.New(t)
+	source, err := os.ReadFile("journal.go")
+	is.NoErr(err)
+	found := regexp.MustCompile(`Step = "(\w+)"`).FindAllStringSubmatch(string(source), -1)
+	is.True(len(found) > 10)
+	for _, m := range found {
+		var out bytes.Buffer
+		j := journal.New(logger(&out), clock.NewManual(time.Unix(9, 0)), journal.WithRate(1, 1))
+		j.Record(journal.Decision{Step: journal.Step(m[1])})
+		j.Record(journal.Decision{Step: journal.Step(m[1])})
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		is.NoErr(j.Run(ctx))
+		is.Equal(strings.Count(out.String(), " "+m[1]+"=1"), 1) // not counted as other
+	}
+}
--- a/router/journal/step.go
+++ b/router/journal/step.go
@@ -2,8 +2,8 @@
 
 // steps are all steps; the last stands for any other.
 var steps = [...]Step{
-	Admitted, Refused, Chosen, Sent, Answered, Retried, Displaced, Dropped,
-	Forwarded, Joined, Replayed, Finished, Placed, "other",
+	Admitted, Refused, Chosen, Sent, Answered, Retried, Hedged, Displaced, Dropped,
+	Forwarded, Joined, Replayed, Finished, Placed, Cancelled, "other",
 }
 
 // indexOf returns the place of s in steps.
