Run the first attempt of a hedged stage on the request's own goroutine

Ruled out: no hedging of short stages (those are what a silent connection hits). Change: a timer starts the second attempt; the first runs in place; the faster one ends the other's context.

--- a/fleet/clock/clock.go
+++ b/fleet/clock/clock.go
@@ -19,6 +19,16 @@
 	Sleep(ctx context.Context, d time.Duration) error
 }
 
+// Timers calls functions when time has passed.
+type Timers interface {
+	// AfterFunc calls f on a goroutine of its own when d has passed. The
+	// returned function prevents the call and reports whether it did.
+	AfterFunc(d time.Duration, f func()) (stop func() bool)
+}
+
+// SystemTimers returns the timers of the operating system's clock.
+func SystemTimers() Timers { return system{} }
+
 // System returns the clock of the operating system. Inside a bubble of
 // testing/synctest it is the bubble's clock.
 func System() Clock { return system{} }
@@ -29,6 +39,10 @@
 
 func (system) After(d time.Duration) <-chan time.Time { return time.After(d) }
 
+func (system) AfterFunc(d time.Duration, f func()) (stop func() bool) {
+	return time.AfterFunc(d, f).Stop
+}
+
 func (system) Sleep(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/router/cost_test.go
+++ b/router/cost_test.go
@@ -137,7 +137,7 @@
 	})
 	ids := identifiers{instance: "i1"}
 	executor := pipeline.NewExecutor(pipeline.Parts{
-		Instance: "i1", Clock: clk, Catalog: current, Places: pools, Budgets: budgets, Retries: retry.New(budgets),
+		Instance: "i1", Clock: clk, Timers: clock.SystemTimers(), Catalog: current, Places: pools, Budgets: budgets, Retries: retry.New(budgets),
 		Runners: client, Journal: log, Meter: stageMeter{metrics}, Identifiers: ids,
 	})
 	return caller.NewServer(caller.Parts{
--- a/router/parts.go
+++ b/router/parts.go
@@ -36,6 +36,7 @@
 	fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	fx.Provide(
 		clock.System,
+		clock.SystemTimers,
 		newLogger,
 		newLoops,
 		newListeners,
@@ -133,6 +134,7 @@
 	fx.In
 	Settings    settings.Settings
 	Clock       clock.Clock
+	Timers      clock.Timers
 	Catalog     *catalog.Current
 	Pools       pool.Pools
 	Budgets     deadline.Budgets
@@ -147,6 +149,7 @@
 	return pipeline.NewExecutor(pipeline.Parts{
 		Instance:    in.Settings.ID,
 		Clock:       in.Clock,
+		Timers:      in.Timers,
 		Catalog:     in.Catalog,
 		Places:      in.Pools,
 		Budgets:     in.Budgets,
--- a/router/pipeline/attempt.go
+++ b/router/pipeline/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"cicadawell.dev/fleet/fault"
@@ -47,47 +46,51 @@
 	return s.Retries.HedgeAfter(s.job.Pipeline.ID, s.index)
 }
 
+// hedge runs an attempt with a second one in reserve. The faster one ends the
+// other.
 func (s *stageRun) hedge(ctx context.Context, place pool.Place, deadline time.Time, delay time.Duration) outcome {
 	ctx, giveUp := context.WithCancelCause(ctx)
-	var group sync.WaitGroup
-	defer group.Wait()
 	defer giveUp(errSuperseded)
-	outcomes := make(chan outcome, 2)
-	group.Go(func() { outcomes <- s.dispatch(ctx, place, deadline) })
-	select {
-	case o := <-outcomes:
-		return s.settle(o)
-	case <-ctx.Done():
-		return s.settle(<-outcomes)
-	case <-s.Clock.After(delay):
-	}
-	if s.speaker.Load() != nil || !s.Retries.Allow(s.stage().Service) {
-		return s.settle(<-outcomes)
-	}
 	ask := s.ask(deadline)
 	ask.Exclude = append([]string{place.Runner().ID}, s.exclude...)
-	group.Go(func() { outcomes <- s.second(ctx, ask, deadline) })
-	first := s.settle(<-outcomes)
+	reserve := make(chan outcome, 1)
+	stop := s.Timers.AfterFunc(delay, func() {
+		o := s.second(ctx, ask, deadline)
+		if o.err == nil {
+			giveUp(errSuperseded)
+		}
+		reserve <- o
+	})
+	first := s.dispatch(ctx, place, deadline)
+	if stop() {
+		return s.settle(first)
+	}
 	if first.err == nil {
-		return first
+		giveUp(errSuperseded)
 	}
-	second := s.settle(<-outcomes)
-	if second.err != nil && second.attempt == "" {
+	return s.better(first, <-reserve)
+}
+
+// better settles two attempts and returns the one that counts.
+func (s *stageRun) better(first, second outcome) outcome {
+	first, second = s.settle(first), s.settle(second)
+	if first.err == nil || second.attempt == "" {
 		return first
 	}
 	return second
 }
 
-// second runs the attempt beside the first, over a new connection: what holds
-// the first one may be a connection that went silent, and then the idle ones
-// are silent too. Without a place it has not run.
+// second runs the attempt beside the first, when the budget allows one and no
+// token was passed on. Without a place it has not run.
 func (s *stageRun) second(ctx context.Context, ask pool.Ask, deadline time.Time) outcome {
+	if s.speaker.Load() != nil || !s.Retries.Allow(s.stage().Service) {
+		return outcome{err: errSuperseded}
+	}
 	place, err := s.Places.Acquire(ctx, ask)
 	if err != nil {
 		return outcome{err: err}
 	}
 	s.record(journal.Hedged, "", place.Runner().ID, "the first attempt takes long", 0)
-	s.Runners.Renew(place.Runner())
 	return s.dispatch(ctx, place, deadline)
 }
 
--- a/router/pipeline/executor.go
+++ b/router/pipeline/executor.go
@@ -84,6 +84,7 @@
 type Parts struct {
 	Instance    string
 	Clock       clock.Clock
+	Timers      clock.Timers
 	Catalog     *catalog.Current
 	Places      Places
 	Budgets     Budgets
--- a/router/pipeline/pipeline_test.go
+++ b/router/pipeline/pipeline_test.go
@@ -53,7 +53,7 @@
 
 func (s *scene) executor() pipeline.Executor {
 	return pipeline.NewExecutor(pipeline.Parts{
-		Instance: "i1", Clock: s, Catalog: testCatalog(), Places: s, Budgets: s, Retries: s,
+		Instance: "i1", Clock: s, Timers: clock.SystemTimers(), Catalog: testCatalog(), Places: s, Budgets: s, Retries: s,
 		Runners: s, Journal: s, Meter: s, Identifiers: s,
 	})
 }
