--- a/router/ledger/handover.go
+++ b/router/ledger/handover.go
@@ -42,6 +42,7 @@
 	Team     string `json:"team"`
 	Key      string `json:"key"`
 	BodyHash string `json:"bodyHash"`
+	Request  string `json:"request"`
 	// Ended is false while the call runs, until Until at the latest.
 	Ended     bool             `json:"ended"`
 	Until     time.Time        `json:"until"`
@@ -54,7 +55,7 @@
 // table's mu.
 func recordOf(e *entry) record {
 	r := record{
-		Team: e.scope.team, Key: e.scope.key, BodyHash: e.bodyHash,
+		Team: e.scope.team, Key: e.scope.key, BodyHash: e.bodyHash, Request: e.request,
 		Ended: e.ended(), Until: e.until, Forgotten: e.forgotten,
 	}
 	if !r.Ended {
@@ -116,7 +117,10 @@
 	case !ok && (notRun || bucketOf(at) < t.swept):
 		return nil
 	case !ok:
-		e = &entry{scope: s, minted: at, bodyHash: r.BodyHash, slot: hold.SlotOf(r.Team, r.Key), until: r.Until.Add(overdueAfter)}
+		e = &entry{
+			scope: s, minted: at, bodyHash: r.BodyHash, request: r.Request,
+			slot: hold.SlotOf(r.Team, r.Key), until: r.Until.Add(overdueAfter),
+		}
 		t.insert(e)
 	}
 	if !r.Ended {
--- a/router/ledger/options.go
+++ b/router/ledger/options.go
@@ -5,6 +5,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/journal"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -19,6 +20,8 @@
 	mesh   instance.Mesh
 	roster Roster
 	runner Runner
+	// journal takes in what became of each call, or is nil.
+	journal Journal
 
 	// keyWindow is how long after its minting a key is remembered.
 	keyWindow time.Duration
@@ -63,6 +66,14 @@
 // WithLogger sets the logger.
 func WithLogger(log hclog.Logger) Option { return func(c *config) { c.log = log } }
 
+// Journal takes in decisions.
+type Journal interface {
+	Record(d journal.Decision)
+}
+
+// WithJournal sets where decisions are recorded.
+func WithJournal(j Journal) Option { return func(c *config) { c.journal = j } }
+
 // WithMesh sets the way to the other instances.
 func WithMesh(m instance.Mesh) Option { return func(c *config) { c.mesh = m } }
 
--- a/router/ledger/run.go
+++ b/router/ledger/run.go
@@ -8,6 +8,7 @@
 
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/roster/hold"
 )
 
@@ -72,8 +73,8 @@
 func (l *book) Do(ctx context.Context, call Call) (callerapi.Answer, bool, error) {
 	began := l.clock.Now()
 	remaining := call.RemainingMillis
-	for {
-		out, err := l.try(ctx, call)
+	for first := true; ; first = false {
+		out, err := l.try(ctx, call, first)
 		waited := l.clock.Now().Sub(began)
 		call.RemainingMillis = remaining - waited.Milliseconds()
 		if err == nil || !unsettled(err) || waited >= l.settleFor || call.RemainingMillis <= 0 {
@@ -90,8 +91,8 @@
 	return fault.Is(err, fault.HomeUnsettled) && fault.Of(err).Outcome() == fault.NotRun
 }
 
-// try sends the call to its home once.
-func (l *book) try(ctx context.Context, call Call) (out outcome, err error) {
+// try sends the call to its home once. Only the first try is recorded.
+func (l *book) try(ctx context.Context, call Call, first bool) (out outcome, err error) {
 	if _, err := l.readKey(call.Key); err != nil {
 		return out, err
 	}
@@ -102,6 +103,9 @@
 	if home.ID == l.id {
 		return l.runHere(ctx, call)
 	}
+	if first {
+		l.record(journal.Forwarded, call, "instance "+home.ID+" is home of the key")
+	}
 	err = l.mesh.Call(ctx, home.ID, methodRun, call, &out)
 	return out, err
 }
@@ -136,7 +140,7 @@
 	left := time.Duration(call.RemainingMillis) * time.Millisecond
 	fresh := &entry{
 		scope: scope{call.Team, call.Key}, minted: at, bodyHash: call.BodyHash,
-		slot: hold.SlotOf(call.Team, call.Key), until: now.Add(left),
+		request: call.Request, slot: hold.SlotOf(call.Team, call.Key), until: now.Add(left),
 	}
 	state := l.roster.State()
 	if !state.Acts(now, fresh.slot) {
@@ -149,8 +153,13 @@
 	if err != nil {
 		return out, err
 	}
-	if created {
+	switch {
+	case created:
 		l.start(ctx, call, e)
+	case e.ended():
+		l.record(journal.Replayed, call, "the key was used by request "+e.request)
+	default:
+		l.record(journal.Joined, call, "the key is in use by request "+e.request)
 	}
 	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
@@ -158,6 +167,13 @@
 	return outcome{Answer: answer, Replayed: !created}, err
 }
 
+// record records what becomes of a call.
+func (l *book) record(step journal.Step, call Call, reason string) {
+	if l.journal != nil {
+		l.journal.Record(journal.Decision{At: l.clock.Now(), Step: step, Request: call.Request, Reason: reason})
+	}
+}
+
 // wait waits for the end of a call that runs here or at the home before.
 func (l *book) wait(ctx context.Context, e *entry) (callerapi.Answer, error) {
 	var overdue <-chan time.Time
--- a/router/ledger/run_test.go
+++ b/router/ledger/run_test.go
@@ -12,6 +12,7 @@
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/ledger"
 	"cicadawell.dev/router/roster/hold"
 	"github.com/google/uuid"
@@ -209,6 +210,36 @@
 	is.True(fault.Is(err, fault.KeyConflict))
 }
 
+// steps collects the steps that a ledger recorded.
+type steps struct {
+	mu   sync.Mutex
+	took []string
+}
+
+func (s *steps) Record(d journal.Decision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.took = append(s.took, fmt.Sprintf("%s %s: %s", d.Request, d.Step, d.Reason))
+}
+
+func TestDecisionsAreRecorded(t *testing.T) {
+	is := is.New(t)
+	log := &steps{}
+	books := three(t, clock.NewManual(start), &record{runs: make(map[string]int)}, ledger.WithJournal(log))
+	call := callOf("t", keyAt(start, 1), "x")
+	home, _ := hold.HomeOf([]hold.Member{{ID: "a"}, {ID: "b"}, {ID: "c"}}, hold.SlotOf(call.Team, call.Key))
+	other := map[string]string{"a": "b", "b": "c", "c": "a"}[home.ID]
+	for i, id := range []string{home.ID, other} {
+		call.Request = fmt.Sprintf("r%d", i)
+		_, _, err := books[id].Do(t.Context(), call)
+		is.NoErr(err)
+	}
+	is.Equal(log.took, []string{
+		"r1 forwarded: instance " + home.ID + " is home of the key",
+		"r1 replayed: the key was used by request r0",
+	})
+}
+
 func TestOutcomeDecidesWhetherARepeatRuns(t *testing.T) {
 	is := is.New(t)
 	r := &record{runs: make(map[string]int)}
--- a/router/ledger/table.go
+++ b/router/ledger/table.go
@@ -20,6 +20,8 @@
 	scope    scope
 	minted   time.Time
 	bodyHash string
+	// request is the identifier of the first request with the key.
+	request string
 	// done is closed when answer, err and size are set for good.
 	done   chan struct{}
 	answer callerapi.Answer
--- a/router/parts.go
+++ b/router/parts.go
@@ -174,6 +174,7 @@
 	Mesh     instance.Network
 	Roster   roster.Roster
 	Executor pipeline.Executor
+	Journal  journal.Writer
 }
 
 func newLedger(in ledgerIn) ledger.Book {
@@ -185,6 +186,7 @@
 		ledger.WithRoster(in.Roster),
 		ledger.WithSkew(callerSkew, instanceSkew),
 		ledger.WithRunner(in.Executor),
+		ledger.WithJournal(in.Journal),
 	)
 }
 
--- /dev/null
+++ b/router/roster/hold/round_bench_test.go
@@ -0,0 +1,35 @@
+package hold_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cicadawell.dev/router/roster/hold"
+)
+
+// BenchmarkRound measures the decisions of one member in one round of asking:
+// its own round with all replies, and its replies to all others.
+func BenchmarkRound(b *testing.B) {
+	for _, n := range []int{3, 5, 7} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var all []hold.Member
+			for i := range n {
+				all = append(all, hold.Member{ID: fmt.Sprint(i), Incarnation: "1"})
+			}
+			view := hold.View{Epoch: 1, Members: all, Settled: true}
+			m := hold.New(all[0], hold.DefaultTiming())
+			m.Read(origin, origin, hold.Read{View: view, Revision: 1})
+			age := time.Second
+			b.ReportAllocs()
+			for b.Loop() {
+				ask, targets := m.Round(origin)
+				for _, target := range targets {
+					m.Replied(origin, hold.Reply{From: target, Round: ask.Round, Epoch: 1, Settled: true, Promised: true, ReadAge: &age})
+					m.Asked(origin, hold.Ask{From: target, Epoch: 1, Settled: true})
+					m.State(origin)
+				}
+			}
+		})
+	}
+}
