--- a/router/parts.go
+++ b/router/parts.go
@@ -177,6 +177,7 @@
 	Mesh     instance.Network
 	Roster   roster.Roster
 	Executor pipeline.Executor
+	Journal  journal.Writer
 }
 
 func newLedger(in ledgerIn) ledger.Book {
@@ -188,6 +189,7 @@
 		ledger.WithRoster(in.Roster),
 		ledger.WithSkew(callerSkew, instanceSkew),
 		ledger.WithRunner(in.Executor),
+		ledger.WithJournal(in.Journal),
 	)
 }
 
