Take no short pause for a cold start

Cause: the router's cost test, on a machine with a load of 25, saw 'runner r1 turned cold': calls of 0.1 ms with a pause of some milliseconds passed for a latency step. Change: a step counts from 100 ms over the mean, congestion of runners without reports from 10 ms over the best.

--- a/router/pool/cold.go
+++ b/router/pool/cold.go
@@ -13,6 +13,9 @@
 	// coldDeviations is how many mean deviations it exceeds it besides, so
 	// that the long tail of a runner's latencies is no sign.
 	coldDeviations = 16
+	// coldLeast is the least excess over the mean that counts: pauses of this
+	// process and of the network are shorter.
+	coldLeast = 100 * time.Millisecond
 	// stepSamples is how many results the mean needs before a step counts.
 	stepSamples = 16
 	// warmSuccesses is how many results a runner that reports no load must
@@ -123,7 +126,7 @@
 func (r *runner) steps(latency time.Duration) bool {
 	mean, dev := r.latency.value(), r.latency.deviation()
 	return r.warmth.samples >= stepSamples &&
-		float64(latency) > max(coldStep*mean, mean+coldDeviations*dev)
+		float64(latency) > max(coldStep*mean, mean+coldDeviations*dev, mean+float64(coldLeast))
 }
 
 // provenWarm reports whether a runner that reports no load has worked through
--- a/router/pool/limit.go
+++ b/router/pool/limit.go
@@ -14,6 +14,8 @@
 	// congestion is how far the latency may exceed its best before a runner
 	// that reports no load counts as overloaded.
 	congestion = 2.5
+	// congestionLeast is the least excess over the best latency that counts.
+	congestionLeast = 10 * time.Millisecond
 	// drift is how much the best latency rises with each sample, so that
 	// it follows a runner that became slower for good.
 	drift = 1.002
@@ -74,7 +76,7 @@
 	if a.fresh(now) {
 		return a.report.Queued > 0 || float64(a.report.Running) > a.slots
 	}
-	return sample > congestion*a.best
+	return sample > max(congestion*a.best, a.best+float64(congestionLeast))
 }
 
 func (a *adaptive) mayGrow(now instant) bool {
