Choose again when the chosen runner takes no new work any more

Cause: a place whose check failed before the write ended the request as noRunner, although nothing had run and other runners had places: it counted only after an attempt that had been sent. Change: such an outcome is tried again, up to three times, without the retry budget; where no runner was chosen the request still ends.

--- a/router/pipeline/ending.go
+++ b/router/pipeline/ending.go
@@ -86,12 +86,12 @@
 	return result.Load
 }
 
-// again reports whether the stage may be tried again after err.
-func (s *stageRun) again(ctx context.Context, err error) bool {
+// again reports whether the stage may be tried again after o.
+func (s *stageRun) again(ctx context.Context, o outcome) bool {
 	if ctx.Err() != nil || s.speaker.Load() != nil || s.attempts >= maxAttempts {
 		return false
 	}
-	e := fault.Of(err)
+	e := fault.Of(o.err)
 	if !s.stage().Idempotent && e.Outcome() != fault.NotRun {
 		return false
 	}
@@ -101,9 +101,10 @@
 	case fault.Displaced:
 		return true
 	case fault.NoRunner:
-		// A runner that was taken out between the choice and the write;
-		// without any attempt there is none to choose.
-		return len(s.exclude) == 0 && s.attempts > 0
+		// A runner that was taken out or turned cold between the choice and
+		// the write; where none was chosen there is none.
+		s.barred++
+		return o.runner != "" && s.barred < maxAttempts
 	}
 	return false
 }
--- a/router/pipeline/pipeline_test.go
+++ b/router/pipeline/pipeline_test.go
@@ -41,8 +41,9 @@
 	displaced chan struct{}
 	// hedgeAfter is zero where stages are not hedged.
 	hedgeAfter time.Duration
-	// taken makes the last check of a place fail.
-	taken bool
+	// taken makes the last check of a place fail, barred that of as many.
+	taken  bool
+	barred int
 }
 
 type answer func(ctx context.Context, req runnerapi.RunRequest, sink runner.Sink) (runnerapi.RunResult, error)
@@ -150,6 +151,10 @@
 func (p *place) Done(pool.Result)           {}
 
 func (p *place) Check() error {
+	if p.scene.barred > 0 {
+		p.scene.barred--
+		return fault.New(fault.NoRunner, "runner %s turned cold", p.runner.ID)
+	}
 	if p.scene.taken {
 		return fault.New(fault.NoRunner, "runner %s was taken out", p.runner.ID)
 	}
@@ -278,6 +283,16 @@
 	is.Equal(len(s.sent), 0)
 }
 
+func TestAnotherRunnerIsChosenForOneThatWasBarred(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.barred = 2
+	_, err := s.executor().Run(t.Context(), s.job(stages(true), true))
+	is.NoErr(err)
+	is.Equal(len(s.sent), 1)
+	is.Equal(s.budget, 10) // nothing was repeated
+}
+
 // tokenCount counts the tokens that reached the caller.
 type tokenCount int
 
--- a/router/pipeline/stage.go
+++ b/router/pipeline/stage.go
@@ -37,6 +37,8 @@
 	affinity uint64
 	// attempts counts the dispatches so far.
 	attempts int
+	// barred counts the chosen runners that took no new work any more.
+	barred int
 	// exclude are the runners that failed this stage.
 	exclude []string
 	// touched is true once an attempt may have run.
@@ -76,7 +78,7 @@
 			s.Budgets.Observe(s.job.Pipeline.ID, s.index, o.took)
 			return o.result.Output, s.report(o, took), nil
 		}
-		if !s.again(ctx, o.err) {
+		if !s.again(ctx, o) {
 			return nil, callerapi.Stage{}, s.final(ctx, o.err)
 		}
 		s.record(journal.Retried, o.attempt, o.runner, o.err.Error(), 0)
