Spread the demand of teams over the mesh, and seed each instance's choices

Cause: instances kept even shares of the teams' limits, since nothing brought their reports to the teams' homes; and all instances drew the same numbers. Change: package demand reports each second over the mesh; the seed is a hash of the instance's identifier.

--- a/router/entry.go
+++ b/router/entry.go
@@ -13,6 +13,7 @@
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/router/caller"
 	"cicadawell.dev/router/catalog"
+	"cicadawell.dev/router/demand"
 	"cicadawell.dev/router/gauge"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/journal"
@@ -54,6 +55,7 @@
 	Runners   runner.Client
 	Fleet     *fleet
 	Exchange  loads.Exchange
+	Demand    demand.Exchange
 	Callers   caller.Server
 	Operators operators
 }
@@ -89,6 +91,7 @@
 	e.Loops.start("takeouts", e.Takeouts.Run)
 	e.Loops.start("orders", e.Orders.Run)
 	e.Loops.start("loads", e.Exchange.Run)
+	e.Loops.start("demand", e.Demand.Run)
 	e.Loops.start("topology", e.Topology.follow)
 	e.Loops.start("operators", func(context.Context) error { return serveHTTPOn(e.Operators.Server, e.Listeners.operators) })
 	e.Loops.start("callers", func(context.Context) error { return e.Callers.Serve(e.Listeners.callers) })
--- a/router/parts.go
+++ b/router/parts.go
@@ -4,6 +4,7 @@
 	"os"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -12,6 +13,7 @@
 	"cicadawell.dev/router/caller"
 	"cicadawell.dev/router/catalog"
 	"cicadawell.dev/router/deadline"
+	"cicadawell.dev/router/demand"
 	"cicadawell.dev/router/gauge"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/journal"
@@ -62,6 +64,7 @@
 		newCallers,
 		newFleet,
 		newExchange,
+		newDemand,
 		newOrders,
 		newOperators,
 	),
@@ -95,17 +98,18 @@
 func newRunners(clk clock.Clock) runner.Client { return runner.NewClient(clk) }
 
 func newPools(cfg settings.Settings, clk clock.Clock) pool.Pools {
+	options := []pool.Option{pool.WithSeed(xxhash.Sum64String(cfg.ID))}
 	switch cfg.Policy {
 	case settings.PolicyRoundRobin:
-		return pool.New(clk, pool.WithPolicy(pool.PolicyRoundRobin))
+		options = append(options, pool.WithPolicy(pool.PolicyRoundRobin))
 	case settings.PolicyLeastReported:
-		return pool.New(clk, pool.WithPolicy(pool.PolicyLeastReported))
+		options = append(options, pool.WithPolicy(pool.PolicyLeastReported))
 	case settings.PolicyNoAdmission:
-		return pool.New(clk, pool.WithoutAdmission())
+		options = append(options, pool.WithoutAdmission())
 	case settings.PolicyNoBudgets:
-		return pool.New(clk, pool.WithoutBudgets())
+		options = append(options, pool.WithoutBudgets())
 	}
-	return pool.New(clk)
+	return pool.New(clk, options...)
 }
 
 func newBudgets(cfg settings.Settings, clk clock.Clock) deadline.Budgets {
@@ -211,6 +215,10 @@
 	})
 }
 
+func newDemand(cfg settings.Settings, clk clock.Clock, log hclog.Logger, mesh instance.Network, quotas quota.Quotas) demand.Exchange {
+	return demand.New(demand.Parts{Self: cfg.ID, Clock: clk, Log: log.Named("demand"), Mesh: mesh, Quotas: quotas})
+}
+
 func newOrders(store platform.Store, t *topology, j journal.Writer, clk clock.Clock) order.Driver {
 	engines := runner.NewOrders(order.DefaultLimits().Delivery)
 	return order.New(store, engines, t.orders, j, clk)
