--- a/standin/proof/fleet_test.go
+++ b/standin/proof/fleet_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/standin/endpoint"
@@ -122,10 +123,11 @@
 		HTTP:  &http.Client{Transport: c.wire},
 		Clock: clock.System(), Key: scene.TeamKey, Next: c.next,
 	}
+	p := s.Pipeline(k.pipeline) // a later bundle may be rolled meanwhile
 	for i := range n {
 		c.group.Go(func() {
 			for j := 0; !c.left(); j++ {
-				c.one(k, fmt.Sprintf("%s %d %d", k.pipeline, i, j))
+				c.one(k, p, fmt.Sprintf("%s %d %d", k.pipeline, i, j))
 			}
 		})
 	}
@@ -153,9 +155,9 @@
 }
 
 // one makes one call, with all its repeats.
-func (c *callers) one(k kind, text string) {
+func (c *callers) one(k kind, p bundle.Pipeline, text string) {
 	call := load.Call{
-		Team: k.team, Pipeline: c.s.Pipeline(k.pipeline), Deadline: k.deadline, Stream: k.stream, Persist: true,
+		Team: k.team, Pipeline: p, Deadline: k.deadline, Stream: k.stream, Persist: true,
 		Work: runner.Work{Text: text, Tokens: k.tokens},
 	}
 	if !call.Pipeline.Idempotent() {
--- a/standin/proof/proof_test.go
+++ b/standin/proof/proof_test.go
@@ -123,6 +123,24 @@
 	is.Equal(notRun+unknown, 0)
 }
 
+// Every router but one is told to stop, one after the other, under bookings.
+// Each booking is answered: the keys of each home pass on.
+func TestGracefulShutdownUnderBookings(t *testing.T) {
+	is := is.New(t)
+	s := start(t)
+	c := call(t, s, 6, bookings)
+	c.more(t, 30)
+	for _, p := range s.Routers[1:] {
+		retire(t, p, c)
+		c.more(t, 30)
+	}
+	c.stop()
+	is.Equal(c.wire.cut.Load(), int64(0))
+	v, _ := judge(t, s, c)
+	is.Equal(v.NotRun, 0)
+	is.Equal(v.Unknown, 0)
+}
+
 // detection is how long the routers may take to see that a runner that was
 // warm is in cold start: its load report lags by half a second.
 const detection = time.Second
