Repeat bookings of unknown fate in the tests of killed and paused homes

Cause: with the check of takeovers switched off both tests passed: a booking lasted 15 ms, so that hardly any was under way, and callers did not repeat what they were told is unknown.

Ruled out: more callers alone.

Change: bookings take 0.3 s, 24 callers, and calls whose fate is unknown are repeated with the same key until others have taken it over.

Conclusion: TestKilledHome and TestPausedHome are red without the check.

--- a/standin/proof/fleet_test.go
+++ b/standin/proof/fleet_test.go
@@ -106,10 +106,20 @@
 	deadline time.Duration
 	stream   bool
 	tokens   int
+	// insist repeats calls whose fate is unknown, with the same key.
+	insist bool
 }
 
+const (
+	// insistTimes and insistPause let such repeats reach the instance that
+	// takes a dead home's keys over.
+	insistTimes = 3
+	insistPause = 5 * time.Second
+)
+
 var (
 	bookings = kind{pipeline: scene.Book, team: "paying1", deadline: 8 * time.Second}
+	insisted = kind{pipeline: scene.Book, team: "paying1", deadline: 8 * time.Second, insist: true}
 	answers  = kind{pipeline: scene.Answer, team: "paying1", deadline: 8 * time.Second, tokens: 4}
 	streams  = kind{pipeline: scene.Answer, team: "paying1", deadline: 20 * time.Second, tokens: 120, stream: true}
 )
@@ -164,6 +174,13 @@
 		call.Key = uuid.Must(uuid.NewV7()).String()
 	}
 	reply := c.client.Do(context.Background(), call)
+	for range insistTimes {
+		if !k.insist || reply.Answer != nil || reply.Outcome != fault.Unknown {
+			break
+		}
+		_ = clock.System().Sleep(context.Background(), insistPause) // never cancelled
+		reply = again(reply, c.client.Do(context.Background(), call))
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.replies = append(c.replies, reply)
@@ -178,6 +195,16 @@
 	c.ended = make(chan struct{})
 }
 
+// again returns what a caller knows after a repeat of a call whose fate was
+// unknown: a refusal of the repeat says nothing of the first.
+func again(first, repeat load.Reply) load.Reply {
+	repeat.Requests = append(first.Requests, repeat.Requests...)
+	if repeat.Answer == nil {
+		repeat.Outcome = fault.Unknown
+	}
+	return repeat
+}
+
 // waitLimit bounds every wait for calls.
 const waitLimit = 60 * time.Second
 
@@ -302,6 +329,15 @@
 	is.New(t).NoErr(p.Stop())
 }
 
+// slowBookings makes each booking take long enough that some are under way at
+// any moment.
+func slowBookings(t *testing.T, s *scene.Scene) {
+	t.Helper()
+	for _, id := range []string{"bookings1", "bookings2"} {
+		put(t, s.Runners[id], endpoint.Faults{SlowFactor: 20})
+	}
+}
+
 // put puts faults in force at a stand-in.
 func put(t *testing.T, p *scene.Process, f endpoint.Faults) {
 	t.Helper()
--- a/standin/proof/proof_test.go
+++ b/standin/proof/proof_test.go
@@ -10,23 +10,26 @@
 	"github.com/matryer/is"
 )
 
-// The home of a fifth of the keys is killed under bookings. Bookings go on at
-// the other instances; none runs twice, and no refusal is false.
+// The home of a fifth of the keys is killed with bookings under way. Callers
+// repeat those whose fate is unknown, also when others have taken the keys over;
+// none runs twice, and no refusal is false.
 func TestKilledHome(t *testing.T) {
 	s := start(t)
-	c := call(t, s, 12, bookings)
+	slowBookings(t, s)
+	c := call(t, s, 24, insisted)
 	c.more(t, 60)
 	s.Routers[1].Kill()
 	c.more(t, 60)
-	c.recovered(t, 60)
+	c.recovered(t, 200)
 	judge(t, s, c)
 }
 
-// A home is paused until the others have taken its keys over, and then goes on
-// as if nothing had been.
+// A home is paused with bookings under way until the others have taken its keys
+// over, and then goes on as if nothing had been.
 func TestPausedHome(t *testing.T) {
 	s := start(t)
-	c := call(t, s, 12, bookings)
+	slowBookings(t, s)
+	c := call(t, s, 24, insisted)
 	c.more(t, 60)
 	paused := s.Routers[1]
 	paused.Signal(syscall.SIGSTOP)
