Ask few instances about cold runners, show each instance's bundle

Cause: each instance asked all others four times a second what they hold for cold: at 450 instances 3,592 messages a second and instance. ctl instances showed the bundle of one instance only, and explain asked one after the other. Ruled out: relaying digests (only knowledge at first hand can be dated). Change: the owners of the runners held for cold are asked, and one other by turns; instances are asked side by side.

--- a/router/fleet.go
+++ b/router/fleet.go
@@ -4,6 +4,11 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
 
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/operatorapi"
@@ -15,8 +20,20 @@
 	"cicadawell.dev/router/settings"
 )
 
-// methodExplain asks an instance for its decisions on a request.
-const methodExplain = "journal.explain"
+// Methods that other instances answer.
+const (
+	// methodExplain asks for the decisions on a request.
+	methodExplain = "journal.explain"
+	// methodVersion asks for the bundle version in force.
+	methodVersion = "bundle.version"
+)
+
+const (
+	// askTimeout bounds a question to one instance.
+	askTimeout = time.Second
+	// askAtOnce is how many instances are asked at once.
+	askAtOnce = 32
+)
 
 // fleet tells which instances there are and what they decided.
 type fleet struct {
@@ -35,7 +52,12 @@
 	Request string `json:"request"`
 }
 
-// handle answers other instances about decisions of this one.
+// versionAnswer is the bundle version in force at an instance.
+type versionAnswer struct {
+	Bundle uint64 `json:"bundle"`
+}
+
+// handle answers other instances about this one.
 func (f *fleet) handle() {
 	f.mesh.Handle(methodExplain, func(_ context.Context, _ string, raw json.RawMessage) (any, error) {
 		var p explainParams
@@ -44,50 +66,70 @@
 		}
 		return f.decisions(p.Request), nil
 	})
+	f.mesh.Handle(methodVersion, func(context.Context, string, json.RawMessage) (any, error) {
+		return versionAnswer{Bundle: f.catalog.Version()}, nil
+	})
 }
 
-// Instances returns a row for each instance of the platform's list.
-func (f *fleet) Instances(ctx context.Context) ([]operatorapi.InstanceStatus, error) {
+// each calls do for each instance of the platform's list, several at once.
+func (f *fleet) each(ctx context.Context, do func(ctx context.Context, row platformapi.Instance)) error {
 	rows, err := f.list.Instances(ctx)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	out := make([]operatorapi.InstanceStatus, 0, len(rows))
+	var group errgroup.Group
+	group.SetLimit(askAtOnce)
 	for _, row := range rows {
-		out = append(out, f.status(row))
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			do(ctx, row)
+			return nil
+		})
 	}
-	return out, nil
+	return group.Wait()
 }
 
-func (f *fleet) status(row platformapi.Instance) operatorapi.InstanceStatus {
-	s := operatorapi.InstanceStatus{ID: row.ID, Zone: row.Zone, Address: row.Address, State: string(row.State)}
-	if row.ID == f.self {
-		s.Bundle = f.catalog.Version()
-	}
-	return s
+// Instances returns a row for each instance of the platform's list.
+func (f *fleet) Instances(ctx context.Context) ([]operatorapi.InstanceStatus, error) {
+	var mu sync.Mutex
+	out := []operatorapi.InstanceStatus{}
+	err := f.each(ctx, func(ctx context.Context, row platformapi.Instance) {
+		s := operatorapi.InstanceStatus{ID: row.ID, Zone: row.Zone, Address: row.Address, State: string(row.State)}
+		var v versionAnswer
+		if f.mesh.Call(ctx, row.ID, methodVersion, struct{}{}, &v) == nil {
+			s.Bundle = v.Bundle
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		out = append(out, s)
+	})
+	slices.SortFunc(out, func(a, b operatorapi.InstanceStatus) int { return strings.Compare(a.ID, b.ID) })
+	return out, err
 }
 
-// Explain asks the instance that took the request in, and the others, since the
-// home of a key may be another.
+// Explain asks every instance what it decided: besides the one that took the
+// request in, the home of its key has a part.
 func (f *fleet) Explain(ctx context.Context, request string) (operatorapi.Explanation, error) {
 	out := operatorapi.Explanation{Request: request, Decisions: []operatorapi.Decision{}}
 	if _, ok := instanceOf(request); !ok {
 		return out, fault.New(fault.BadRequest, "found %q, allowed is an identifier from an answer", request).WithField("request")
 	}
-	rows, err := f.list.Instances(ctx)
-	if err != nil {
-		return out, err
-	}
-	for _, row := range rows {
+	var mu sync.Mutex
+	err := f.each(ctx, func(ctx context.Context, row platformapi.Instance) {
 		var some []operatorapi.Decision
-		if err := f.mesh.Call(ctx, row.ID, methodExplain, explainParams{Request: request}, &some); err != nil {
+		err := f.mesh.Call(ctx, row.ID, methodExplain, explainParams{Request: request}, &some)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
 			out.Silent = append(out.Silent, row.ID)
-			continue
+			return
 		}
 		out.Decisions = append(out.Decisions, some...)
-	}
+	})
+	slices.Sort(out.Silent)
 	sortDecisions(out.Decisions)
-	return out, nil
+	return out, err
 }
 
 func (f *fleet) decisions(request string) []operatorapi.Decision {
--- a/router/loads/loads.go
+++ b/router/loads/loads.go
@@ -1,6 +1,9 @@
 // Package loads spreads what instances know of runners: each runner that
 // reports its load is asked by one instance, and instances learn from each
 // other which runners are in cold start.
+//
+// An instance asks few others, however many there are: those that ask the
+// runners it holds for cold, and one more, by turns.
 package loads
 
 import (
@@ -9,7 +12,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
@@ -36,6 +38,8 @@
 	knowledge = 10 * time.Second
 	// fanOut is how many are asked at once.
 	fanOut = 16
+	// maxPartners is how many instances are asked in one turn.
+	maxPartners = 16
 )
 
 // Runners asks a runner for its load.
@@ -83,7 +87,11 @@
 	return e
 }
 
-type exchange struct{ Parts }
+type exchange struct {
+	Parts
+	// turn counts the periods; only pullAll uses it.
+	turn int
+}
 
 // question names the runners that the asking instance holds for cold: nothing
 // has to be said of the others unless they turned cold.
@@ -121,16 +129,14 @@
 	return d, nil
 }
 
-// pullAll asks every other instance. Its answer is at most as old as the whole
-// call took, whatever the clocks of the two show.
+// pullAll asks the partners of this turn. Their answers are at most as old as
+// the whole call took, whatever the clocks of the two show.
 func (e *exchange) pullAll(ctx context.Context) {
 	q := question{Cold: e.cold()}
+	e.turn++
 	var group errgroup.Group
 	group.SetLimit(fanOut)
-	for _, id := range e.Fleet.Members() {
-		if id == e.Self {
-			continue
-		}
+	for _, id := range partners(e.Self, e.Fleet.Members(), q.Cold, e.turn) {
 		group.Go(func() error {
 			e.pull(ctx, id, q)
 			return nil
@@ -190,17 +196,3 @@
 	load.AgeMillis += e.Clock.Now().Sub(start).Milliseconds()
 	e.Pools.Report(r.ID, load)
 }
-
-// owner returns the member that asks a runner, by rendezvous hashing: when the
-// members change, few runners change hands.
-func owner(members []string, runner string) string {
-	var best string
-	var weight uint64
-	for _, id := range members {
-		w := xxhash.Sum64String(id + "\x00" + runner)
-		if best == "" || w > weight {
-			best, weight = id, w
-		}
-	}
-	return best
-}
