--- a/router/pipeline/stage.go
+++ b/router/pipeline/stage.go
@@ -67,7 +67,8 @@
 // of time.
 func (s *stageRun) run(ctx context.Context) (json.RawMessage, callerapi.Stage, error) {
 	start := s.Clock.Now()
-	deadline, err := s.Budgets.Plan(s.job.Pipeline, s.index, start, s.job.Deadline.Add(-s.waitsAhead()))
+	waits := s.waitsAhead(s.job.Deadline.Sub(start))
+	deadline, err := s.Budgets.Plan(s.job.Pipeline, s.index, start, s.job.Deadline.Add(-waits))
 	if err != nil {
 		return nil, callerapi.Stage{}, err
 	}
@@ -85,16 +86,15 @@
 	}
 }
 
-// waitsAhead returns the time that the request is to keep for waits at the
-// stages after this one. At the first stage it is more than they take, so that
-// a request is refused there rather than after work was spent on it.
-func (s *stageRun) waitsAhead() time.Duration {
+// waitsAhead returns the time that a request with left to go is to keep for
+// waits at the stages after this one.
+func (s *stageRun) waitsAhead(left time.Duration) time.Duration {
 	sum := time.Duration(0)
 	for _, stage := range s.job.Pipeline.Stages[s.index+1:] {
 		sum += s.Places.Wait(stage.Service, stage.Model, s.job.Team.Paying)
 	}
 	if s.index == 0 {
-		sum *= pool.AdmissionFactor
+		return pool.AdmissionWait(sum, left, s.job.Team.Paying)
 	}
 	return sum
 }
--- a/router/pool/model_test.go
+++ b/router/pool/model_test.go
@@ -435,7 +435,7 @@
 		waits += m.pools[i].Wait(stages[j].service, "", class == 0)
 	}
 	if k == 0 {
-		waits *= pool.AdmissionFactor
+		waits = pool.AdmissionWait(waits, until.Sub(began), class == 0)
 	}
 	stageUntil, err := m.budgets[i].Plan(m.pipeline, k, began, until.Add(-waits))
 	if err != nil {
--- a/router/pool/options.go
+++ b/router/pool/options.go
@@ -23,11 +23,6 @@
 // say it.
 const DefaultLongest = 4 * time.Second
 
-// AdmissionFactor is by how much the waits at later stages count when a request
-// is admitted to its first stage: it is refused there rather than after work
-// was spent on it.
-const AdmissionFactor = 4
-
 const (
 	defaultHeadroom = 0.1
 	defaultQueue    = 512
--- a/router/pool/pool.go
+++ b/router/pool/pool.go
@@ -27,8 +27,8 @@
 	// Overloaded, NoRunner, DeadlineShort and Displaced, all not run.
 	Acquire(ctx context.Context, ask Ask) (Place, error)
 	// Wait estimates how long a new ask would wait for a place. Callers take
-	// the waits of later stages off the deadline that they plan with, times
-	// AdmissionFactor at the first stage.
+	// the waits of later stages off the deadline that they plan with, by
+	// AdmissionWait at the first stage.
 	Wait(service, model string, paying bool) time.Duration
 	// Report takes in a load report that did not come with an answer.
 	Report(runner string, load runnerapi.Load)
