--- a/router/pipeline/attempt.go
+++ b/router/pipeline/attempt.go
@@ -91,6 +91,9 @@
 		return outcome{err: err}
 	}
 	s.record(journal.Hedged, "", place.Runner().ID, "the first attempt takes long", 0)
+	// What holds the first attempt may be a connection that went silent, and
+	// then the idle ones are silent too.
+	s.Runners.Renew(place.Runner())
 	return s.dispatch(ctx, place, deadline)
 }
 
