Measure what control costs an idle router at several sizes

Cause: CAPACITY.md needs slopes from real processes. Ruled out: adding up benchmarks (they miss what loops cost beside them). Change: standin capacity starts fleets of several sizes and reads /proc.

--- a/standin/main.go
+++ b/standin/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/standin/capacity"
 	"cicadawell.dev/standin/demo"
 	"cicadawell.dev/standin/load"
 	"cicadawell.dev/standin/measure"
@@ -31,6 +32,7 @@
 	addLoad(app, actions)
 	addDemo(app, actions)
 	addMeasure(app, actions)
+	addCapacity(app, actions)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := actions[name](context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
@@ -121,3 +123,15 @@
 		return measure.Run(ctx, cfg)
 	}
 }
+
+func addCapacity(app *kingpin.Application, actions map[string]func(context.Context) error) {
+	cfg := capacity.Config{Out: os.Stdout, Clock: clock.System()}
+	cmd := app.Command("capacity", "Measure what an idle router spends on control, at several sizes of the fleet.")
+	cmd.Flag("bin", "Folder with the programs router, ctl and standin.").Default("bin").StringVar(&cfg.Bin)
+	cmd.Flag("routers", "Number of routers; may be repeated.").Default("5", "15", "30").IntsVar(&cfg.Sizes)
+	actions[cmd.FullCommand()] = func(ctx context.Context) error {
+		ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		return capacity.Run(ctx, cfg)
+	}
+}
--- a/standin/scene/process.go
+++ b/standin/scene/process.go
@@ -79,6 +79,9 @@
 	return p, nil
 }
 
+// Pid returns the process's number.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal; SIGSTOP pauses the process and SIGCONT resumes it.
 func (p *Process) Signal(sig syscall.Signal) {
 	// A process that has ended needs no signal.
