--- a/router/parts.go
+++ b/router/parts.go
@@ -4,6 +4,7 @@
 	"os"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -12,6 +13,7 @@
 	"cicadawell.dev/router/caller"
 	"cicadawell.dev/router/catalog"
 	"cicadawell.dev/router/deadline"
+	"cicadawell.dev/router/demand"
 	"cicadawell.dev/router/gauge"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/journal"
@@ -36,6 +38,7 @@
 	fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	fx.Provide(
 		clock.System,
+		clock.SystemTimers,
 		newLogger,
 		newLoops,
 		newListeners,
@@ -62,6 +65,7 @@
 		newCallers,
 		newFleet,
 		newExchange,
+		newDemand,
 		newOrders,
 		newOperators,
 	),
@@ -95,17 +99,18 @@
 func newRunners(clk clock.Clock) runner.Client { return runner.NewClient(clk) }
 
 func newPools(cfg settings.Settings, clk clock.Clock) pool.Pools {
+	options := []pool.Option{pool.WithSeed(xxhash.Sum64String(cfg.ID))}
 	switch cfg.Policy {
 	case settings.PolicyRoundRobin:
-		return pool.New(clk, pool.WithPolicy(pool.PolicyRoundRobin))
+		options = append(options, pool.WithPolicy(pool.PolicyRoundRobin))
 	case settings.PolicyLeastReported:
-		return pool.New(clk, pool.WithPolicy(pool.PolicyLeastReported))
+		options = append(options, pool.WithPolicy(pool.PolicyLeastReported))
 	case settings.PolicyNoAdmission:
-		return pool.New(clk, pool.WithoutAdmission())
+		options = append(options, pool.WithoutAdmission())
 	case settings.PolicyNoBudgets:
-		return pool.New(clk, pool.WithoutBudgets())
+		options = append(options, pool.WithoutBudgets())
 	}
-	return pool.New(clk)
+	return pool.New(clk, options...)
 }
 
 func newBudgets(cfg settings.Settings, clk clock.Clock) deadline.Budgets {
@@ -133,6 +138,7 @@
 	fx.In
 	Settings    settings.Settings
 	Clock       clock.Clock
+	Timers      clock.Timers
 	Catalog     *catalog.Current
 	Pools       pool.Pools
 	Budgets     deadline.Budgets
@@ -147,6 +153,7 @@
 	return pipeline.NewExecutor(pipeline.Parts{
 		Instance:    in.Settings.ID,
 		Clock:       in.Clock,
+		Timers:      in.Timers,
 		Catalog:     in.Catalog,
 		Places:      in.Pools,
 		Budgets:     in.Budgets,
@@ -213,6 +220,10 @@
 	})
 }
 
+func newDemand(cfg settings.Settings, clk clock.Clock, log hclog.Logger, mesh instance.Network, quotas quota.Quotas) demand.Exchange {
+	return demand.New(demand.Parts{Self: cfg.ID, Clock: clk, Log: log.Named("demand"), Mesh: mesh, Quotas: quotas})
+}
+
 func newOrders(store platform.Store, t *topology, j journal.Writer, clk clock.Clock) order.Driver {
 	engines := runner.NewOrders(order.DefaultLimits().Delivery)
 	return order.New(store, engines, t.orders, j, clk)
--- a/router/pipeline/stage.go
+++ b/router/pipeline/stage.go
@@ -37,6 +37,8 @@
 	affinity uint64
 	// attempts counts the dispatches so far.
 	attempts int
+	// barred counts the chosen runners that took no new work any more.
+	barred int
 	// exclude are the runners that failed this stage.
 	exclude []string
 	// touched is true once an attempt may have run.
@@ -65,7 +67,8 @@
 // of time.
 func (s *stageRun) run(ctx context.Context) (json.RawMessage, callerapi.Stage, error) {
 	start := s.Clock.Now()
-	deadline, err := s.Budgets.Plan(s.job.Pipeline, s.index, start, s.job.Deadline.Add(-s.waitsAhead()))
+	waits := s.waitsAhead(s.job.Deadline.Sub(start))
+	deadline, err := s.Budgets.Plan(s.job.Pipeline, s.index, start, s.job.Deadline.Add(-waits))
 	if err != nil {
 		return nil, callerapi.Stage{}, err
 	}
@@ -76,23 +79,22 @@
 			s.Budgets.Observe(s.job.Pipeline.ID, s.index, o.took)
 			return o.result.Output, s.report(o, took), nil
 		}
-		if !s.again(ctx, o.err) {
+		if !s.again(ctx, o) {
 			return nil, callerapi.Stage{}, s.final(ctx, o.err)
 		}
 		s.record(journal.Retried, o.attempt, o.runner, o.err.Error(), 0)
 	}
 }
 
-// waitsAhead returns the time that the request is to keep for waits at the
-// stages after this one. At the first stage it is more than they take, so that
-// a request is refused there rather than after work was spent on it.
-func (s *stageRun) waitsAhead() time.Duration {
+// waitsAhead returns the time that a request with left to go is to keep for
+// waits at the stages after this one.
+func (s *stageRun) waitsAhead(left time.Duration) time.Duration {
 	sum := time.Duration(0)
 	for _, stage := range s.job.Pipeline.Stages[s.index+1:] {
 		sum += s.Places.Wait(stage.Service, stage.Model, s.job.Team.Paying)
 	}
 	if s.index == 0 {
-		sum *= pool.AdmissionFactor
+		return pool.AdmissionWait(sum, left, s.job.Team.Paying)
 	}
 	return sum
 }
