--- a/router/roll/operate.go
+++ b/router/roll/operate.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/json"
 
@@ -11,8 +10,6 @@
 	"cicadawell.dev/fleet/operatorapi"
 )
 
-func compareStrings(a, b string) int { return cmp.Compare(a, b) }
-
 func (n *node) Status(ctx context.Context) (operatorapi.BundleStatus, error) {
 	call, cancel := context.WithTimeout(ctx, n.cfg.callTimeout)
 	defer cancel()
--- a/router/roll/option.go
+++ b/router/roll/option.go
@@ -52,13 +52,6 @@
 // Option changes a period or bound of rolls.
 type Option func(*config)
 
-// WithExchangePeriod sets the time between two questions to another instance.
-func WithExchangePeriod(d time.Duration) Option { return func(c *config) { c.exchangePeriod = d } }
-
-// WithTakeOverAfter sets how long a roll stands still before another instance
-// drives it.
-func WithTakeOverAfter(d time.Duration) Option { return func(c *config) { c.takeOverAfter = d } }
-
 // WithCallTimeouts bounds calls to other instances, and those that may fetch
 // a content.
 func WithCallTimeouts(call, stage time.Duration) Option {
