Learn from attempts that time out, and spare asks in a hurry slow runners

Change: an attempt given up after more than the mean raises it by half of the difference; a runner whose usual time exceeds the time left comes last.

--- a/router/pool/cold.go
+++ b/router/pool/cold.go
@@ -100,9 +100,20 @@
 			r.cool(now)
 		}
 		r.adaptive.lower(now)
+		r.tookLonger(res.Latency, now)
 	case Refused:
 		r.adaptive.lower(now)
-	case Cancelled, Unsent:
+	case Cancelled:
+		r.tookLonger(res.Latency, now)
+	case Unsent:
+	}
+}
+
+// tookLonger takes in how long an attempt ran that did not end by itself, if
+// that is more than its runner usually takes.
+func (r *runner) tookLonger(latency time.Duration, now instant) {
+	if float64(latency) > r.latency.value() {
+		r.latency.rise(now, latency)
 	}
 }
 
--- a/router/pool/group.go
+++ b/router/pool/group.go
@@ -95,6 +95,8 @@
 	g   *group
 	ask Ask
 	now instant
+	// timely is true while runners that are too slow for the ask are left out.
+	timely bool
 	// undone is set when free work gave a place back because paying work
 	// had begun to wait; the runner it was on needs a dispatch.
 	undone *runner
@@ -150,10 +152,27 @@
 	case PolicyTwoChoice:
 	}
 	typical := g.latency.value()
-	if pl := a.among(m.local, typical, reasonTwoChoice); pl != nil {
-		return pl
+	for _, a.timely = range [...]bool{a.p.cfg.budgets, false} {
+		if pl := a.among(m.local, typical, reasonTwoChoice); pl != nil {
+			return pl
+		}
+		if pl := a.among(m.remote, typical, reasonOtherZone); pl != nil {
+			return pl
+		}
+		if !a.timely {
+			break
+		}
+	}
+	return nil
+}
+
+// onTimely takes a place on r, unless r is too slow for the ask and others are
+// to be tried first.
+func (a *attempt) onTimely(r *runner, typical float64, why reason) *place {
+	if a.timely && r.latency.at(a.now, typical)+r.latency.deviation() > float64(a.p.instantOf(a.ask.Deadline).sub(a.now)) {
+		return nil
 	}
-	return a.among(m.remote, typical, reasonOtherZone)
+	return a.on(r, why)
 }
 
 // among takes a place on one of the list's runners: by affinity if the ask
@@ -177,16 +196,16 @@
 		if y.cost(a.now, typical) < x.cost(a.now, typical) {
 			x, y = y, x
 		}
-		if pl := a.on(x, why); pl != nil {
+		if pl := a.onTimely(x, typical, why); pl != nil {
 			return pl
 		}
-		if pl := a.on(y, why); pl != nil {
+		if pl := a.onTimely(y, typical, why); pl != nil {
 			return pl
 		}
 		start = i
 	}
 	for k := range n {
-		if pl := a.on(list[(start+k)%n], reasonOnlyFree); pl != nil {
+		if pl := a.onTimely(list[(start+k)%n], typical, reasonOnlyFree); pl != nil {
 			return pl
 		}
 	}
--- a/router/pool/limit_test.go
+++ b/router/pool/limit_test.go
@@ -349,3 +349,35 @@
 	is.Equal(len(paid.out), 1)
 	is.Equal(len(unpaid.out), 1)
 }
+
+func TestRunnerThatTimesOutIsAvoidedByAsksInAHurry(t *testing.T) {
+	is := is.New(t)
+	clk := clock.NewManual(start)
+	p := New(clk).(*pools)
+	runners := engines(9, 8, 8)
+	runners = []bundle.Runner{runners[0], runners[4], runners[8]} // all in zone-0
+	p.Update(alone(runners))
+	clk.Advance(time.Minute)
+	warmAll(p, runners)
+	g := p.snapshot.Load().groups[groupKey{"generate", "m"}]
+	ask := serviceAsk(clk, true)
+	ask.Service, ask.Model, ask.Deadline = "generate", "m", clk.Now().Add(200*time.Millisecond)
+	slow := runners[1].ID
+	for range 40 {
+		pl := p.mustTake(is, g, ask)
+		res := Result{Ending: Completed, Latency: 100 * time.Millisecond, Load: &runnerapi.Load{}}
+		if pl.r.id == slow {
+			res.Ending, res.Latency = TimedOut, 350*time.Millisecond
+		}
+		pl.Done(res)
+	}
+	seen := map[string]int{}
+	for range 14 { // the other two have as many places
+		seen[p.mustTake(is, g, ask).r.id]++
+	}
+	is.Equal(seen[slow], 0)
+	for range 6 {
+		seen[p.mustTake(is, g, ask).r.id]++
+	}
+	is.True(seen[slow] > 0) // rather than not at all
+}
--- a/router/pool/runner.go
+++ b/router/pool/runner.go
@@ -225,6 +225,17 @@
 	e.seen.Store(max(1, int64(now)))
 }
 
+// rise records a sample that is a lower bound of a latency over the mean: the
+// runner has become slower, and the mean follows it by half.
+func (e *estimate) rise(now instant, d time.Duration) {
+	if e.seen.Load() == 0 {
+		e.add(now, d)
+		return
+	}
+	e.mean.Store(math.Float64bits((e.value() + float64(d)) / 2))
+	e.seen.Store(int64(now))
+}
+
 // at returns the mean, drawn towards typical the older it is.
 func (e *estimate) at(now instant, typical float64) float64 {
 	seen := e.seen.Load()
