--- a/router/parts.go
+++ b/router/parts.go
@@ -38,6 +38,7 @@
 	fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	fx.Provide(
 		clock.System,
+		clock.SystemTimers,
 		newLogger,
 		newLoops,
 		newListeners,
@@ -137,6 +138,7 @@
 	fx.In
 	Settings    settings.Settings
 	Clock       clock.Clock
+	Timers      clock.Timers
 	Catalog     *catalog.Current
 	Pools       pool.Pools
 	Budgets     deadline.Budgets
@@ -151,6 +153,7 @@
 	return pipeline.NewExecutor(pipeline.Parts{
 		Instance:    in.Settings.ID,
 		Clock:       in.Clock,
+		Timers:      in.Timers,
 		Catalog:     in.Catalog,
 		Places:      in.Pools,
 		Budgets:     in.Budgets,
@@ -178,6 +181,7 @@
 	Mesh     instance.Network
 	Roster   roster.Roster
 	Executor pipeline.Executor
+	Journal  journal.Writer
 }
 
 func newLedger(in ledgerIn) ledger.Book {
@@ -189,6 +193,7 @@
 		ledger.WithRoster(in.Roster),
 		ledger.WithSkew(callerSkew, instanceSkew),
 		ledger.WithRunner(in.Executor),
+		ledger.WithJournal(in.Journal),
 	)
 }
 
