Group imports in one way, held by the linter

Cause: half the files put the workspace's own packages in a group of their own. Ruled out: three groups (the majority had two). Change: gci with two sections; files formatted by it.

--- a/fleet/splice/splice_test.go
+++ b/fleet/splice/splice_test.go
@@ -4,10 +4,9 @@
 	"encoding/json"
 	"testing"
 
-	"github.com/matryer/is"
-
 	"cicadawell.dev/fleet/runnerapi"
 	"cicadawell.dev/fleet/splice"
+	"github.com/matryer/is"
 )
 
 func TestFieldDecodesToTheSameMessage(t *testing.T) {
--- a/router/caller/admit.go
+++ b/router/caller/admit.go
@@ -10,10 +10,9 @@
 	"strings"
 	"time"
 
-	"github.com/gin-gonic/gin"
-
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/fault"
+	"github.com/gin-gonic/gin"
 )
 
 // admit fills x from the request, or says what is wrong with it. release is
--- a/router/caller/caller_test.go
+++ b/router/caller/caller_test.go
@@ -15,8 +15,6 @@
 	"testing"
 	"time"
 
-	"github.com/matryer/is"
-
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/clock"
@@ -27,6 +25,7 @@
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/ledger"
 	"cicadawell.dev/router/pipeline"
+	"github.com/matryer/is"
 )
 
 // fakes stands in for all that lies behind the interface for callers.
--- a/router/caller/decode.go
+++ b/router/caller/decode.go
@@ -3,11 +3,10 @@
 import (
 	"errors"
 
-	"github.com/go-json-experiment/json"
-	"github.com/go-json-experiment/json/jsontext"
-
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/fault"
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 )
 
 // decode reads exactly one JSON object without unknown fields. The error names
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/gin-gonic/gin"
-
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/fault"
@@ -15,6 +13,7 @@
 	"cicadawell.dev/router/catalog"
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/pipeline"
+	"github.com/gin-gonic/gin"
 )
 
 // exchange is one request with what was found out about it so far.
--- a/router/caller/once.go
+++ b/router/caller/once.go
@@ -5,11 +5,10 @@
 	"crypto/sha256"
 	"encoding/hex"
 
-	"github.com/gin-gonic/gin"
-
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/router/ledger"
 	"cicadawell.dev/router/runner"
+	"github.com/gin-gonic/gin"
 )
 
 // serveOnce answers a call that may not be repeated. It goes on when the
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/gin-gonic/gin"
-
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/clock"
@@ -19,6 +17,7 @@
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/ledger"
 	"cicadawell.dev/router/pipeline"
+	"github.com/gin-gonic/gin"
 )
 
 // Limits of the interface for callers.
--- a/router/caller/stream.go
+++ b/router/caller/stream.go
@@ -3,11 +3,10 @@
 import (
 	"net/http"
 
-	"github.com/gin-gonic/gin"
-
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/runnerapi"
+	"github.com/gin-gonic/gin"
 )
 
 // serveStream answers with server-sent events. Until the first token the
--- a/router/cost_test.go
+++ b/router/cost_test.go
@@ -14,9 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-	"github.com/matryer/is"
-
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/clock"
@@ -32,6 +29,8 @@
 	"cicadawell.dev/router/retry"
 	"cicadawell.dev/router/runner"
 	"cicadawell.dev/router/settings"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
 )
 
 const (
--- a/router/demand/demand.go
+++ b/router/demand/demand.go
@@ -7,13 +7,12 @@
 	"encoding/json"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-	"golang.org/x/sync/errgroup"
-
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/quota"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
 )
 
 // method brings a report to the home of its teams.
--- a/router/demand/demand_test.go
+++ b/router/demand/demand_test.go
@@ -8,15 +8,14 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-	"github.com/matryer/is"
-	"golang.org/x/sync/errgroup"
-
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/router/demand"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/quota"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 )
 
 // wire joins instances without a network.
--- a/router/entry.go
+++ b/router/entry.go
@@ -7,9 +7,6 @@
 	"net/http"
 	"os"
 
-	"github.com/hashicorp/go-hclog"
-	"go.uber.org/fx"
-
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/router/caller"
 	"cicadawell.dev/router/catalog"
@@ -28,6 +25,8 @@
 	"cicadawell.dev/router/runner"
 	"cicadawell.dev/router/settings"
 	"cicadawell.dev/router/takeout"
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/fx"
 )
 
 // entry is a running instance: it starts its parts in order and stops them in
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/operatorapi"
 	"cicadawell.dev/fleet/platformapi"
@@ -18,6 +16,7 @@
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/platform"
 	"cicadawell.dev/router/settings"
+	"golang.org/x/sync/errgroup"
 )
 
 // Methods that other instances answer.
--- a/router/identity.go
+++ b/router/identity.go
@@ -3,9 +3,8 @@
 import (
 	"strings"
 
-	"github.com/google/uuid"
-
 	"cicadawell.dev/router/settings"
+	"github.com/google/uuid"
 )
 
 // identifiers mints identifiers that no caller can guess. Those of requests
--- a/router/loads/loads.go
+++ b/router/loads/loads.go
@@ -12,15 +12,14 @@
 	"slices"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-	"golang.org/x/sync/errgroup"
-
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/runnerapi"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/pool"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
 )
 
 // methodDigest asks an instance what it knows of runners in cold start.
--- a/router/loads/loads_test.go
+++ b/router/loads/loads_test.go
@@ -10,16 +10,15 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-	"github.com/matryer/is"
-	"golang.org/x/sync/errgroup"
-
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/runnerapi"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/loads"
 	"cicadawell.dev/router/pool"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
 )
 
 // network joins the instances of a test and counts what they say.
--- a/router/main.go
+++ b/router/main.go
@@ -6,9 +6,8 @@
 	"fmt"
 	"os"
 
-	"github.com/alecthomas/kingpin/v2"
-
 	"cicadawell.dev/router/settings"
+	"github.com/alecthomas/kingpin/v2"
 )
 
 // version is that of all programs of the workspace.
--- a/router/operators.go
+++ b/router/operators.go
@@ -3,13 +3,12 @@
 import (
 	"net/http"
 
-	"github.com/hashicorp/go-hclog"
-
 	"cicadawell.dev/router/gauge"
 	"cicadawell.dev/router/operator"
 	"cicadawell.dev/router/roll"
 	"cicadawell.dev/router/settings"
 	"cicadawell.dev/router/takeout"
+	"github.com/hashicorp/go-hclog"
 )
 
 // pathMetrics answers scrapers, who need no operator's key.
--- a/router/parts.go
+++ b/router/parts.go
@@ -4,11 +4,6 @@
 	"os"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/hashicorp/go-hclog"
-	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
-
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/router/caller"
 	"cicadawell.dev/router/catalog"
@@ -31,6 +26,10 @@
 	"cicadawell.dev/router/runner"
 	"cicadawell.dev/router/settings"
 	"cicadawell.dev/router/takeout"
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
 )
 
 // parts are the constructors of everything that an instance consists of.
--- a/router/pipeline/pipeline_test.go
+++ b/router/pipeline/pipeline_test.go
@@ -9,8 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/matryer/is"
-
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
@@ -21,6 +19,7 @@
 	"cicadawell.dev/router/pipeline"
 	"cicadawell.dev/router/pool"
 	"cicadawell.dev/router/runner"
+	"github.com/matryer/is"
 )
 
 // scene stands in for all that an executor is built from.
--- a/router/registry.go
+++ b/router/registry.go
@@ -7,9 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-	"github.com/hashicorp/go-hclog"
-
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/platformapi"
 	"cicadawell.dev/router/instance"
@@ -17,6 +14,8 @@
 	"cicadawell.dev/router/platform"
 	"cicadawell.dev/router/roster"
 	"cicadawell.dev/router/settings"
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
 )
 
 // listPeriod is the time between two reads of the platform's list.
--- a/router/runner/runner_test.go
+++ b/router/runner/runner_test.go
@@ -14,13 +14,12 @@
 	"testing"
 	"time"
 
-	"github.com/matryer/is"
-
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/runnerapi"
 	"cicadawell.dev/router/runner"
+	"github.com/matryer/is"
 )
 
 const limit = 1 << 10
