Show every known instance, count runner time and first tokens, end quietly

Ruled out: waiting for the list. Change: registered and listed instances are asked; answers carry runnerMicros; the meter gets runner time and the first token; loops may end once a stop began.

--- a/fleet/callerapi/callerapi.go
+++ b/fleet/callerapi/callerapi.go
@@ -60,7 +60,9 @@
 	Attempts int    `json:"attempts"`
 	// Micros is the time from the stage's start to its result.
 	Micros int64 `json:"micros"`
-	Tokens int   `json:"tokens,omitempty"`
+	// RunnerMicros is how long all attempts of the stage held runners.
+	RunnerMicros int64 `json:"runnerMicros"`
+	Tokens       int   `json:"tokens,omitempty"`
 }
 
 // Token is the data of EventToken.
--- a/router/caller/caller_test.go
+++ b/router/caller/caller_test.go
@@ -77,9 +77,9 @@
 
 func (f *fakes) Explain(string) []journal.Decision { return nil }
 
-func (f *fakes) Answered(string, string, time.Duration, bool) {}
+func (f *fakes) Answered(caller.Ended, bool) {}
 
-func (f *fakes) Refused(_, _ string, e *fault.Error, _ time.Duration) {
+func (f *fakes) Refused(_ caller.Ended, e *fault.Error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refusals[e.Kind()]++
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"cicadawell.dev/fleet/bundle"
@@ -25,6 +26,24 @@
 	pipeline bundle.Pipeline
 	request  callerapi.Request
 	key      string
+	// firstToken is the zero time before the first token.
+	firstToken time.Time
+	// spent is how long the attempts held runners, in nanoseconds.
+	spent atomic.Int64
+}
+
+// ended describes the request at its end.
+func (x *exchange) ended(now time.Time) Ended {
+	e := Ended{
+		Tier:     x.team.Tier,
+		Pipeline: x.pipeline.ID,
+		Took:     now.Sub(x.arrived),
+		Spent:    time.Duration(x.spent.Load()),
+	}
+	if !x.firstToken.IsZero() {
+		e.FirstToken = x.firstToken.Sub(x.arrived)
+	}
+	return e
 }
 
 // serve answers one request.
@@ -57,6 +76,7 @@
 		Pipeline: x.pipeline,
 		Input:    x.request.Input,
 		Deadline: x.deadline,
+		Spent:    &x.spent,
 	}
 }
 
@@ -85,14 +105,14 @@
 
 func (s *server) count(x *exchange) {
 	now := s.Clock.Now()
-	s.Meter.Answered(x.team.Tier, x.pipeline.ID, now.Sub(x.arrived), !now.After(x.deadline))
+	s.Meter.Answered(x.ended(now), !now.After(x.deadline))
 }
 
 func (s *server) countRefusal(x *exchange, e *fault.Error) {
 	if x.id != "" {
 		s.Journal.Record(journal.Decision{At: s.Clock.Now(), Step: journal.Refused, Request: x.id, Reason: e.Error()})
 	}
-	s.Meter.Refused(x.team.Tier, x.pipeline.ID, e, s.Clock.Now().Sub(x.arrived))
+	s.Meter.Refused(x.ended(s.Clock.Now()), e)
 }
 
 // refuse writes an error with its row of the table from kind to answer.
--- a/router/caller/once.go
+++ b/router/caller/once.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"time"
 
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/router/ledger"
@@ -29,7 +30,11 @@
 		s.refuse(c, x, err)
 		return
 	}
+	for _, stage := range answer.Stages {
+		x.spent.Add(stage.RunnerMicros * int64(time.Microsecond))
+	}
 	if replayed {
+		x.spent.Store(0)
 		s.Meter.Replayed(x.pipeline.ID)
 		c.Header(callerapi.HeaderReplayed, "true")
 	}
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -66,14 +66,25 @@
 // Meter counts what the callers got.
 type Meter interface {
 	// Answered counts a whole answer and whether it met its deadline.
-	Answered(tier, pipeline string, took time.Duration, met bool)
-	// Refused counts a refusal; tier and pipeline are empty where they were
-	// not found out.
-	Refused(tier, pipeline string, e *fault.Error, took time.Duration)
+	Answered(e Ended, met bool)
+	// Refused counts a refusal.
+	Refused(e Ended, why *fault.Error)
 	// Replayed counts an answer that an earlier call had produced.
 	Replayed(pipeline string)
 }
 
+// Ended is a request at its end.
+type Ended struct {
+	// Tier and Pipeline are empty where they were not found out.
+	Tier     string
+	Pipeline string
+	Took     time.Duration
+	// FirstToken is zero for an answer that was not streamed.
+	FirstToken time.Duration
+	// Spent is how long the request's attempts held runners.
+	Spent time.Duration
+}
+
 // Identifiers mints identifiers of requests.
 type Identifiers interface {
 	NewRequest() string
--- a/router/caller/stream.go
+++ b/router/caller/stream.go
@@ -13,7 +13,7 @@
 // answer can still be a refusal with a status; from then on an error is the
 // last event.
 func (s *server) serveStream(c *gin.Context, x *exchange) {
-	w := &eventWriter{server: s, c: c}
+	w := &eventWriter{server: s, c: c, x: x}
 	job := x.job()
 	job.Stream = w
 	answer, err := s.Executor.Run(c.Request.Context(), job)
@@ -35,12 +35,16 @@
 type eventWriter struct {
 	*server
 	c *gin.Context
+	x *exchange
 	// begun is true once a byte of the stream was written.
 	begun bool
 }
 
 // Token passes a token on.
 func (w *eventWriter) Token(t runnerapi.Token) error {
+	if t.Index == 0 {
+		w.x.firstToken = w.Clock.Now()
+	}
 	return w.write(callerapi.EventToken, callerapi.Token{Index: t.Index, Text: t.Text})
 }
 
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -14,7 +14,6 @@
 	"cicadawell.dev/router/catalog"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/journal"
-	"cicadawell.dev/router/platform"
 	"cicadawell.dev/router/settings"
 	"golang.org/x/sync/errgroup"
 )
@@ -36,15 +35,15 @@
 
 // fleet tells which instances there are and what they decided.
 type fleet struct {
-	self    string
-	list    platform.List
-	mesh    instance.Network
-	journal journal.Journal
-	catalog *catalog.Current
+	self     string
+	registry *registry
+	mesh     instance.Network
+	journal  journal.Journal
+	catalog  *catalog.Current
 }
 
-func newFleet(cfg settings.Settings, list platform.List, mesh instance.Network, j journal.Writer, c *catalog.Current) *fleet {
-	return &fleet{self: cfg.ID, list: list, mesh: mesh, journal: j, catalog: c}
+func newFleet(cfg settings.Settings, g *registry, mesh instance.Network, j journal.Writer, c *catalog.Current) *fleet {
+	return &fleet{self: cfg.ID, registry: g, mesh: mesh, journal: j, catalog: c}
 }
 
 type explainParams struct {
@@ -70,15 +69,11 @@
 	})
 }
 
-// each calls do for each instance of the platform's list, several at once.
-func (f *fleet) each(ctx context.Context, do func(ctx context.Context, row platformapi.Instance)) error {
-	rows, err := f.list.Instances(ctx)
-	if err != nil {
-		return err
-	}
+// each calls do for each known instance, several at once.
+func (f *fleet) each(ctx context.Context, do func(ctx context.Context, row platformapi.Instance)) {
 	var group errgroup.Group
 	group.SetLimit(askAtOnce)
-	for _, row := range rows {
+	for _, row := range f.registry.Known() {
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, askTimeout)
 			defer cancel()
@@ -86,14 +81,14 @@
 			return nil
 		})
 	}
-	return group.Wait()
+	_ = group.Wait()
 }
 
-// Instances returns a row for each instance of the platform's list.
+// Instances returns a row for each known instance.
 func (f *fleet) Instances(ctx context.Context) ([]operatorapi.InstanceStatus, error) {
 	var mu sync.Mutex
 	out := []operatorapi.InstanceStatus{}
-	err := f.each(ctx, func(ctx context.Context, row platformapi.Instance) {
+	f.each(ctx, func(ctx context.Context, row platformapi.Instance) {
 		s := operatorapi.InstanceStatus{ID: row.ID, Zone: row.Zone, Address: row.Address, State: string(row.State)}
 		var v versionAnswer
 		if f.mesh.Call(ctx, row.ID, methodVersion, struct{}{}, &v) == nil {
@@ -104,7 +99,7 @@
 		out = append(out, s)
 	})
 	slices.SortFunc(out, func(a, b operatorapi.InstanceStatus) int { return strings.Compare(a.ID, b.ID) })
-	return out, err
+	return out, nil
 }
 
 // Explain asks every instance what it decided: besides the one that took the
@@ -115,7 +110,7 @@
 		return out, fault.New(fault.BadRequest, "found %q, allowed is an identifier from an answer", request).WithField("request")
 	}
 	var mu sync.Mutex
-	err := f.each(ctx, func(ctx context.Context, row platformapi.Instance) {
+	f.each(ctx, func(ctx context.Context, row platformapi.Instance) {
 		var some []operatorapi.Decision
 		err := f.mesh.Call(ctx, row.ID, methodExplain, explainParams{Request: request}, &some)
 		mu.Lock()
@@ -128,7 +123,7 @@
 	})
 	slices.Sort(out.Silent)
 	sortDecisions(out.Decisions)
-	return out, err
+	return out, nil
 }
 
 func (f *fleet) decisions(request string) []operatorapi.Decision {
--- a/router/loops.go
+++ b/router/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
@@ -13,6 +14,8 @@
 	cancel context.CancelFunc
 	group  errgroup.Group
 	log    hclog.Logger
+	// stopping is true once loops may end by themselves.
+	stopping atomic.Bool
 }
 
 func newLoops(log hclog.Logger) *loops {
@@ -25,15 +28,19 @@
 func (l *loops) start(name string, run func(ctx context.Context) error) {
 	l.group.Go(func() error {
 		err := run(l.ctx)
-		if l.ctx.Err() == nil {
+		if !l.stopping.Load() {
 			l.log.Error("loop ended", "loop", name, "error", err)
 		}
 		return nil
 	})
 }
 
+// expectEnd says that loops may end by themselves from now on.
+func (l *loops) expectEnd() { l.stopping.Store(true) }
+
 // stop ends the loops and waits for them.
 func (l *loops) stop() error {
+	l.expectEnd()
 	l.cancel()
 	return l.group.Wait()
 }
--- a/router/meter.go
+++ b/router/meter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/caller"
 	"cicadawell.dev/router/gauge"
 	"cicadawell.dev/router/pool"
 )
@@ -15,38 +16,40 @@
 }
 
 // Answered counts a whole answer.
-func (m callerMeter) Answered(tier, pipeline string, took time.Duration, met bool) {
+func (m callerMeter) Answered(e caller.Ended, met bool) {
 	attainment := gauge.Met
 	if !met {
 		attainment = gauge.Missed
 	}
-	m.finished(tier, pipeline, took, attainment)
+	m.finished(e, attainment)
 }
 
 // Refused counts a refusal. Bad input says nothing about the service, so that
 // only refusals of known pipelines count towards attainment.
-func (m callerMeter) Refused(tier, pipeline string, e *fault.Error, took time.Duration) {
-	m.metrics.Refused(e.Kind(), e.Outcome())
-	if pipeline == "" {
+func (m callerMeter) Refused(e caller.Ended, why *fault.Error) {
+	m.metrics.Refused(why.Kind(), why.Outcome())
+	if e.Pipeline == "" {
 		return
 	}
 	attainment := gauge.Unserved
-	if e.Kind() == fault.DeadlineMissed {
+	if why.Kind() == fault.DeadlineMissed {
 		attainment = gauge.Missed
 	}
-	m.finished(tier, pipeline, took, attainment)
+	m.finished(e, attainment)
 }
 
 // Replayed counts an answer that an earlier call had produced.
 func (m callerMeter) Replayed(pipeline string) { m.metrics.Replayed(pipeline) }
 
-func (m callerMeter) finished(tier, pipeline string, took time.Duration, a gauge.Attainment) {
+func (m callerMeter) finished(e caller.Ended, a gauge.Attainment) {
 	m.metrics.Finished(gauge.Request{
-		Tier:       tier,
-		Pipeline:   pipeline,
+		Tier:       e.Tier,
+		Pipeline:   e.Pipeline,
 		Zone:       m.zone,
 		Attainment: a,
-		Took:       took,
+		Took:       e.Took,
+		FirstToken: e.FirstToken,
+		Spent:      e.Spent,
 	})
 }
 
--- a/router/pages/pages_test.go
+++ b/router/pages/pages_test.go
@@ -13,7 +13,6 @@
 	"slices"
 	"strings"
 	"testing"
-	"time"
 
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/callerapi"
@@ -89,8 +88,8 @@
 	return callerapi.Answer{
 		Request: job.Request, Pipeline: job.Pipeline.ID, Outcome: fault.Run, Output: []byte(`"Rank 7"`),
 		Stages: []callerapi.Stage{
-			{Name: "encode", Runner: "encode1", Attempts: 1, Micros: 4100},
-			{Name: "generate", Runner: "generate1", Attempts: 1, Micros: 131800, Tokens: 2},
+			{Name: "encode", Runner: "encode1", Attempts: 1, Micros: 4100, RunnerMicros: 4000},
+			{Name: "generate", Runner: "generate1", Attempts: 1, Micros: 131800, RunnerMicros: 131700, Tokens: 2},
 		},
 	}, nil
 }
@@ -104,14 +103,14 @@
 func (behind) Do(_ context.Context, call ledger.Call) (callerapi.Answer, bool, error) {
 	return callerapi.Answer{
 		Request: call.Request, Pipeline: call.Pipeline, Outcome: fault.Run, Output: []byte(`{"booked":"14A"}`),
-		Stages: []callerapi.Stage{{Name: "bookings", Runner: "bookings1", Attempts: 1, Micros: 9400}},
+		Stages: []callerapi.Stage{{Name: "bookings", Runner: "bookings1", Attempts: 1, Micros: 9400, RunnerMicros: 9300}},
 	}, false, nil
 }
 
-func (behind) NewRequest() string                                  { return "router-a1.1f0c9" }
-func (behind) Answered(string, string, time.Duration, bool)        {}
-func (behind) Refused(string, string, *fault.Error, time.Duration) {}
-func (behind) Replayed(string)                                     {}
+func (behind) NewRequest() string                 { return "router-a1.1f0c9" }
+func (behind) Answered(caller.Ended, bool)        {}
+func (behind) Refused(caller.Ended, *fault.Error) {}
+func (behind) Replayed(string)                    {}
 func exampleBundle(t *testing.T) bundle.Bundle {
 	t.Helper()
 	is := is.New(t)
--- a/router/pipeline/attempt.go
+++ b/router/pipeline/attempt.go
@@ -109,6 +109,7 @@
 	o.result, o.err = s.send(ctx, place, o.attempt, deadline)
 	took := s.Clock.Now().Sub(sent)
 	o.took = took
+	s.spend(took)
 	ending := endingOf(ctx, o.err)
 	place.Done(pool.Result{Ending: ending, Latency: took, Load: loadOf(o.result, o.err)})
 	s.Meter.Attempt(s.job.Pipeline.ID, s.stage().Name, to.Zone, ending, took, o.result.Tokens, o.result.CachedTokens)
@@ -116,6 +117,14 @@
 	return o
 }
 
+// spend counts the time that an attempt held its runner.
+func (s *stageRun) spend(took time.Duration) {
+	s.spent.Add(int64(took))
+	if s.job.Spent != nil {
+		s.job.Spent.Add(int64(took))
+	}
+}
+
 func (s *stageRun) note(o outcome, took time.Duration) {
 	if o.err == nil {
 		s.Retries.Success(s.stage().Service)
--- a/router/pipeline/executor.go
+++ b/router/pipeline/executor.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cicadawell.dev/fleet/bundle"
@@ -37,6 +38,9 @@
 	Deadline time.Time
 	// Key is empty where the pipeline may be repeated.
 	Key string
+	// Spent adds up how long the attempts of the request held runners, in
+	// nanoseconds; nil where nobody asks.
+	Spent *atomic.Int64
 	// Stream takes the tokens of the last stage; nil asks for none.
 	Stream runner.Sink
 }
--- a/router/pipeline/stage.go
+++ b/router/pipeline/stage.go
@@ -43,6 +43,8 @@
 	exclude []string
 	// touched is true once an attempt may have run.
 	touched bool
+	// spent is how long the attempts held runners, in nanoseconds.
+	spent atomic.Int64
 	// speaker is the attempt whose tokens reach the caller; it never
 	// changes once it is set, since another attempt's tokens could differ.
 	speaker atomic.Pointer[string]
@@ -101,11 +103,12 @@
 
 func (s *stageRun) report(o outcome, took time.Duration) callerapi.Stage {
 	return callerapi.Stage{
-		Name:     s.stage().Name,
-		Runner:   o.runner,
-		Attempts: s.attempts,
-		Micros:   took.Microseconds(),
-		Tokens:   o.result.Tokens,
+		Name:         s.stage().Name,
+		Runner:       o.runner,
+		Attempts:     s.attempts,
+		Micros:       took.Microseconds(),
+		RunnerMicros: time.Duration(s.spent.Load()).Microseconds(),
+		Tokens:       o.result.Tokens,
 	}
 }
 
--- a/router/pool/dispatch.go
+++ b/router/pool/dispatch.go
@@ -19,7 +19,7 @@
 }
 
 func noRunner(g *group) error {
-	return fault.New(fault.NoRunner, "no runner serves %s %s at present", g.key.service, g.key.model)
+	return fault.New(fault.NoRunner, "no runner serves service %q with model %q at present", g.key.service, g.key.model)
 }
 
 // strand refuses the asks of a group without runners.
--- a/router/pool/pools.go
+++ b/router/pool/pools.go
@@ -67,7 +67,7 @@
 func (p *pools) Acquire(ctx context.Context, ask Ask) (Place, error) {
 	g := p.snapshot.Load().groups[groupKey{ask.Service, ask.Model}]
 	if g == nil {
-		return nil, fault.New(fault.NoRunner, "no runner serves %s %s", ask.Service, ask.Model)
+		return nil, fault.New(fault.NoRunner, "no runner serves service %q with model %q", ask.Service, ask.Model)
 	}
 	if g.members.Load().len() == 0 {
 		return nil, noRunner(g)
--- a/router/registry.go
+++ b/router/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -31,8 +32,9 @@
 	clk    clock.Clock
 
 	mu sync.Mutex
-	// listed are the addresses of the platform's list as last read.
-	listed map[string]string
+	// listed is the platform's list as last read, by identifier. It is
+	// replaced, never changed.
+	listed map[string]platformapi.Instance
 }
 
 func newRegistry(store platform.Store, list platform.List, mesh instance.Network, r roster.Roster, clk clock.Clock) *registry {
@@ -74,29 +76,40 @@
 		return nil, err
 	}
 	out := make([]peers.Peer, 0, len(rows))
-	addresses := make(map[string]string, len(rows))
+	listed := make(map[string]platformapi.Instance, len(rows))
 	for _, row := range rows {
 		out = append(out, peers.Peer{ID: row.ID, Zone: row.Zone})
-		addresses[row.ID] = row.Address
+		listed[row.ID] = row
 	}
 	g.mu.Lock()
-	g.listed = addresses
+	g.listed = listed
 	g.mu.Unlock()
 	g.learn()
 	return out, nil
 }
 
-// learn tells the mesh all known addresses; a registration goes before the
-// list, which lags.
-func (g *registry) learn() {
+// Known returns the instances that are registered or listed, in the order of
+// their identifiers. A registration goes before the list, which lags.
+func (g *registry) Known() []platformapi.Instance {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	addresses := maps.Clone(g.listed)
-	if addresses == nil {
-		addresses = map[string]string{}
+	known := maps.Clone(g.listed)
+	g.mu.Unlock()
+	if known == nil {
+		known = map[string]platformapi.Instance{}
 	}
 	for _, r := range g.roster.Registered() {
-		addresses[r.ID] = r.Address
+		known[r.ID] = r.Instance
+	}
+	out := slices.Collect(maps.Values(known))
+	slices.SortFunc(out, func(a, b platformapi.Instance) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// learn tells the mesh the addresses of all known instances.
+func (g *registry) learn() {
+	addresses := map[string]string{}
+	for _, row := range g.Known() {
+		addresses[row.ID] = row.Address
 	}
 	g.mesh.Learn(addresses)
 }
