--- a/router/ledger/once_test.go
+++ b/router/ledger/once_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -16,23 +14,14 @@
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/property"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/ledger"
 	"cicadawell.dev/router/roster/hold"
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "100"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, 100) }
 
 const (
 	instances = 4
--- a/router/order/world_test.go
+++ b/router/order/world_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -16,23 +14,13 @@
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/platformapi"
+	"cicadawell.dev/fleet/property"
 	"cicadawell.dev/fleet/runnerapi"
 	"cicadawell.dev/router/order"
 	"github.com/cespare/xxhash/v2"
 )
 
-// TestMain fixes the seed of property tests unless the command line sets one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		if err := flag.Set("rapid.seed", "1"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, 100) }
 
 // limits are those of the tests: short, so that leases often lapse.
 func limits() order.Limits {
--- a/router/roster/hold/machine_test.go
+++ b/router/roster/hold/machine_test.go
@@ -1,29 +1,18 @@
 package hold_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strconv"
 	"testing"
 	"time"
 
+	"cicadawell.dev/fleet/property"
 	"cicadawell.dev/router/roster/hold"
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1500"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, 1500) }
 
 // timing has a larger drift than real clocks, in half of the runs.
 var timing = hold.Timing{
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -1,26 +1,19 @@
 package store_test
 
 import (
-	"flag"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/platformapi"
+	"cicadawell.dev/fleet/property"
 	"cicadawell.dev/standin/store"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, 100) }
 
 // reference is what the store must hold, without leases' times.
 type reference struct {
