--- a/router/caller/caller_test.go
+++ b/router/caller/caller_test.go
@@ -15,8 +15,6 @@
 	"testing"
 	"time"
 
-	"github.com/matryer/is"
-
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/clock"
@@ -27,6 +25,7 @@
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/ledger"
 	"cicadawell.dev/router/pipeline"
+	"github.com/matryer/is"
 )
 
 // fakes stands in for all that lies behind the interface for callers.
@@ -78,9 +77,9 @@
 
 func (f *fakes) Explain(string) []journal.Decision { return nil }
 
-func (f *fakes) Answered(string, string, time.Duration, bool) {}
+func (f *fakes) Answered(caller.Ended, bool) {}
 
-func (f *fakes) Refused(_, _ string, e *fault.Error, _ time.Duration) {
+func (f *fakes) Refused(_ caller.Ended, e *fault.Error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refusals[e.Kind()]++
--- a/router/caller/once.go
+++ b/router/caller/once.go
@@ -4,12 +4,12 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-
-	"github.com/gin-gonic/gin"
+	"time"
 
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/router/ledger"
 	"cicadawell.dev/router/runner"
+	"github.com/gin-gonic/gin"
 )
 
 // serveOnce answers a call that may not be repeated. It goes on when the
@@ -30,7 +30,11 @@
 		s.refuse(c, x, err)
 		return
 	}
+	for _, stage := range answer.Stages {
+		x.spent.Add(stage.RunnerMicros * int64(time.Microsecond))
+	}
 	if replayed {
+		x.spent.Store(0)
 		s.Meter.Replayed(x.pipeline.ID)
 		c.Header(callerapi.HeaderReplayed, "true")
 	}
--- a/router/cost_test.go
+++ b/router/cost_test.go
@@ -14,9 +14,6 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-	"github.com/matryer/is"
-
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/clock"
@@ -31,6 +28,9 @@
 	"cicadawell.dev/router/quota"
 	"cicadawell.dev/router/retry"
 	"cicadawell.dev/router/runner"
+	"cicadawell.dev/router/settings"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
 )
 
 const (
@@ -135,7 +135,7 @@
 		group.Wait()
 		client.Close()
 	})
-	ids := identifiers{instance: "i1"}
+	ids := newIdentifiers(settings.Settings{ID: "i1"})
 	executor := pipeline.NewExecutor(pipeline.Parts{
 		Instance: "i1", Clock: clk, Timers: clock.SystemTimers(), Catalog: current, Places: pools, Budgets: budgets, Retries: retry.New(budgets),
 		Runners: client, Journal: log, Meter: stageMeter{metrics}, Identifiers: ids,
