Keep the addresses of members whose registrations lapsed

Cause: in an outage of the store all registrations lapse after 4 s; a watch that was waiting still told of the first, and its member lost its address: bookings homed there were refused as homeUnsettled, and it could not be asked for its promise.

Ruled out: a longer lease, which only moves the moment; reading the list more often, which is down as well.

Change: a member of the view stays known as it was until it leaves the view.

--- a/router/registry.go
+++ b/router/registry.go
@@ -35,6 +35,9 @@
 	// listed is the platform's list as last read, by identifier. It is
 	// replaced, never changed.
 	listed map[string]platformapi.Instance
+	// known is what Known returned at the last change, by identifier. It is
+	// replaced, never changed.
+	known map[string]platformapi.Instance
 }
 
 func newRegistry(store platform.Store, list platform.List, mesh instance.Network, r roster.Roster, clk clock.Clock) *registry {
@@ -88,15 +91,22 @@
 	return out, nil
 }
 
-// Known returns the instances that are registered or listed, in the order of
-// their identifiers. A registration goes before the list, which lags.
+// Known returns the instances that are registered, listed or members of the
+// view, in the order of their identifiers. A registration goes before the list,
+// which lags. A member whose registration lapsed, as all do in an outage of the
+// store, stays known as it was.
 func (g *registry) Known() []platformapi.Instance {
 	g.mu.Lock()
-	known := maps.Clone(g.listed)
+	known, before := maps.Clone(g.listed), g.known
 	g.mu.Unlock()
 	if known == nil {
 		known = map[string]platformapi.Instance{}
 	}
+	for _, m := range g.roster.State().View.Members {
+		if row, ok := before[m.ID]; ok {
+			known[m.ID] = row
+		}
+	}
 	for _, r := range g.roster.Registered() {
 		known[r.ID] = r.Instance
 	}
@@ -108,9 +118,14 @@
 // learn tells the mesh the addresses of all known instances.
 func (g *registry) learn() {
 	addresses := map[string]string{}
+	known := map[string]platformapi.Instance{}
 	for _, row := range g.Known() {
 		addresses[row.ID] = row.Address
+		known[row.ID] = row
 	}
+	g.mu.Lock()
+	g.known = known
+	g.mu.Unlock()
 	g.mesh.Learn(addresses)
 }
 
--- a/standin/proof/proof_test.go
+++ b/standin/proof/proof_test.go
@@ -71,7 +71,8 @@
 	c.during(t, outage)
 	put(t, s.Platform, endpoint.Faults{})
 	c.recovered(t, 30)
-	judge(t, s, c)
+	v, _ := judge(t, s, c)
+	is.New(t).Equal(v.NotRun+v.Unknown, 0)
 }
 
 // Writes to the store take effect while their answers are lost, during a roll
