Count store calls by an observer, put the skews where they are used

Cause: the gauge's series of store calls was never fed while the client counted into a set that nobody read; the ledger's default skews were not those in use. Ruled out: a gauge of the client's own counters (two mechanisms for one figure).

--- a/router/entry.go
+++ b/router/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -19,7 +18,6 @@
 	"cicadawell.dev/router/loads"
 	"cicadawell.dev/router/order"
 	"cicadawell.dev/router/pipeline"
-	"cicadawell.dev/router/platform"
 	"cicadawell.dev/router/pool"
 	"cicadawell.dev/router/quota"
 	"cicadawell.dev/router/roll"
@@ -43,7 +41,6 @@
 	Journal   journal.Writer
 	Metrics   gauge.Metrics
 	Catalog   *catalog.Current
-	Store     platform.Store
 	Mesh      instance.Network
 	Roster    roster.Roster
 	Registry  *registry
@@ -74,7 +71,6 @@
 	e.Fleet.handle()
 	e.Metrics.WatchPools(e.Pools.Status)
 	e.Metrics.Watch("cicadawell_bundle_version", func() float64 { return float64(e.Catalog.Version()) })
-	e.watchStore()
 	e.Rolls.Subscribe(e.Topology.adopt)
 	e.Takeouts.Subscribe(func(*takeout.Set) { e.Topology.update() })
 	if err := e.Mesh.Start(e.Loops.ctx); err != nil {
@@ -101,18 +97,6 @@
 	return e.Listeners.announce(os.Stdout, e.Settings.ID)
 }
 
-// watchStore counts the calls to the platform's store by kind.
-func (e entry) watchStore() {
-	for i, row := range e.Store.Calls() {
-		e.Metrics.Watch(fmt.Sprintf("cicadawell_store_calls{call=%q}", row.Kind), func() float64 {
-			return float64(e.Store.Calls()[i].Made)
-		})
-		e.Metrics.Watch(fmt.Sprintf("cicadawell_store_calls_failed{call=%q}", row.Kind), func() float64 {
-			return float64(e.Store.Calls()[i].Failed)
-		})
-	}
-}
-
 func serveHTTPOn(s *http.Server, l net.Listener) error {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
--- a/router/ledger/run_test.go
+++ b/router/ledger/run_test.go
@@ -175,13 +175,14 @@
 		key  string
 		kind fault.Kind
 	}{
-		"empty":       {"", fault.BadKey},
-		"version 4":   {uuid.NewString(), fault.BadKey},
-		"upper case":  {"0190163D-8694-739B-AEA5-966C26F8AD91", fault.BadKey},
-		"the future":  {keyAt(start.Add(time.Minute), 1), fault.BadKey},
-		"too old":     {keyAt(start.Add(-2*time.Hour), 1), fault.OutcomeUnknown},
-		"just in":     {keyAt(start.Add(-time.Minute), 1), ""},
-		"a bit ahead": {keyAt(start.Add(time.Second), 1), ""},
+		"empty":         {"", fault.BadKey},
+		"version 4":     {uuid.NewString(), fault.BadKey},
+		"upper case":    {"0190163D-8694-739B-AEA5-966C26F8AD91", fault.BadKey},
+		"the future":    {keyAt(start.Add(time.Minute), 1), fault.BadKey},
+		"too old":       {keyAt(start.Add(-2*time.Hour), 1), fault.OutcomeUnknown},
+		"just in":       {keyAt(start.Add(-time.Minute), 1), ""},
+		"a bit ahead":   {keyAt(start.Add(400*time.Millisecond), 1), ""},
+		"too far ahead": {keyAt(start.Add(600*time.Millisecond), 1), fault.BadKey},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/router/meter.go
+++ b/router/meter.go
@@ -6,6 +6,7 @@
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/router/caller"
 	"cicadawell.dev/router/gauge"
+	"cicadawell.dev/router/platform"
 	"cicadawell.dev/router/pool"
 )
 
@@ -71,3 +72,10 @@
 
 // Foreign counts an answer to another attempt.
 func (m stageMeter) Foreign(service string) { m.metrics.Dropped(service) }
+
+// storeMeter counts calls to the platform.
+type storeMeter struct{ metrics gauge.Metrics }
+
+func (m storeMeter) observe(c platform.Call) {
+	m.metrics.StoreCalled(gauge.StoreCall{Call: c.Kind, Failed: c.Failed, Took: c.Took})
+}
--- a/router/parts.go
+++ b/router/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"time"
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/router/caller"
@@ -85,9 +84,13 @@
 
 func newCatalog() *catalog.Current { return &catalog.Current{} }
 
-func newStore(cfg settings.Settings) platform.Store { return platform.NewStore(cfg.Platform.Store) }
+func newStore(cfg settings.Settings, clk clock.Clock, m gauge.Metrics) platform.Store {
+	return platform.NewStore(cfg.Platform.Store, platform.WithObserver(clk, storeMeter{m}.observe))
+}
 
-func newList(cfg settings.Settings) platform.List { return platform.NewList(cfg.Platform.Instances) }
+func newList(cfg settings.Settings, clk clock.Clock, m gauge.Metrics) platform.List {
+	return platform.NewList(cfg.Platform.Instances, platform.WithObserver(clk, storeMeter{m}.observe))
+}
 
 func newMesh(cfg settings.Settings, clk clock.Clock, log hclog.Logger) instance.Network {
 	return instance.New(instance.WithID(cfg.ID), instance.WithClock(clk), instance.WithLogger(log.Named("mesh")))
@@ -162,14 +165,6 @@
 	})
 }
 
-const (
-	// callerSkew is how far ahead of ours a caller's clock may be.
-	callerSkew = 500 * time.Millisecond
-	// instanceSkew bounds how far an instance's clock is off. Keys minted
-	// within callerSkew + 2 instanceSkew after a takeover stay unknown.
-	instanceSkew = 100 * time.Millisecond
-)
-
 type ledgerIn struct {
 	fx.In
 	Settings settings.Settings
@@ -188,7 +183,6 @@
 		ledger.WithLogger(in.Log.Named("ledger")),
 		ledger.WithMesh(in.Mesh),
 		ledger.WithRoster(in.Roster),
-		ledger.WithSkew(callerSkew, instanceSkew),
 		ledger.WithRunner(in.Executor),
 		ledger.WithJournal(in.Journal),
 	)
--- a/router/platform/client.go
+++ b/router/platform/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,8 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
-	"github.com/VictoriaMetrics/metrics"
 )
 
 const (
@@ -48,11 +47,6 @@
 	callWeights   call = "weights"
 )
 
-var allCalls = []call{
-	callGet, callList, callPut, callDelete, callWatch, callGrant,
-	callKeepAlive, callRevoke, callInstances, callWeights,
-}
-
 // writes reports whether a call of this kind can take effect without an
 // answer.
 func (c call) writes() bool {
@@ -63,11 +57,12 @@
 	return false
 }
 
-// Calls counts the calls of one kind. A waiting watch is one call.
-type Calls struct {
+// Call describes a call that has ended. A waiting watch is one call.
+type Call struct {
 	Kind string
-	// Made is all calls, Failed those that brought no answer.
-	Made, Failed uint64
+	// Failed tells that no answer came; a failed comparison is an answer.
+	Failed bool
+	Took   time.Duration
 }
 
 // Option changes how a client calls.
@@ -76,16 +71,17 @@
 // WithTimeout bounds every call that its context does not bound earlier.
 func WithTimeout(d time.Duration) Option { return func(c *client) { c.timeout = d } }
 
-// WithMetrics counts the calls in the given set.
-func WithMetrics(set *metrics.Set) Option { return func(c *client) { c.metrics = set } }
+// WithObserver calls observe after each call, by the given clock.
+func WithObserver(clk clock.Clock, observe func(Call)) Option {
+	return func(c *client) { c.clock, c.observe = clk, observe }
+}
 
 type client struct {
 	base    string
 	http    *http.Client
 	timeout time.Duration
-	metrics *metrics.Set
-	made    map[call]*metrics.Counter
-	failed  map[call]*metrics.Counter
+	clock   clock.Clock
+	observe func(Call)
 }
 
 func newClient(address string, opts []Option) *client {
@@ -99,28 +95,15 @@
 		base:    "http://" + address,
 		http:    &http.Client{Transport: transport},
 		timeout: defaultTimeout,
-		metrics: metrics.NewSet(),
-		made:    map[call]*metrics.Counter{},
-		failed:  map[call]*metrics.Counter{},
+		clock:   clock.System(),
+		observe: func(Call) {},
 	}
 	for _, opt := range opts {
 		opt(c)
 	}
-	for _, k := range allCalls {
-		c.made[k] = c.metrics.GetOrCreateCounter(fmt.Sprintf("platform_calls_total{kind=%q}", k))
-		c.failed[k] = c.metrics.GetOrCreateCounter(fmt.Sprintf("platform_calls_failed_total{kind=%q}", k))
-	}
 	return c
 }
 
-func (c *client) counts() []Calls {
-	rows := make([]Calls, 0, len(allCalls))
-	for _, k := range allCalls {
-		rows = append(rows, Calls{Kind: string(k), Made: c.made[k].Get(), Failed: c.failed[k].Get()})
-	}
-	return rows
-}
-
 // post sends req within the client's timeout.
 func (c *client) post(ctx context.Context, k call, path string, req, res any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
@@ -131,11 +114,13 @@
 // send makes one call and decodes the answer into res. A conflict's answer is
 // decoded too.
 func (c *client) send(ctx context.Context, k call, method, path string, req, res any) error {
-	c.made[k].Inc()
+	start := c.clock.Now()
 	err := c.exchange(ctx, k, method, path, req, res)
-	if fault.Is(err, fault.StoreUnavailable) {
-		c.failed[k].Inc()
-	}
+	c.observe(Call{
+		Kind:   string(k),
+		Failed: fault.Is(err, fault.StoreUnavailable),
+		Took:   c.clock.Now().Sub(start),
+	})
 	return err
 }
 
--- a/router/platform/platform_test.go
+++ b/router/platform/platform_test.go
@@ -103,17 +103,17 @@
 		answer(http.StatusOK, platformapi.WriteResponse{Revision: 2})(w, r)
 	})
 	defer close(release)
-	store := platform.NewStore(address, platform.WithTimeout(50*time.Millisecond))
+	var calls []platform.Call
+	observe := platform.WithObserver(clock.System(), func(c platform.Call) { calls = append(calls, c) })
+	store := platform.NewStore(address, platform.WithTimeout(50*time.Millisecond), observe)
 	_, err := store.Put(t.Context(), platformapi.PutRequest{Key: "k"})
 	is.Equal(fault.Of(err).Outcome(), fault.Unknown)
 	revision, err := store.Put(t.Context(), platformapi.PutRequest{Key: "k"})
 	is.NoErr(err)
 	is.Equal(revision, uint64(2))
-	for _, row := range store.Calls() {
-		if row.Kind == "put" {
-			is.Equal(row, platform.Calls{Kind: "put", Made: 2, Failed: 1})
-		}
-	}
+	is.Equal(len(calls), 2)
+	is.Equal([]string{calls[0].Kind, calls[1].Kind}, []string{"put", "put"})
+	is.Equal([]bool{calls[0].Failed, calls[1].Failed}, []bool{true, false})
 }
 
 func TestLargeValueIsNotSent(t *testing.T) {
--- a/router/platform/store.go
+++ b/router/platform/store.go
@@ -37,8 +37,6 @@
 	KeepAlive(ctx context.Context, lease uint64) error
 	// Revoke ends a lease and removes its keys.
 	Revoke(ctx context.Context, lease uint64) error
-	// Calls returns a row for each kind of call, in a fixed order.
-	Calls() []Calls
 }
 
 // NewStore returns the client of the key-value service at address, an IP
@@ -132,5 +130,3 @@
 	var res platformapi.LeaseResponse
 	return s.client.post(ctx, callRevoke, platformapi.PathRevoke, platformapi.LeaseRequest{Lease: lease}, &res)
 }
-
-func (s *store) Calls() []Calls { return s.client.counts() }
