--- a/router/identity.go
+++ b/router/identity.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 
+	"cicadawell.dev/router/settings"
 	"github.com/google/uuid"
 )
 
@@ -10,6 +11,13 @@
 // begin with the instance, which keeps the request's decisions.
 type identifiers struct{ instance string }
 
+// newIdentifiers has the library read randomness in blocks, since each request
+// takes several identifiers.
+func newIdentifiers(cfg settings.Settings) identifiers {
+	uuid.EnableRandPool()
+	return identifiers{instance: cfg.ID}
+}
+
 // NewRequest returns an identifier for a request.
 func (i identifiers) NewRequest() string { return i.instance + "-" + uuid.NewString() }
 
--- a/router/parts.go
+++ b/router/parts.go
@@ -4,11 +4,6 @@
 	"os"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/hashicorp/go-hclog"
-	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
-
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/router/caller"
 	"cicadawell.dev/router/catalog"
@@ -31,6 +26,10 @@
 	"cicadawell.dev/router/runner"
 	"cicadawell.dev/router/settings"
 	"cicadawell.dev/router/takeout"
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
 )
 
 // parts are the constructors of everything that an instance consists of.
@@ -80,8 +79,6 @@
 	})
 }
 
-func newIdentifiers(cfg settings.Settings) identifiers { return identifiers{instance: cfg.ID} }
-
 func newJournal(log hclog.Logger, clk clock.Clock) journal.Writer {
 	return journal.New(log.Named("journal"), clk)
 }
