Register before the roll's state is read

Cause: the roster registers in a loop of its own, so that a joining instance could read the roll's state before it was registered: a roll decided in between would not count it, and be accepted before it is in force there. Ruled out: registering in the start itself (the loop has to renew it anyway). Change: the start waits until its registration is seen, 3 s at most while the store is out.

--- a/router/entry.go
+++ b/router/entry.go
@@ -80,6 +80,9 @@
 	e.Loops.start("journal", e.Journal.Run)
 	e.Loops.start("roster", e.Roster.Run)
 	e.Loops.start("list", e.Registry.follow)
+	if err := e.Registry.await(ctx, e.Settings.ID); err != nil {
+		return err
+	}
 	if err := e.Rolls.Start(ctx); err != nil {
 		return err
 	}
--- a/router/registry.go
+++ b/router/registry.go
@@ -19,8 +19,13 @@
 	"github.com/hashicorp/go-hclog"
 )
 
-// listPeriod is the time between two reads of the platform's list.
-const listPeriod = 2 * time.Second
+const (
+	// listPeriod is the time between two reads of the platform's list.
+	listPeriod = 2 * time.Second
+	// registrationPatience is how long a start waits for its registration.
+	registrationPatience = 3 * time.Second
+	registrationPoll     = 20 * time.Millisecond
+)
 
 // registry knows the instances and their addresses, from the registrations and,
 // while the store is out, from the platform's list.
@@ -56,6 +61,24 @@
 	)
 }
 
+// await returns once the registration of id is seen, so that a roll that is read
+// after it counts this instance. While the store is out it goes on after a while:
+// rolls then learn of this instance from the others.
+func (g *registry) await(ctx context.Context, id string) error {
+	patience := g.clk.Now().Add(registrationPatience)
+	for g.clk.Now().Before(patience) {
+		for _, r := range g.roster.Registered() {
+			if r.ID == id {
+				return nil
+			}
+		}
+		if err := g.clk.Sleep(ctx, registrationPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Registered returns the identifiers registered in the store, read now.
 func (g *registry) Registered(ctx context.Context) ([]string, error) {
 	entries, _, err := g.store.List(ctx, roster.RegistrationPrefix)
