--- a/router/entry.go
+++ b/router/entry.go
@@ -86,10 +86,10 @@
 	if err := e.Rolls.Start(ctx); err != nil {
 		return err
 	}
+	e.Loops.start("rolls", e.Rolls.Run)
 	if err := e.Takeouts.Start(ctx); err != nil {
 		return err
 	}
-	e.Loops.start("rolls", e.Rolls.Run)
 	e.Loops.start("takeouts", e.Takeouts.Run)
 	e.Loops.start("orders", e.Orders.Run)
 	e.Loops.start("loads", e.Exchange.Run)
--- a/router/roll/world_test.go
+++ b/router/roll/world_test.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -19,20 +17,13 @@
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/operatorapi"
 	"cicadawell.dev/fleet/platformapi"
+	"cicadawell.dev/fleet/property"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/peers"
 	"github.com/hashicorp/go-hclog"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "20"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			_ = flag.Set(name, value) // not given on the command line
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, 20) }
 
 // bubble is the virtual clock of testing/synctest.
 var bubble = clock.System()
