One context a stage, fewer clock reads, a lazy second attempt

Ruled out: no deadline on the context (a silent connection needs it); dropping the read deadline of bodies (a silent caller needs it). Change: the stage's context carries the deadline and ends both attempts; the second attempt's ask and outcome are made when its timer fires; the line 'finished' went (its time is in 'answered'); the first runner's idle connections are renewed when the second attempt wins.

--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -89,6 +89,9 @@
 	s.answer(c, x, answer)
 }
 
+// jsonContent is the content type of whole answers, shared by all of them.
+var jsonContent = []string{"application/json; charset=utf-8"}
+
 // answer writes a whole answer and counts it.
 func (s *server) answer(c *gin.Context, x *exchange, answer callerapi.Answer) {
 	s.count(x)
@@ -100,7 +103,10 @@
 		return
 	}
 	s.boundWrite(c)
-	c.Data(http.StatusOK, "application/json; charset=utf-8", data)
+	c.Writer.Header()["Content-Type"] = jsonContent
+	c.Status(http.StatusOK)
+	// A caller that has left cannot be told.
+	_, _ = c.Writer.Write(data)
 }
 
 func (s *server) count(x *exchange) {
--- a/router/journal/journal.go
+++ b/router/journal/journal.go
@@ -30,7 +30,6 @@
 	Forwarded Step = "forwarded"
 	Joined    Step = "joined"
 	Replayed  Step = "replayed"
-	Finished  Step = "finished"
 	Placed    Step = "placed"
 	Cancelled Step = "cancelled"
 )
--- a/router/journal/step.go
+++ b/router/journal/step.go
@@ -3,7 +3,7 @@
 // steps are all steps; the last stands for any other.
 var steps = [...]Step{
 	Admitted, Refused, Chosen, Sent, Answered, Retried, Hedged, Displaced, Dropped,
-	Forwarded, Joined, Replayed, Finished, Placed, Cancelled, "other",
+	Forwarded, Joined, Replayed, Placed, Cancelled, "other",
 }
 
 // indexOf returns the place of s in steps.
--- a/router/pipeline/attempt.go
+++ b/router/pipeline/attempt.go
@@ -49,26 +49,34 @@
 // hedge runs an attempt with a second one in reserve. The faster one ends the
 // other.
 func (s *stageRun) hedge(ctx context.Context, place pool.Place, deadline time.Time, delay time.Duration) outcome {
-	ctx, giveUp := context.WithCancelCause(ctx)
-	defer giveUp(errSuperseded)
-	ask := s.ask(deadline)
-	ask.Exclude = append([]string{place.Runner().ID}, s.exclude...)
-	reserve := make(chan outcome, 1)
+	var second outcome
+	ended := make(chan struct{})
 	stop := s.Timers.AfterFunc(delay, func() {
-		o := s.second(ctx, ask, deadline)
-		if o.err == nil {
-			giveUp(errSuperseded)
-		}
-		reserve <- o
+		defer close(ended)
+		second = s.second(ctx, place.Runner().ID, deadline)
+		s.supersede(second)
 	})
 	first := s.dispatch(ctx, place, deadline)
 	if stop() {
 		return s.settle(first)
 	}
-	if first.err == nil {
-		giveUp(errSuperseded)
+	s.supersede(first)
+	<-ended
+	if second.err == nil {
+		// The first attempt's connection may have gone silent, and with it
+		// the idle ones.
+		s.Runners.Renew(place.Runner())
+	}
+	return s.better(first, second)
+}
+
+// supersede ends the other attempt when this one has succeeded.
+func (s *stageRun) supersede(o outcome) {
+	if o.err != nil {
+		return
 	}
-	return s.better(first, <-reserve)
+	s.superseded.Store(true)
+	s.endAll()
 }
 
 // better settles two attempts and returns the one that counts.
@@ -80,12 +88,14 @@
 	return second
 }
 
-// second runs the attempt beside the first, when the budget allows one and no
-// token was passed on. Without a place it has not run.
-func (s *stageRun) second(ctx context.Context, ask pool.Ask, deadline time.Time) outcome {
+// second runs the attempt beside the first, on another runner, when the budget
+// allows one and no token was passed on. Without a place it has not run.
+func (s *stageRun) second(ctx context.Context, first string, deadline time.Time) outcome {
 	if s.speaker.Load() != nil || !s.Retries.Allow(s.stage().Service) {
 		return outcome{err: errSuperseded}
 	}
+	ask := s.ask(deadline)
+	ask.Exclude = append([]string{first}, s.exclude...)
 	place, err := s.Places.Acquire(ctx, ask)
 	if err != nil {
 		return outcome{err: err}
@@ -107,16 +117,17 @@
 		return o
 	}
 	o.attempt = s.Identifiers.NewAttempt()
-	s.record(journal.Chosen, o.attempt, to.ID, place.Reason(), 0)
 	sent := s.Clock.Now()
-	o.result, o.err = s.send(ctx, place, o.attempt, deadline)
-	took := s.Clock.Now().Sub(sent)
+	s.recordAt(sent, journal.Chosen, o.attempt, to.ID, place.Reason(), 0)
+	o.result, o.err = s.send(ctx, place, o.attempt, sent, deadline)
+	ended := s.Clock.Now()
+	took := ended.Sub(sent)
 	o.took = took
 	s.spend(took)
 	ending := endingOf(ctx, o.err)
 	place.Done(pool.Result{Ending: ending, Latency: took, Load: loadOf(o.result, o.err)})
 	s.Meter.Attempt(s.job.Pipeline.ID, s.stage().Name, to.Zone, ending, took, o.result.Tokens, o.result.CachedTokens)
-	s.note(o, took)
+	s.note(o, ended)
 	return o
 }
 
@@ -128,10 +139,11 @@
 	}
 }
 
-func (s *stageRun) note(o outcome, took time.Duration) {
+// note records how an attempt ended.
+func (s *stageRun) note(o outcome, ended time.Time) {
 	if o.err == nil {
 		s.Retries.Success(s.stage().Service)
-		s.record(journal.Answered, o.attempt, o.runner, "whole", took)
+		s.recordAt(ended, journal.Answered, o.attempt, o.runner, "whole", o.took)
 		return
 	}
 	step := journal.Answered
@@ -140,7 +152,7 @@
 		s.Meter.Foreign(s.stage().Service)
 		step = journal.Dropped
 	}
-	s.record(step, o.attempt, o.runner, o.err.Error(), took)
+	s.recordAt(ended, step, o.attempt, o.runner, o.err.Error(), o.took)
 }
 
 // settle takes the end of an attempt into the stage.
--- a/router/pipeline/ending.go
+++ b/router/pipeline/ending.go
@@ -46,6 +46,14 @@
 	})
 }
 
+// givenUp describes an attempt whose context ended.
+func (s *stageRun) givenUp(ctx context.Context, err error) error {
+	if s.superseded.Load() {
+		return errSuperseded
+	}
+	return fault.Wrap(causeOf(ctx), err, "attempt given up")
+}
+
 // causeOf returns the kind of what ended ctx. A context that was cancelled
 // without a cause of ours belonged to a caller that left.
 func causeOf(ctx context.Context) fault.Kind {
--- a/router/pipeline/executor.go
+++ b/router/pipeline/executor.go
@@ -143,8 +143,6 @@
 
 func (x *executor) run(ctx context.Context, job Job, guard func() error) (callerapi.Answer, error) {
 	answer := callerapi.Answer{Request: job.Request, Pipeline: job.Pipeline.ID, Outcome: fault.Run}
-	ctx, cancel := context.WithDeadlineCause(ctx, job.Deadline, errDeadline)
-	defer cancel()
 	input := job.Input
 	affinity := affinityOf(job)
 	for i := range job.Pipeline.Stages {
@@ -157,7 +155,6 @@
 		answer.Stages = append(answer.Stages, report)
 	}
 	answer.Output = input
-	x.Journal.Record(journal.Decision{At: x.Clock.Now(), Step: journal.Finished, Request: job.Request})
 	return answer, nil
 }
 
--- a/router/pipeline/pipeline_test.go
+++ b/router/pipeline/pipeline_test.go
@@ -353,7 +353,7 @@
 		is.Equal(s.Now().Sub(start), s.hedgeAfter)
 		is.Equal(a.Stages[0].Runner, "r2")    // beside the first
 		is.Equal(s.cancelled, []string{"a1"}) // which is told to stop
-		is.Equal(s.renewed, []string{"r2"})   // over a new connection
+		is.Equal(s.renewed, []string{"r2", "r1"})   // over a new connection
 	})
 }
 
--- a/router/pipeline/stage.go
+++ b/router/pipeline/stage.go
@@ -24,7 +24,7 @@
 	// errDisplaced ends the attempt of free work that gave way.
 	errDisplaced = fault.New(fault.Displaced, "a paying caller needed the place")
 	// errSuperseded ends an attempt of which another one was faster.
-	errSuperseded = fault.Wrap(fault.RunnerFailed, runner.ErrSuperseded, "attempt given up")
+	errSuperseded = fault.New(fault.RunnerFailed, "another attempt was faster")
 )
 
 // stageRun is one stage of one request.
@@ -45,6 +45,10 @@
 	touched bool
 	// spent is how long the attempts held runners, in nanoseconds.
 	spent atomic.Int64
+	// endAll ends all attempts of the stage, once one has succeeded;
+	// superseded is true from then on.
+	endAll     context.CancelFunc
+	superseded atomic.Bool
 	// speaker is the attempt whose tokens reach the caller; it never
 	// changes once it is set, since another attempt's tokens could differ.
 	speaker atomic.Pointer[string]
@@ -53,8 +57,12 @@
 func (s *stageRun) stage() bundle.Stage { return s.job.Pipeline.Stages[s.index] }
 
 func (s *stageRun) record(step journal.Step, attempt, runnerID, reason string, took time.Duration) {
+	s.recordAt(s.Clock.Now(), step, attempt, runnerID, reason, took)
+}
+
+func (s *stageRun) recordAt(at time.Time, step journal.Step, attempt, runnerID, reason string, took time.Duration) {
 	s.Journal.Record(journal.Decision{
-		At:      s.Clock.Now(),
+		At:      at,
 		Step:    step,
 		Request: s.job.Request,
 		Stage:   s.stage().Name,
@@ -74,6 +82,8 @@
 	if err != nil {
 		return nil, callerapi.Stage{}, err
 	}
+	ctx, s.endAll = context.WithDeadlineCause(ctx, deadline, errDeadline)
+	defer s.endAll()
 	for {
 		o := s.try(ctx, deadline)
 		if o.err == nil {
@@ -130,14 +140,9 @@
 }
 
 // send sends the attempt, over a fresh connection when it may not be repeated.
-func (s *stageRun) send(ctx context.Context, place pool.Place, id string, deadline time.Time) (runnerapi.RunResult, error) {
+func (s *stageRun) send(ctx context.Context, place pool.Place, id string, now, deadline time.Time) (runnerapi.RunResult, error) {
 	stage := s.stage()
-	if deadline.Before(s.job.Deadline) {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadlineCause(ctx, deadline, errDeadline)
-		defer cancel()
-	}
-	req := s.message(id, deadline)
+	req := s.message(id, now, deadline)
 	if !stage.Idempotent {
 		return s.Runners.RunOnce(ctx, place.Runner(), req, stage.MaxResultBytes, func() error { return s.last(place) })
 	}
@@ -146,7 +151,7 @@
 	result, err := s.Runners.Run(ctx, place.Runner(), req, stage.MaxResultBytes, s.sink(id))
 	if err != nil && ctx.Err() != nil {
 		s.cancelAt(place.Runner(), id)
-		return result, fault.Wrap(causeOf(ctx), err, "attempt given up")
+		return result, s.givenUp(ctx, err)
 	}
 	return result, err
 }
@@ -163,7 +168,7 @@
 	return s.guard()
 }
 
-func (s *stageRun) message(id string, deadline time.Time) runnerapi.RunRequest {
+func (s *stageRun) message(id string, now, deadline time.Time) runnerapi.RunRequest {
 	stage := s.stage()
 	req := runnerapi.RunRequest{
 		Attempt:         id,
@@ -173,7 +178,7 @@
 		Team:            s.job.Team.ID,
 		Model:           stage.Model,
 		Priority:        runnerapi.PriorityFree,
-		RemainingMillis: runner.TimeLeft(s.Clock.Now(), deadline),
+		RemainingMillis: runner.TimeLeft(now, deadline),
 		Stream:          stage.Streams && s.job.Stream != nil,
 		From:            s.Instance,
 		Input:           s.input,
--- a/router/runner/errors.go
+++ b/router/runner/errors.go
@@ -1,16 +1,11 @@
 package runner
 
 import (
-	"errors"
 	"fmt"
 
 	"cicadawell.dev/fleet/runnerapi"
 )
 
-// ErrSuperseded is the cause of the end of an attempt of which another one was
-// faster: its connection may be silent.
-var ErrSuperseded = errors.New("another attempt was faster")
-
 // ForeignError is an answer that belongs to another attempt. It is dropped and
 // never reaches a caller.
 type ForeignError struct {
--- a/router/runner/pooled.go
+++ b/router/runner/pooled.go
@@ -49,16 +49,19 @@
 // distrust closes the pooled connections after a sign that one went silent,
 // so that the next attempt opens a new one. A caller that left is no such sign.
 func (c *client) distrust(ctx context.Context, address string) {
-	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(context.Cause(ctx), ErrSuperseded) {
+	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		c.pool(address).CloseIdleConnections()
 	}
 }
 
+// jsonHeader is shared by all posts; a transport does not change it.
+var jsonHeader = http.Header{"Content-Type": {"application/json"}}
+
 func (c *client) post(ctx context.Context, address, path string, body []byte) (*http.Response, error) {
 	req := &http.Request{
 		Method:        http.MethodPost,
 		URL:           &url.URL{Scheme: "http", Host: address, Path: path},
-		Header:        http.Header{"Content-Type": {"application/json"}},
+		Header:        jsonHeader,
 		Body:          io.NopCloser(bytes.NewReader(body)),
 		ContentLength: int64(len(body)),
 	}
--- a/router/runner/read.go
+++ b/router/runner/read.go
@@ -19,6 +19,7 @@
 	maxRefusalBytes = 64 << 10
 	// envelopeBytes is what a result's message needs beside its output.
 	envelopeBytes = 4 << 10
+	wholeResult   = "application/json"
 	eventStream   = "text/event-stream"
 )
 
@@ -27,7 +28,11 @@
 	if resp.StatusCode >= http.StatusBadRequest {
 		return runnerapi.RunResult{}, refusal(resp, to, req)
 	}
-	kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	contentType := resp.Header.Get("Content-Type")
+	if contentType == wholeResult {
+		return readWhole(resp, to, req, limit)
+	}
+	kind, _, err := mime.ParseMediaType(contentType)
 	if err != nil {
 		return runnerapi.RunResult{}, fault.Wrap(fault.RunnerFailed, err, "content type of runner %s", to.ID)
 	}
