--- a/router/pipeline/pipeline_test.go
+++ b/router/pipeline/pipeline_test.go
@@ -351,9 +351,9 @@
 		x.Close()
 		is.NoErr(err)
 		is.Equal(s.Now().Sub(start), s.hedgeAfter)
-		is.Equal(a.Stages[0].Runner, "r2")    // beside the first
-		is.Equal(s.cancelled, []string{"a1"}) // which is told to stop
-		is.Equal(s.renewed, []string{"r2", "r1"})   // over a new connection
+		is.Equal(a.Stages[0].Runner, "r2")        // beside the first
+		is.Equal(s.cancelled, []string{"a1"})     // which is told to stop
+		is.Equal(s.renewed, []string{"r2", "r1"}) // over a new connection
 	})
 }
 
