--- a/router/runner/read.go
+++ b/router/runner/read.go
@@ -19,6 +19,7 @@
 	maxRefusalBytes = 64 << 10
 	// envelopeBytes is what a result's message needs beside its output.
 	envelopeBytes = 4 << 10
+	wholeResult   = "application/json"
 	eventStream   = "text/event-stream"
 )
 
@@ -27,7 +28,11 @@
 	if resp.StatusCode >= http.StatusBadRequest {
 		return runnerapi.RunResult{}, refusal(resp, to, req)
 	}
-	kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	contentType := resp.Header.Get("Content-Type")
+	if contentType == wholeResult {
+		return readWhole(resp, to, req, limit)
+	}
+	kind, _, err := mime.ParseMediaType(contentType)
 	if err != nil {
 		return runnerapi.RunResult{}, fault.Wrap(fault.RunnerFailed, err, "content type of runner %s", to.ID)
 	}
@@ -132,7 +137,7 @@
 
 func takeToken(data []byte, to bundle.Runner, req runnerapi.RunRequest, next int, sink Sink) error {
 	var t runnerapi.Token
-	if err := json.Unmarshal(data, &t); err != nil {
+	if err := fastjson.Unmarshal(data, &t); err != nil {
 		return fault.Wrap(fault.RunnerFailed, err, "token %d of runner %s", next, to.ID)
 	}
 	if t.Attempt != req.Attempt {
