--- a/standin/measure/scenario.go
+++ b/standin/measure/scenario.go
@@ -93,8 +93,17 @@
 	}
 }
 
+// zoneEvent takes the zone out or in. Its runners are cold when it returns.
 func zoneEvent(at time.Duration, step string) event {
 	return event{at: at, what: "zone " + step, do: func(ctx context.Context, s *scene.Scene) error {
+		for _, r := range s.Bundle.Runners {
+			if step != "in" || r.Zone != zoneOut {
+				continue
+			}
+			if err := s.Runners[r.ID].Fault(ctx, endpoint.Faults{TurnCold: true}); err != nil {
+				return err
+			}
+		}
 		_, err := s.Ctl(ctx, "zone", step, zoneOut, "--reason", "measurement")
 		return err
 	}}
