Pass handovers on, and take over slots gained in a view that was missed

Cause: bookings within 2 s of a fleet's start were refused as unknown (11 of 1,433 in TestRunnerDrainedUnderTraffic, 3 to 7 in others): five instances join within 120 ms, so that a slot moves again before its handover came, or in a view that its new home never sees. Traces: router2 went from epoch 1 to 3. Ruled out: a longer wait for handovers (none was under way), the joiners' mesh (all handovers were delivered within 5 ms). Change: a handover that comes after its slot moved on is passed on; a slot gained in the one view that was missed is taken over from the home before it. An instance that had not begun to serve a slot ran none of its keys.

--- a/router/ledger/coverage.go
+++ b/router/ledger/coverage.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -47,6 +48,8 @@
 
 	mu    sync.Mutex
 	epoch uint64
+	// members are those of the view of epoch.
+	members []hold.Member
 	// effective is true once the view of epoch is known to be in effect.
 	effective bool
 	parts     [hold.Slots]part
@@ -54,6 +57,15 @@
 	handed map[handoverID]slotTimes
 	// yields are what this instance has to hand over and has not begun to.
 	yields []yield
+	// relays are the slots that moved on before their handover came here: it
+	// is passed on when it comes.
+	relays map[handoverID]map[hold.Slot]relay
+}
+
+// relay says to whom a slot moved on, in the view of which epoch.
+type relay struct {
+	epoch uint64
+	heir  hold.Member
 }
 
 // slotTimes has, for each slot, the time after which a key must have been
@@ -89,7 +101,7 @@
 }
 
 func newCoverage(margin, awaitFor time.Duration) *coverage {
-	return &coverage{margin: margin, awaitFor: awaitFor, handed: make(map[handoverID]slotTimes)}
+	return &coverage{margin: margin, awaitFor: awaitFor, handed: make(map[handoverID]slotTimes), relays: make(map[handoverID]map[hold.Slot]relay)}
 }
 
 // advance takes in the newest state.
@@ -116,11 +128,14 @@
 		p := &c.parts[slot]
 		home, _ := hold.HomeOf(s.View.Members, slot)
 		before, _ := hold.HomeOf(s.View.Prior, slot)
+		if p.tenure == 0 && before == s.Self {
+			*p = c.missed(s, slot)
+		}
 		kept := p.tenure != 0 && before == s.Self && adjacent
 		switch {
 		case home != s.Self:
-			if kept && !p.pending && home.ID != "" {
-				lost[home] = lost[home].with(slot, p.from)
+			if from, ok := c.yielded(s.View.Epoch, slot, home); kept && ok {
+				lost[home] = lost[home].with(slot, from)
 			}
 			*p = part{}
 		case kept:
@@ -132,12 +147,71 @@
 		c.yields = append(c.yields, yield{epoch: s.View.Epoch, slots: lost})
 	}
 	c.epoch = s.View.Epoch
+	c.members = s.View.Members
 	c.effective = false
-	for id := range c.handed {
-		if id.epoch+keptHandovers <= c.epoch {
-			delete(c.handed, id)
+	c.forget()
+}
+
+// missed returns the part of a slot that this instance gained in the one view
+// that it did not see: it has not begun to serve it, and the home of the view
+// before that one hands it over.
+func (c *coverage) missed(s hold.State, slot hold.Slot) part {
+	if c.epoch == 0 || c.epoch+maxSkip+1 != s.View.Epoch {
+		return part{}
+	}
+	giver, ok := hold.HomeOf(c.members, slot)
+	if !ok || giver == s.Self {
+		return part{}
+	}
+	return part{tenure: tenure(s.View.Epoch - 1), pending: true, previous: giver}
+}
+
+// forget drops the handovers and relays of views long past.
+func (c *coverage) forget() {
+	past := func(id handoverID) bool { return id.epoch+keptHandovers <= c.epoch }
+	maps.DeleteFunc(c.handed, func(id handoverID, _ slotTimes) bool { return past(id) })
+	maps.DeleteFunc(c.relays, func(id handoverID, _ map[hold.Slot]relay) bool { return past(id) })
+}
+
+// yielded returns the time from which this instance vouches for a slot that
+// moves on to heir. A slot that it has not begun to serve it never ran a key of:
+// it passes on what the home before hands over, now or when that comes.
+func (c *coverage) yielded(epoch uint64, slot hold.Slot, heir hold.Member) (from time.Time, ok bool) {
+	p := c.parts[slot]
+	if heir.ID == "" || p.tenure == 0 {
+		return time.Time{}, false
+	}
+	if !p.pending {
+		return p.from, true
+	}
+	id := handoverID{uint64(p.tenure), p.previous}
+	if from, ok := c.handed[id][slot]; ok {
+		return from, true
+	}
+	if c.relays[id] == nil {
+		c.relays[id] = make(map[hold.Slot]relay)
+	}
+	c.relays[id][slot] = relay{epoch, heir}
+	return time.Time{}, false
+}
+
+// passOn yields the slots of a handover that moved on before it came.
+func (c *coverage) passOn(id handoverID, slots slotTimes) {
+	byEpoch := make(map[uint64]map[hold.Member]slotTimes)
+	for slot, r := range c.relays[id] {
+		from, ok := slots[slot]
+		if !ok {
+			continue
 		}
+		if byEpoch[r.epoch] == nil {
+			byEpoch[r.epoch] = make(map[hold.Member]slotTimes)
+		}
+		byEpoch[r.epoch][r.heir] = byEpoch[r.epoch][r.heir].with(slot, from)
+	}
+	for epoch, slots := range byEpoch {
+		c.yields = append(c.yields, yield{epoch: epoch, slots: slots})
 	}
+	delete(c.relays, id)
 }
 
 // takeEffect lets the slots gained in this view begin.
@@ -178,6 +252,7 @@
 		return
 	}
 	c.handed[id] = slots
+	c.passOn(id, slots)
 	for slot := range slots {
 		p := &c.parts[slot]
 		if p.tenure == tenure(id.epoch) && p.previous == id.from && !p.pending {
--- a/router/ledger/handover.go
+++ b/router/ledger/handover.go
@@ -135,9 +135,14 @@
 func (l *book) followView() {
 	state := l.roster.State()
 	l.coverage.advance(state)
+	l.yield(state.Self)
+}
+
+// yield begins to hand over what moved away.
+func (l *book) yield(self hold.Member) {
 	for _, y := range l.coverage.drain() {
 		for heir, slots := range y.slots {
-			l.begin(func() { l.handOver(y.epoch, state.Self, heir, slots) })
+			l.begin(func() { l.handOver(y.epoch, self, heir, slots) })
 		}
 	}
 }
@@ -206,6 +211,7 @@
 	}
 	if len(message.Slots) > 0 {
 		l.coverage.receive(handoverID{message.Epoch, message.From}, message.Slots)
+		l.yield(l.roster.State().Self)
 	}
 	return nil, nil
 }
