Count the members of the view among the listed instances

Cause: TestZoneOutInAStoreOutage failed (out on router5 only): the platform's list is made from registrations, whose leases lapse in an outage of the store, so that nobody was left to tell. The shorter lease of 4 s showed it. Ruled out: a longer lease (an outage outlasts any). Change: the members of the agreed view count as listed.

--- a/router/registry.go
+++ b/router/registry.go
@@ -95,22 +95,27 @@
 	return ids, nil
 }
 
-// Listed returns the instances of the platform's list.
+// Listed returns the instances of the platform's list, read now, and the members
+// of the view that it does not show: a list that is made from registrations
+// empties in an outage of the store.
 func (g *registry) Listed(ctx context.Context) ([]peers.Peer, error) {
 	rows, err := g.list.Instances(ctx)
 	if err != nil {
 		return nil, err
 	}
-	out := make([]peers.Peer, 0, len(rows))
 	listed := make(map[string]platformapi.Instance, len(rows))
 	for _, row := range rows {
-		out = append(out, peers.Peer{ID: row.ID, Zone: row.Zone})
 		listed[row.ID] = row
 	}
 	g.mu.Lock()
 	g.listed = listed
 	g.mu.Unlock()
 	g.learn()
+	known := g.Known()
+	out := make([]peers.Peer, 0, len(known))
+	for _, row := range known {
+		out = append(out, peers.Peer{ID: row.ID, Zone: row.Zone})
+	}
 	return out, nil
 }
 
--- a/standin/capacity/capacity.go
+++ b/standin/capacity/capacity.go
@@ -59,7 +59,7 @@
 		}
 		rows = append(rows, r)
 	}
-	return print(cfg.Out, rows)
+	return printTable(cfg.Out, rows)
 }
 
 func measure(ctx context.Context, cfg Config, n int) (row, error) {
@@ -156,7 +156,7 @@
 	return n
 }
 
-func print(out io.Writer, rows []row) error {
+func printTable(out io.Writer, rows []row) error {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(t, "INSTANCES\tCORE\tMEMORY\tSTORE CALLS\tBYTES MOVED")
 	for _, r := range rows {
