Tell all instances at once of a runner that turned cold

Ruled out: asking all again (it follows the fleet's size). Change: a cold sign at first hand goes to all members at once; it is the safe direction, so its delay does not matter.

--- a/router/loads/loads.go
+++ b/router/loads/loads.go
@@ -22,8 +22,12 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// methodDigest asks an instance what it knows of runners in cold start.
-const methodDigest = "pool.digest"
+const (
+	// methodDigest asks an instance what it knows of runners in cold start.
+	methodDigest = "pool.digest"
+	// methodCold tells an instance that a runner turned cold.
+	methodCold = "pool.cold"
+)
 
 // Defaults of the exchange.
 const (
@@ -52,6 +56,7 @@
 	Status() []pool.Status
 	Digest(since time.Time) pool.Digest
 	Learn(d pool.Digest, delay time.Duration)
+	ColdSigns() <-chan string
 }
 
 // Fleet tells who there is.
@@ -83,6 +88,7 @@
 func New(p Parts) Exchange {
 	e := &exchange{Parts: p}
 	p.Mesh.Handle(methodDigest, e.answer)
+	p.Mesh.Handle(methodCold, e.hear)
 	return e
 }
 
@@ -103,9 +109,60 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return e.every(ctx, pullPeriod, e.pullAll) })
 	group.Go(func() error { return e.every(ctx, askPeriod, e.askAll) })
+	group.Go(func() error { return e.tell(ctx) })
 	return group.Wait()
 }
 
+// notice names a runner that turned cold.
+type notice struct {
+	Runner string `json:"runner"`
+}
+
+// tell tells all others at once of runners that turned cold here. A notice that
+// is late takes the runner for cold too long, which does no harm.
+func (e *exchange) tell(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case runner := <-e.Pools.ColdSigns():
+			e.each(ctx, e.others(), methodCold, notice{Runner: runner})
+		}
+	}
+}
+
+// others returns all members but this one.
+func (e *exchange) others() []string {
+	return slices.DeleteFunc(slices.Clone(e.Fleet.Members()), func(id string) bool { return id == e.Self })
+}
+
+// each sends params to each of the instances, several at once.
+func (e *exchange) each(ctx context.Context, to []string, method string, params any) {
+	var group errgroup.Group
+	group.SetLimit(fanOut)
+	for _, id := range to {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(instance.Repeatable(ctx), pullTimeout)
+			defer cancel()
+			if err := e.Mesh.Call(ctx, id, method, params, nil); err != nil {
+				e.Log.Debug("not told", "instance", id, "method", method, "error", err)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// hear takes in that a runner turned cold.
+func (e *exchange) hear(_ context.Context, _ string, raw json.RawMessage) (any, error) {
+	var n notice
+	if err := json.Unmarshal(raw, &n); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "decode notice").WithField(methodCold)
+	}
+	e.Pools.Learn(pool.Digest{Entries: []pool.DigestEntry{{Runner: n.Runner, Cold: true}}}, 0)
+	return nil, nil
+}
+
 func (e *exchange) every(ctx context.Context, period time.Duration, do func(context.Context)) error {
 	for {
 		do(ctx)
--- a/router/loads/loads_test.go
+++ b/router/loads/loads_test.go
@@ -23,7 +23,8 @@
 
 // network joins the instances of a test and counts what they say.
 type network struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// handlers are by instance and method.
 	handlers map[string]instance.Handler
 	messages int
 	bytes    int
@@ -35,16 +36,16 @@
 	id string
 }
 
-func (p port) Handle(_ string, h instance.Handler) { p.handlers[p.id] = h }
+func (p port) Handle(method string, h instance.Handler) { p.handlers[p.id+method] = h }
 
 func (p port) Learn(map[string]string) {}
 
-func (p port) Call(ctx context.Context, to, _ string, params, result any) error {
+func (p port) Call(ctx context.Context, to, method string, params, result any) error {
 	raw, err := json.Marshal(params)
 	if err != nil {
 		return err
 	}
-	answer, err := p.handlers[to](ctx, p.id, raw)
+	answer, err := p.handlers[to+method](ctx, p.id, raw)
 	if err != nil {
 		return err
 	}
@@ -56,6 +57,9 @@
 	p.messages += 2
 	p.bytes += len(raw) + len(reply)
 	p.mu.Unlock()
+	if result == nil {
+		return nil
+	}
 	return json.Unmarshal(reply, result)
 }
 
@@ -98,16 +102,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
-	var pools []pool.Pools
-	var exchanges []loads.Exchange
-	for _, id := range f.members {
-		p := pool.New(clock.System())
-		p.Update(pool.Topology{Runners: f.runners, Zone: "z1", Instances: f.members, Self: id, Settled: true})
-		pools = append(pools, p)
-		exchanges = append(exchanges, loads.New(loads.Parts{
-			Self: id, Clock: clock.System(), Log: hclog.NewNullLogger(), Mesh: port{n, id}, Pools: p, Runners: f, Fleet: f,
-		}))
-	}
+	pools, exchanges := parts(f, n)
 	var group errgroup.Group
 	for _, e := range exchanges {
 		group.Go(func() error { return e.Run(ctx) })
@@ -122,6 +117,19 @@
 	return pools
 }
 
+// parts returns the pools and the exchange of each member.
+func parts(f *fleet, n *network) (pools []pool.Pools, exchanges []loads.Exchange) {
+	for _, id := range f.members {
+		p := pool.New(clock.System())
+		p.Update(pool.Topology{Runners: f.runners, Zone: "z1", Instances: f.members, Self: id, Settled: true})
+		pools = append(pools, p)
+		exchanges = append(exchanges, loads.New(loads.Parts{
+			Self: id, Clock: clock.System(), Log: hclog.NewNullLogger(), Mesh: port{n, id}, Pools: p, Runners: f, Fleet: f,
+		}))
+	}
+	return pools, exchanges
+}
+
 func TestEachInstanceLearnsWhichRunnersAreWarm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -157,3 +165,28 @@
 	is := is.New(t)
 	is.True(perInstance[2] < 3*perInstance[0]) // nine times the fleet
 }
+
+// TestColdSignReachesAllAtOnce has one instance see a runner fail.
+func TestColdSignReachesAllAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(5, 1)
+		n := &network{handlers: map[string]instance.Handler{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		pools, exchanges := parts(f, n)
+		var group errgroup.Group
+		for _, e := range exchanges {
+			group.Go(func() error { return e.Run(ctx) })
+		}
+		is.NoErr(clock.System().Sleep(ctx, 5300*time.Millisecond))
+		place, err := pools[0].Acquire(ctx, pool.Ask{Service: "generate", Paying: true, Deadline: clock.System().Now().Add(time.Second)})
+		is.NoErr(err)
+		place.Done(pool.Result{Ending: pool.Failed})
+		synctest.Wait() // no time passes
+		for _, p := range pools {
+			is.True(p.Status()[0].Cold)
+		}
+		cancel()
+		_ = group.Wait()
+	})
+}
--- a/router/pipeline/pipeline_test.go
+++ b/router/pipeline/pipeline_test.go
@@ -368,16 +368,26 @@
 	})
 }
 
+// speakAt sends a token after one wait and ends after another.
+func speakAt(before, after time.Duration) answer {
+	return func(ctx context.Context, req runnerapi.RunRequest, sink runner.Sink) (runnerapi.RunResult, error) {
+		if err := clock.System().Sleep(ctx, before); err != nil {
+			return runnerapi.RunResult{}, err
+		}
+		result, err := succeed(ctx, req, sink)
+		if err != nil {
+			return result, err
+		}
+		return result, clock.System().Sleep(ctx, after)
+	}
+}
+
+// TestOnlyOneAttemptSpeaks has the second attempt's token come while the first
+// one, which spoke before, still runs.
 func TestOnlyOneAttemptSpeaks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		late := func(ctx context.Context, req runnerapi.RunRequest, sink runner.Sink) (runnerapi.RunResult, error) {
-			if err := clock.System().Sleep(ctx, 100*time.Millisecond); err != nil {
-				return runnerapi.RunResult{}, err
-			}
-			return succeed(ctx, req, sink)
-		}
-		s := newScene(late, late)
+		s := newScene(speakAt(100*time.Millisecond, 100*time.Millisecond), speakAt(70*time.Millisecond, 0))
 		s.hedgeAfter = 50 * time.Millisecond
 		var n tokenCount
 		job := s.job(stages(true), true)
--- a/router/pool/knowledge.go
+++ b/router/pool/knowledge.go
@@ -46,12 +46,30 @@
 	now := p.now()
 	at := madeAt(now, load.AgeMillis)
 	r.mu.Lock()
+	before := r.cold.Load()
 	r.reported(load, at)
 	r.setLimits(p.cfg, now)
 	r.mu.Unlock()
+	p.sign(r, before)
 	p.dispatch(r, now)
 }
 
+// signsKept is how many cold signs wait for being told.
+const signsKept = 64
+
+func (p *pools) ColdSigns() <-chan string { return p.signs }
+
+// sign tells of a runner that was not cold before and is now.
+func (p *pools) sign(r *runner, before bool) {
+	if before || !r.cold.Load() {
+		return
+	}
+	select {
+	case p.signs <- r.desc.Load().ID:
+	default:
+	}
+}
+
 func (p *pools) Digest(since time.Time) Digest {
 	from, now := p.instantOf(since), p.now()
 	var d Digest
--- a/router/pool/place.go
+++ b/router/pool/place.go
@@ -89,11 +89,13 @@
 	}
 	r, now := pl.r, pl.p.now()
 	r.mu.Lock()
+	before := r.cold.Load()
 	r.ended(res, now)
 	w := pl.unlink()
 	r.setLimits(pl.p.cfg, now)
 	r.total.Add(-1)
 	r.mu.Unlock()
+	pl.p.sign(r, before)
 	if res.Ending == Completed {
 		pl.g.latency.add(now, res.Latency)
 	}
--- a/router/pool/pool.go
+++ b/router/pool/pool.go
@@ -38,6 +38,10 @@
 	// Digest returns what this instance knows at first hand of runners whose
 	// state changed or was confirmed since the given time, for its peers.
 	Digest(since time.Time) Digest
+	// ColdSigns receives the identifier of each runner that this instance
+	// found at first hand to have turned cold, so that its peers hear of it
+	// at once. Signs that nobody takes in time are dropped.
+	ColdSigns() <-chan string
 	// Learn takes in the digest of a peer that was made delay ago.
 	Learn(d Digest, delay time.Duration)
 }
--- a/router/pool/pools.go
+++ b/router/pool/pools.go
@@ -16,7 +16,7 @@
 
 // New returns Pools without runners; Update brings them.
 func New(clk clock.Clock, options ...Option) Pools {
-	p := &pools{clk: clk, cfg: defaults(), began: clk.Now().Add(-past)}
+	p := &pools{clk: clk, cfg: defaults(), began: clk.Now().Add(-past), signs: make(chan string, signsKept)}
 	for _, o := range options {
 		o(&p.cfg)
 	}
@@ -36,6 +36,8 @@
 	snapshot atomic.Pointer[snapshot]
 	// hold is the instant until which cold runners may be used.
 	hold atomic.Int64
+	// signs are the cold runners that peers have to hear of.
+	signs chan string
 	// lapsed is set when a hold ended before it was renewed.
 	lapsed atomic.Bool
 
