Compare golden files in one place

Cause: the same comparison stood in eight test files, in five forms. Ruled out: a library (twenty lines). Change: fleet/golden.

--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -3,18 +3,16 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/golden"
 	"github.com/matryer/is"
 )
 
-var update = flag.Bool("update", false, "write the output into the golden files and pages")
-
 const draft = `{
   // The ranks of Gauteng.
   "version": BASE,
@@ -62,23 +60,6 @@
 	return out.String(), code
 }
 
-// golden compares found with a golden file.
-func golden(t *testing.T, name, found string) {
-	t.Helper()
-	if *update {
-		if err := os.WriteFile(name, []byte(found), 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(name)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if string(want) != found {
-		t.Errorf("%s differs; found:\n%s", name, found)
-	}
-}
-
 // TestPages runs each command of the operators' pages and compares its output
 // with what the page shows.
 func TestPages(t *testing.T) {
@@ -93,7 +74,7 @@
 				t.Fatal(err)
 			}
 			files(t)
-			golden(t, page, runPage(newServer(t).URL, string(text)))
+			golden.Check(t, page, runPage(newServer(t).URL, string(text)))
 		})
 	}
 }
@@ -140,7 +121,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			out, code := run(server, c.args...)
 			is.New(t).Equal(code, ExitOK)
-			golden(t, filepath.Join(dir, c.name+".golden"), out)
+			golden.Check(t, filepath.Join(dir, c.name+".golden"), out)
 		})
 	}
 }
--- a/fleet/config/config_test.go
+++ b/fleet/config/config_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"flag"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -11,11 +9,10 @@
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/config"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/golden"
 	"github.com/matryer/is"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 type part struct {
 	Name  string `json:"name"`
 	Count uint8  `json:"count"`
@@ -53,7 +50,7 @@
 			is := is.New(t)
 			_, err := config.Read(in, whole{})
 			is.True(fault.Is(err, fault.BadRequest))
-			compare(t, strings.TrimSuffix(in, ".json")+".golden", err.Error()+"\n")
+			golden.Check(t, strings.TrimSuffix(in, ".json")+".golden", err.Error()+"\n")
 		})
 	}
 }
@@ -96,14 +93,3 @@
 	is.True(fault.Is(err, fault.NotFound))
 	is.Equal(fault.Of(err).Field(), "testdata/none")
 }
-
-func compare(t *testing.T, path, got string) {
-	t.Helper()
-	is := is.New(t)
-	if *update {
-		is.NoErr(os.WriteFile(path, []byte(got), 0o644))
-	}
-	want, err := os.ReadFile(path)
-	is.NoErr(err)
-	is.Equal(got, string(want))
-}
--- a/router/gauge/gauge_test.go
+++ b/router/gauge/gauge_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -14,13 +12,12 @@
 	"time"
 
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/golden"
 	"cicadawell.dev/router/gauge"
 	"cicadawell.dev/router/pool"
 	"github.com/matryer/is"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 func TestSeries(t *testing.T) {
 	is := is.New(t)
 	m := gauge.New()
@@ -35,7 +32,7 @@
 	})
 	var out bytes.Buffer
 	m.WritePrometheus(&out)
-	golden(t, "testdata/series.golden", own(out.String()))
+	golden.Check(t, "testdata/series.golden", own(out.String()))
 	rec := httptest.NewRecorder()
 	m.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	is.Equal(own(rec.Body.String()), own(out.String()))
@@ -95,14 +92,3 @@
 	fill(m)
 	is.Equal(testing.AllocsPerRun(1000, func() { fill(m) }), 0.0)
 }
-
-func golden(t *testing.T, path, got string) {
-	t.Helper()
-	is := is.New(t)
-	if *update {
-		is.NoErr(os.WriteFile(path, []byte(got), 0o644))
-	}
-	want, err := os.ReadFile(path)
-	is.NoErr(err)
-	is.Equal(got, string(want))
-}
--- a/router/journal/journal_test.go
+++ b/router/journal/journal_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"regexp"
@@ -14,13 +13,12 @@
 	"time"
 
 	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/golden"
 	"cicadawell.dev/router/journal"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 func logger(out *bytes.Buffer) hclog.Logger {
 	return hclog.New(&hclog.LoggerOptions{Output: out, DisableTime: true})
 }
@@ -45,7 +43,7 @@
 		j.Record(journal.Decision{Step: journal.Admitted, Request: "r3"}) // tokens came back
 		cancel()
 		group.Wait()
-		golden(t, "testdata/lines.golden", out.String())
+		golden.Check(t, "testdata/lines.golden", out.String())
 	})
 }
 
@@ -98,17 +96,6 @@
 	is.True(testing.AllocsPerRun(1000, func() { j.Record(d) }) == 0)
 }
 
-func golden(t *testing.T, path, got string) {
-	t.Helper()
-	is := is.New(t)
-	if *update {
-		is.NoErr(os.WriteFile(path, []byte(got), 0o644))
-	}
-	want, err := os.ReadFile(path)
-	is.NoErr(err)
-	is.Equal(got, string(want))
-}
-
 // Each step of journal.go has a count of its own.
 func TestEveryStepIsCounted(t *testing.T) {
 	is := is.New(t)
--- a/router/order/plan_test.go
+++ b/router/order/plan_test.go
@@ -1,22 +1,19 @@
 package order_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/golden"
 	"cicadawell.dev/router/order"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 var models = []string{"a", "b", "c"}
 
 func drawModels(t *rapid.T, name string, least int) []string {
@@ -122,7 +119,6 @@
 
 // A first placement and a move of models, step by step.
 func TestPlanText(t *testing.T) {
-	is := is.New(t)
 	var out strings.Builder
 	fleet := func(wanted ...string) []order.Seen {
 		seen := make([]order.Seen, len(wanted))
@@ -142,12 +138,7 @@
 	lost := fleet("a", "a", "a")
 	lost[0].Known, lost[1].Models = false, []string{"old"}
 	show(&out, "a silent runner and a retired model", lost)
-	if *update {
-		is.NoErr(os.WriteFile("testdata/plan.golden", []byte(out.String()), 0o644))
-	}
-	want, err := os.ReadFile("testdata/plan.golden")
-	is.NoErr(err)
-	is.Equal(out.String(), string(want))
+	golden.Check(t, "testdata/plan.golden", out.String())
 }
 
 func show(out *strings.Builder, title string, seen []order.Seen) {
--- a/router/quota/measure_test.go
+++ b/router/quota/measure_test.go
@@ -1,21 +1,17 @@
 package quota_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"cicadawell.dev/fleet/bundle"
+	"cicadawell.dev/fleet/golden"
 	"cicadawell.dev/router/quota"
-	"github.com/matryer/is"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 // way is one way to share a limit.
 type way struct {
 	name     string
@@ -154,7 +150,6 @@
 
 // TestWaysToShareALimit compares the ways and keeps the table as a golden file.
 func TestWaysToShareALimit(t *testing.T) {
-	is := is.New(t)
 	var b strings.Builder
 	fmt.Fprintf(&b, "%-26s %-13s %7s %9s %7s %10s\n", "way", "spread", "demand", "admitted%", "worst%", "converged")
 	for _, w := range ways() {
@@ -166,11 +161,5 @@
 			}
 		}
 	}
-	const path = "testdata/ways.golden"
-	if *update {
-		is.NoErr(os.WriteFile(path, []byte(b.String()), 0o600))
-	}
-	want, err := os.ReadFile(path)
-	is.NoErr(err)
-	is.Equal(b.String(), string(want))
+	golden.Check(t, "testdata/ways.golden", b.String())
 }
--- a/router/settings/settings_test.go
+++ b/router/settings/settings_test.go
@@ -1,20 +1,17 @@
 package settings_test
 
 import (
-	"flag"
-	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/golden"
 	"cicadawell.dev/router/settings"
 	"github.com/matryer/is"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 func TestErrorsNameEveryBadField(t *testing.T) {
 	inputs, err := filepath.Glob("testdata/*.json")
 	is := is.New(t)
@@ -25,13 +22,7 @@
 			is := is.New(t)
 			_, err := settings.Read(in)
 			is.True(fault.Is(err, fault.BadRequest))
-			golden := strings.TrimSuffix(in, ".json") + ".golden"
-			if *update {
-				is.NoErr(os.WriteFile(golden, []byte(err.Error()+"\n"), 0o644))
-			}
-			want, readErr := os.ReadFile(golden)
-			is.NoErr(readErr)
-			is.Equal(err.Error()+"\n", string(want))
+			golden.Check(t, strings.TrimSuffix(in, ".json")+".golden", err.Error()+"\n")
 		})
 	}
 }
--- a/standin/measure/measure_test.go
+++ b/standin/measure/measure_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"os"
 	"path/filepath"
 	"testing"
@@ -11,32 +10,13 @@
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/golden"
 	"cicadawell.dev/standin/load"
 	"cicadawell.dev/standin/runner"
 	"cicadawell.dev/standin/scene"
 	"github.com/matryer/is"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
-// golden compares got with the golden file of this name.
-func golden(t *testing.T, name string, got []byte) {
-	t.Helper()
-	file := filepath.Join("testdata", name)
-	if *update {
-		if err := os.WriteFile(file, got, 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got, want) {
-		t.Errorf("found:\n%s\nwant:\n%s", got, want)
-	}
-}
-
 var start = time.Unix(1000, 0)
 
 // sample is a trial whose figures are easy to check: three of four paying
@@ -71,7 +51,7 @@
 	var buf bytes.Buffer
 	writeTable(&buf, sc, []trial{sample()})
 	writeRefusals(&buf, []trial{sample()})
-	golden(t, "table.md", buf.Bytes())
+	golden.Check(t, "testdata/table.md", buf.String())
 }
 
 func TestFiguresOfATrial(t *testing.T) {
