Hold the place of an abandoned attempt until the runner was told

Cause: an attempt that is given up (displaced, out of time, overtaken by another) gave its place back at once, while the runner runs it until the cancellation arrives: a runner in cold start that bears one could get a second. Ruled out: no cancellation of attempts on cold runners (their work would be waste).

--- a/router/pipeline/attempt.go
+++ b/router/pipeline/attempt.go
@@ -119,13 +119,19 @@
 	o.attempt = s.Identifiers.NewAttempt()
 	sent := s.Clock.Now()
 	s.recordAt(sent, journal.Chosen, o.attempt, to.ID, place.Reason(), 0)
-	o.result, o.err = s.send(ctx, place, o.attempt, sent, deadline)
+	var abandoned bool
+	o.result, abandoned, o.err = s.send(ctx, place, o.attempt, sent, deadline)
 	ended := s.Clock.Now()
 	took := ended.Sub(sent)
 	o.took = took
 	s.spend(took)
 	ending := endingOf(ctx, o.err)
-	place.Done(pool.Result{Ending: ending, Latency: took, Load: loadOf(o.result, o.err)})
+	taught := pool.Result{Ending: ending, Latency: took, Load: loadOf(o.result, o.err)}
+	if abandoned {
+		s.cancelAt(place, o.attempt, taught)
+	} else {
+		place.Done(taught)
+	}
 	s.Meter.Attempt(s.job.Pipeline.ID, s.stage().Name, to.Zone, ending, took, o.result.Tokens, o.result.CachedTokens)
 	s.note(o, ended)
 	return o
--- a/router/pipeline/ending.go
+++ b/router/pipeline/ending.go
@@ -5,7 +5,6 @@
 	"errors"
 	"sync"
 
-	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/runnerapi"
 	"cicadawell.dev/router/journal"
@@ -34,14 +33,19 @@
 	}
 }
 
-// cancelAt tells the runner that nobody waits for the attempt any more. The
-// context of the request has ended, so the cancellation has one of its own.
-func (s *stageRun) cancelAt(to bundle.Runner, id string) {
+// cancelAt tells the runner that nobody waits for the attempt any more, and gives
+// the place back once the runner has answered: until then the attempt may still
+// run there, and another one in its place could be more than a runner in cold
+// start bears. The context of the request has ended, so the cancellation has one
+// of its own.
+func (s *stageRun) cancelAt(place pool.Place, id string, taught pool.Result) {
 	s.cancellations.Go(func() {
+		to := place.Runner()
 		reason := "nobody waits for the attempt"
 		if err := s.Runners.Cancel(context.Background(), to, id); err != nil {
 			reason = err.Error()
 		}
+		place.Done(taught)
 		s.record(journal.Cancelled, id, to.ID, reason, 0)
 	})
 }
--- a/router/pipeline/pipeline_test.go
+++ b/router/pipeline/pipeline_test.go
@@ -32,6 +32,8 @@
 	// sent are the attempts that reached the runner.
 	sent      []runnerapi.RunRequest
 	cancelled []string
+	// released has, for each place given back, the cancellations so far.
+	released  []int
 	endings   []pool.Ending
 	steps     []journal.Step
 	renewed   []string
@@ -148,7 +150,12 @@
 func (p *place) Runner() bundle.Runner      { return p.runner }
 func (p *place) Reason() string             { return "test" }
 func (p *place) Displaced() <-chan struct{} { return p.scene.displaced }
-func (p *place) Done(pool.Result)           {}
+
+func (p *place) Done(pool.Result) {
+	p.scene.mu.Lock()
+	defer p.scene.mu.Unlock()
+	p.scene.released = append(p.scene.released, len(p.scene.cancelled))
+}
 
 func (p *place) Check() error {
 	if p.scene.barred > 0 {
@@ -400,3 +407,17 @@
 		is.Equal(a.Stages[0].Runner, "r1")
 	})
 }
+
+// TestPlaceOfAnAbandonedAttemptIsHeldUntilItsCancellation has an attempt time
+// out: its runner may run it until it is told.
+func TestPlaceOfAnAbandonedAttemptIsHeldUntilItsCancellation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newScene(hang)
+		x := s.executor()
+		_, err := x.Run(t.Context(), s.job(stages(true), true))
+		x.Close()
+		is.True(fault.Is(err, fault.DeadlineMissed))
+		is.Equal(s.released, []int{1}) // after the cancellation
+	})
+}
--- a/router/pipeline/stage.go
+++ b/router/pipeline/stage.go
@@ -139,21 +139,22 @@
 	return ask
 }
 
-// send sends the attempt, over a fresh connection when it may not be repeated.
-func (s *stageRun) send(ctx context.Context, place pool.Place, id string, now, deadline time.Time) (runnerapi.RunResult, error) {
+// send sends the attempt, over a fresh connection when it may not be repeated. An
+// abandoned attempt may still run at the runner.
+func (s *stageRun) send(ctx context.Context, place pool.Place, id string, now, deadline time.Time) (result runnerapi.RunResult, abandoned bool, err error) {
 	stage := s.stage()
 	req := s.message(id, now, deadline)
 	if !stage.Idempotent {
-		return s.Runners.RunOnce(ctx, place.Runner(), req, stage.MaxResultBytes, func() error { return s.last(place) })
+		result, err = s.Runners.RunOnce(ctx, place.Runner(), req, stage.MaxResultBytes, func() error { return s.last(place) })
+		return result, false, err
 	}
 	ctx, stop := s.watchDisplaced(ctx, place)
 	defer stop()
-	result, err := s.Runners.Run(ctx, place.Runner(), req, stage.MaxResultBytes, s.sink(id))
+	result, err = s.Runners.Run(ctx, place.Runner(), req, stage.MaxResultBytes, s.sink(id))
 	if err != nil && ctx.Err() != nil {
-		s.cancelAt(place.Runner(), id)
-		return result, s.givenUp(ctx, err)
+		return result, true, s.givenUp(ctx, err)
 	}
-	return result, err
+	return result, false, err
 }
 
 // last is the check directly before the write of a call that may not be
