Bound the demo's unknown bookings by today's margin

Cause: the bound of 10 came from a margin of 3 s after a takeover; the ledger's skews make it 0.7 s since, so the check had become lax. Change: 0.7 s at 10 bookings a second over 3 instances: 3.

--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -32,10 +32,10 @@
 	bookRate, instances = 10, 3
 	// vouchMargin is how long after a takeover a key must have been minted
 	// for the new home to know that the killed one did not run it.
-	vouchMargin = 3
+	vouchMargin = 700 * time.Millisecond
 	// maxLost is how many bookings may be of unknown fate: the killed
-	// instance's share of those minted within the margin.
-	maxLost = bookRate * vouchMargin / instances
+	// instance's share of those minted within the margin, rounded up.
+	maxLost = int(bookRate*vouchMargin/time.Second)/instances + 1
 )
 
 // Config is what a demo needs.
