Serve the platform's callers: a thin path from caller to engine

Ruled out: passing opaque calls through the existing pipeline package, which reads and merges JSON of its own; the users' calls are passed on byte for byte.

Conclusion: this is the baseline: local batches, own calls as the only load known, no admission, no agreement beyond registrations.

--- a/fleet/fault/kind.go
+++ b/fleet/fault/kind.go
@@ -42,6 +42,8 @@
 	Forbidden Kind = "forbidden"
 	// UnknownPipeline is a pipeline that the bundle in force does not have.
 	UnknownPipeline Kind = "unknownPipeline"
+	// UnknownRoute is a host and path that no route matches.
+	UnknownRoute Kind = "unknownRoute"
 	// BadDeadline is a deadline outside the pipeline's limits.
 	BadDeadline Kind = "badDeadline"
 	// BadKey is a missing or malformed idempotency key.
@@ -74,6 +76,9 @@
 	// OutcomeUnknown is a call that left for a runner and brought no whole
 	// answer, or whose earlier fate nobody can vouch for.
 	OutcomeUnknown Kind = "outcomeUnknown"
+	// StaleConfiguration is an instance that can't tell whether its
+	// configuration is still the newest.
+	StaleConfiguration Kind = "staleConfiguration"
 	// NotReady is an instance that has no bundle in force yet.
 	NotReady Kind = "notReady"
 )
@@ -82,6 +87,9 @@
 const (
 	// Conflict is a step that another operator's change overtook.
 	Conflict Kind = "conflict"
+	// HistoryGone is a platform store that doesn't keep the changes from a
+	// revision on any more.
+	HistoryGone Kind = "historyGone"
 	// StoreUnavailable is a platform store that does not answer.
 	StoreUnavailable Kind = "storeUnavailable"
 	// Internal is a defect of this program.
@@ -111,40 +119,43 @@
 
 // answers has a row for each kind; a test compares it with Kinds.
 var answers = map[Kind]Answer{
-	BadRequest:       {http.StatusBadRequest, NotRun, 0},
-	TooLarge:         {http.StatusRequestEntityTooLarge, NotRun, 0},
-	SlowCaller:       {http.StatusRequestTimeout, NotRun, retrySoon},
-	CallerGone:       {statusCallerGone, Unknown, 0},
-	Unauthenticated:  {http.StatusUnauthorized, NotRun, 0},
-	Forbidden:        {http.StatusForbidden, NotRun, 0},
-	UnknownPipeline:  {http.StatusNotFound, NotRun, 0},
-	BadDeadline:      {http.StatusBadRequest, NotRun, 0},
-	BadKey:           {http.StatusBadRequest, NotRun, 0},
-	KeyConflict:      {http.StatusUnprocessableEntity, NotRun, 0},
-	NotFound:         {http.StatusNotFound, NotRun, 0},
-	Overloaded:       {http.StatusServiceUnavailable, NotRun, retrySoon},
-	TeamLimit:        {http.StatusTooManyRequests, NotRun, retryLater},
-	Displaced:        {http.StatusServiceUnavailable, Unknown, retryLater},
-	DeadlineShort:    {http.StatusServiceUnavailable, NotRun, retrySoon},
-	DeadlineMissed:   {http.StatusGatewayTimeout, Unknown, retrySoon},
-	NoRunner:         {http.StatusServiceUnavailable, NotRun, retryLater},
-	RunnerFailed:     {http.StatusBadGateway, Unknown, retrySoon},
-	HomeUnsettled:    {http.StatusServiceUnavailable, NotRun, retryTakeover},
-	OutcomeUnknown:   {http.StatusBadGateway, Unknown, 0},
-	NotReady:         {http.StatusServiceUnavailable, NotRun, retryLater},
-	Conflict:         {http.StatusConflict, NotRun, 0},
-	StoreUnavailable: {http.StatusServiceUnavailable, NotRun, retryTakeover},
-	Internal:         {http.StatusInternalServerError, Unknown, 0},
+	BadRequest:         {http.StatusBadRequest, NotRun, 0},
+	TooLarge:           {http.StatusRequestEntityTooLarge, NotRun, 0},
+	SlowCaller:         {http.StatusRequestTimeout, NotRun, retrySoon},
+	CallerGone:         {statusCallerGone, Unknown, 0},
+	Unauthenticated:    {http.StatusUnauthorized, NotRun, 0},
+	Forbidden:          {http.StatusForbidden, NotRun, 0},
+	UnknownPipeline:    {http.StatusNotFound, NotRun, 0},
+	UnknownRoute:       {http.StatusNotFound, NotRun, 0},
+	BadDeadline:        {http.StatusBadRequest, NotRun, 0},
+	BadKey:             {http.StatusBadRequest, NotRun, 0},
+	KeyConflict:        {http.StatusUnprocessableEntity, NotRun, 0},
+	NotFound:           {http.StatusNotFound, NotRun, 0},
+	Overloaded:         {http.StatusServiceUnavailable, NotRun, retrySoon},
+	TeamLimit:          {http.StatusTooManyRequests, NotRun, retryLater},
+	Displaced:          {http.StatusServiceUnavailable, Unknown, retryLater},
+	DeadlineShort:      {http.StatusServiceUnavailable, NotRun, retrySoon},
+	DeadlineMissed:     {http.StatusGatewayTimeout, Unknown, retrySoon},
+	NoRunner:           {http.StatusServiceUnavailable, NotRun, retryLater},
+	RunnerFailed:       {http.StatusBadGateway, Unknown, retrySoon},
+	HomeUnsettled:      {http.StatusServiceUnavailable, NotRun, retryTakeover},
+	OutcomeUnknown:     {http.StatusBadGateway, Unknown, 0},
+	StaleConfiguration: {http.StatusServiceUnavailable, NotRun, retrySoon},
+	NotReady:           {http.StatusServiceUnavailable, NotRun, retryLater},
+	Conflict:           {http.StatusConflict, NotRun, 0},
+	HistoryGone:        {http.StatusServiceUnavailable, NotRun, retrySoon},
+	StoreUnavailable:   {http.StatusServiceUnavailable, NotRun, retryTakeover},
+	Internal:           {http.StatusInternalServerError, Unknown, 0},
 }
 
 // Kinds returns the closed list in the order of this file.
 func Kinds() []Kind {
 	return []Kind{
 		BadRequest, TooLarge, SlowCaller, CallerGone, Unauthenticated, Forbidden,
-		UnknownPipeline, BadDeadline, BadKey, KeyConflict, NotFound,
+		UnknownPipeline, UnknownRoute, BadDeadline, BadKey, KeyConflict, NotFound,
 		Overloaded, TeamLimit, Displaced, DeadlineShort, DeadlineMissed,
-		NoRunner, RunnerFailed, HomeUnsettled, OutcomeUnknown, NotReady,
-		Conflict, StoreUnavailable, Internal,
+		NoRunner, RunnerFailed, HomeUnsettled, OutcomeUnknown, StaleConfiguration, NotReady,
+		Conflict, HistoryGone, StoreUnavailable, Internal,
 	}
 }
 
--- /dev/null
+++ b/router/inventory/change.go
@@ -0,0 +1,82 @@
+package inventory
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"cicadawell.dev/router/routing"
+)
+
+// Change is one change of what the store holds. Exactly one of its fields
+// besides Revision is set.
+type Change struct {
+	Revision int64
+	// Table is a new configuration.
+	Table *routing.Table
+	// Runner is a new description of a runner, RunnerGone the identifier of one
+	// without any.
+	Runner     *Runner
+	RunnerGone string
+	// ZoneOut is a zone that was taken out, ZoneBack one that was taken back.
+	ZoneOut, ZoneBack string
+	// Instance is a member of the fleet, InstanceGone the name of a former one.
+	Instance     *Instance
+	InstanceGone string
+}
+
+// Source reads the store.
+type Source interface {
+	// List returns all that the store holds, as changes, and a revision up to
+	// which the list is complete.
+	List(ctx context.Context) ([]Change, int64, error)
+	// Changes returns the changes after a revision as soon as there are some,
+	// or none after wait, and the revision up to which they are complete.
+	Changes(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error)
+}
+
+// with returns the snapshot after some changes up to a revision. Changes that
+// it already has make no difference.
+func (s *Snapshot) with(changes []Change, revision int64) *Snapshot {
+	next := &Snapshot{
+		Table: s.Table, Revision: max(s.Revision, revision),
+		Runners: clone(s.Runners), ZonesOut: clone(s.ZonesOut), ZonesBack: clone(s.ZonesBack), Instances: clone(s.Instances),
+	}
+	for _, c := range changes {
+		next.apply(c)
+	}
+	return next
+}
+
+func clone[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return make(map[K]V)
+	}
+	return maps.Clone(m)
+}
+
+func (s *Snapshot) apply(c Change) {
+	switch {
+	case c.Table != nil:
+		if s.Table == nil || c.Table.Version() > s.Table.Version() {
+			s.Table = c.Table
+		}
+	case c.Runner != nil:
+		if old := s.Runners[c.Runner.ID]; old == nil || old.Revision < c.Revision {
+			s.Runners[c.Runner.ID] = c.Runner
+		}
+	case c.RunnerGone != "":
+		if old := s.Runners[c.RunnerGone]; old != nil && old.Revision < c.Revision {
+			delete(s.Runners, c.RunnerGone)
+		}
+	case c.ZoneOut != "":
+		s.ZonesOut[c.ZoneOut] = true
+	case c.ZoneBack != "":
+		delete(s.ZonesOut, c.ZoneBack)
+		s.ZonesBack[c.ZoneBack] = c.Revision
+	case c.Instance != nil:
+		s.Instances[c.Instance.Name] = *c.Instance
+	case c.InstanceGone != "":
+		delete(s.Instances, c.InstanceGone)
+	}
+}
--- /dev/null
+++ b/router/inventory/current.go
@@ -0,0 +1,75 @@
+package inventory
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+)
+
+// Current is the newest snapshot with the time at which it was last known to be
+// the newest. It is safe for concurrent use.
+type Current struct {
+	clk       clock.Clock
+	snapshot  atomic.Pointer[Snapshot]
+	confirmed atomic.Int64
+
+	mu        sync.Mutex
+	listeners []func(*Snapshot)
+}
+
+// NewCurrent returns a Current with an empty snapshot. The clock has to count
+// the time for which the machine was suspended.
+func NewCurrent(clk clock.Clock) *Current {
+	c := &Current{clk: clk}
+	c.snapshot.Store(&Snapshot{})
+	return c
+}
+
+// Load returns the newest snapshot.
+func (c *Current) Load() *Snapshot { return c.snapshot.Load() }
+
+// Subscribe calls f with each snapshot that is stored from now on.
+func (c *Current) Subscribe(f func(*Snapshot)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listeners = append(c.listeners, f)
+}
+
+// Advance replaces the snapshot by a newer one. Older snapshots, and older
+// configurations in newer snapshots, are not taken.
+func (c *Current) Advance(next *Snapshot) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.snapshot.Load()
+	if next.Revision < old.Revision {
+		return false
+	}
+	if old.Table != nil && (next.Table == nil || next.Table.Version() < old.Table.Version()) {
+		kept := *next
+		kept.Table = old.Table
+		next = &kept
+	}
+	c.snapshot.Store(next)
+	for _, f := range c.listeners {
+		f(next)
+	}
+	return true
+}
+
+// Confirm notes that the snapshot was the newest at a time, which is the start
+// of the call that showed it.
+func (c *Current) Confirm(at time.Time) {
+	for n := at.UnixNano(); ; {
+		old := c.confirmed.Load()
+		if n <= old || c.confirmed.CompareAndSwap(old, n) {
+			return
+		}
+	}
+}
+
+// Age returns for how long the snapshot may have been out of date.
+func (c *Current) Age() time.Duration {
+	return time.Duration(c.clk.Now().UnixNano() - c.confirmed.Load())
+}
--- /dev/null
+++ b/router/inventory/follower.go
@@ -0,0 +1,265 @@
+package inventory
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Follower keeps a Current up to date from a source.
+type Follower interface {
+	// Run follows the source until ctx ends.
+	Run(ctx context.Context) error
+	// Adopt takes over what another instance knows, if it is newer, and notes
+	// that it was the newest at a time.
+	Adopt(s *Snapshot, at time.Time)
+	// Failing returns for how long the source hasn't answered; zero if its last
+	// answer was in order.
+	Failing() time.Duration
+}
+
+// FollowerOption changes a default of NewFollower.
+type FollowerOption func(*follower)
+
+const (
+	// defaultPause is how long changes are gathered before the next call: a
+	// fraction of the bounds on applying a configuration and on draining.
+	defaultPause = 350 * time.Millisecond
+	// defaultWait is how long a call waits for changes. An answer is needed to
+	// know that nothing has changed.
+	defaultWait = time.Second
+	// answerSlack is how long a call may take beyond its wait.
+	answerSlack = 700 * time.Millisecond
+	// listTimeout bounds the reading of all items.
+	listTimeout = 2 * time.Second
+	// firstRetry and lastRetry bound the pause after a failed call, which
+	// doubles each time.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = 800 * time.Millisecond
+	// defaultLapse is for how long runners without an entry are kept after the
+	// source was away: their entries may have lapsed meanwhile.
+	defaultLapse = 2 * time.Second
+)
+
+// WithPause sets how long changes are gathered before the next call.
+func WithPause(d time.Duration) FollowerOption { return func(f *follower) { f.pause = d } }
+
+// NewFollower returns a follower. The clock has to count the time for which the
+// machine was suspended.
+func NewFollower(clk clock.Clock, source Source, current *Current, log hclog.Logger, opts ...FollowerOption) Follower {
+	f := &follower{clk: clk, source: source, current: current, log: log, pause: defaultPause, lapsed: make(map[string]Change)}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+type follower struct {
+	clk     clock.Clock
+	source  Source
+	current *Current
+	log     hclog.Logger
+	pause   time.Duration
+
+	mu sync.Mutex
+	// failingSince is zero while the source answers.
+	failingSince time.Time
+	// back is when the source answered again after it had failed.
+	back time.Time
+	// lapsed has the removals of runners that are not believed yet.
+	lapsed map[string]Change
+	// relist is set when the history after the snapshot is lost.
+	relist bool
+}
+
+func (f *follower) Failing() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failingSince.IsZero() {
+		return 0
+	}
+	return f.clk.Now().Sub(f.failingSince)
+}
+
+func (f *follower) Run(ctx context.Context) error {
+	f.mu.Lock()
+	f.relist = true
+	f.mu.Unlock()
+	retry := firstRetry
+	for ctx.Err() == nil {
+		pause := f.pause
+		if err := f.step(ctx); err != nil {
+			pause = retry
+			retry = min(2*retry, lastRetry)
+		} else {
+			retry = firstRetry
+		}
+		if f.clk.Sleep(ctx, pause) != nil {
+			break
+		}
+	}
+	return nil
+}
+
+// step makes one call and takes its answer over.
+func (f *follower) step(ctx context.Context) error {
+	f.mu.Lock()
+	relist, after := f.relist, f.current.Load().Revision
+	f.mu.Unlock()
+	start := f.clk.Now()
+	var changes []Change
+	var revision int64
+	var err error
+	if relist {
+		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		changes, revision, err = f.source.List(ctx)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, defaultWait+answerSlack)
+		defer cancel()
+		changes, revision, err = f.source.Changes(ctx, after, defaultWait)
+	}
+	if err != nil {
+		f.failed(start, err)
+		return err
+	}
+	f.take(start, changes, revision, relist)
+	return nil
+}
+
+// failed notes a call without an answer.
+func (f *follower) failed(start time.Time, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if fault.Is(err, fault.HistoryGone) {
+		f.relist = true
+		f.log.Info("history lost, reading everything again", "revision", f.current.Load().Revision, "error", err)
+		return
+	}
+	if f.failingSince.IsZero() {
+		f.failingSince = start
+		f.log.Warn("store lost", "revision", f.current.Load().Revision, "error", err)
+	}
+}
+
+// take applies an answer.
+func (f *follower) take(start time.Time, changes []Change, revision int64, all bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clk.Now()
+	if !f.failingSince.IsZero() {
+		f.log.Info("store regained", "awayMillis", now.Sub(f.failingSince).Milliseconds(), "revision", revision)
+		f.failingSince = time.Time{}
+		f.back = now
+	}
+	old := f.current.Load()
+	base := old
+	if all {
+		changes = append(changes, missing(old, changes, revision)...)
+		f.relist = false
+	}
+	changes = f.believe(now, changes)
+	f.report(old, changes)
+	f.current.Advance(base.with(changes, revision))
+	f.current.Confirm(start)
+}
+
+// missing returns removals of what a complete list doesn't have any more.
+func missing(old *Snapshot, list []Change, revision int64) []Change {
+	listed := make(map[string]bool, len(list))
+	for _, c := range list {
+		switch {
+		case c.Runner != nil:
+			listed["runner "+c.Runner.ID] = true
+		case c.ZoneOut != "":
+			listed["zone "+c.ZoneOut] = true
+		case c.Instance != nil:
+			listed["instance "+c.Instance.Name] = true
+		}
+	}
+	var out []Change
+	for id, r := range old.Runners {
+		if !listed["runner "+id] && r.Revision <= revision {
+			out = append(out, Change{Revision: revision, RunnerGone: id})
+		}
+	}
+	for zone := range old.ZonesOut {
+		if !listed["zone "+zone] {
+			out = append(out, Change{Revision: revision, ZoneBack: zone})
+		}
+	}
+	for name := range old.Instances {
+		if !listed["instance "+name] {
+			out = append(out, Change{Revision: revision, InstanceGone: name})
+		}
+	}
+	return out
+}
+
+// believe holds back the removals of runners that may be lapses of the time in
+// which the store was away, until the runners had time to write again.
+func (f *follower) believe(now time.Time, changes []Change) []Change {
+	var out []Change
+	waiting := !f.back.IsZero() && now.Before(f.back.Add(defaultLapse))
+	for _, c := range changes {
+		switch {
+		case c.RunnerGone != "" && waiting:
+			f.lapsed[c.RunnerGone] = c
+			continue
+		case c.Runner != nil:
+			delete(f.lapsed, c.Runner.ID)
+		}
+		out = append(out, c)
+	}
+	if !waiting {
+		for id, c := range f.lapsed {
+			out = append(out, c)
+			delete(f.lapsed, id)
+		}
+	}
+	return out
+}
+
+// report logs what changes the instance's beliefs.
+func (f *follower) report(old *Snapshot, changes []Change) {
+	for _, c := range changes {
+		switch {
+		case c.Table != nil && (old.Table == nil || c.Table.Version() > old.Table.Version()):
+			f.log.Info("configuration in force", "version", c.Table.Version(), "revision", c.Revision)
+		case c.Runner != nil:
+			was := old.Runners[c.Runner.ID]
+			if was == nil || was.Draining != c.Runner.Draining || was.Born != c.Runner.Born {
+				f.log.Info("runner seen", "runner", c.Runner.ID, "service", c.Runner.Service, "zone", c.Runner.Zone,
+					"draining", c.Runner.Draining, "coldMillis", c.Runner.Cold.Milliseconds(), "revision", c.Revision)
+			}
+		case c.RunnerGone != "":
+			f.log.Info("runner gone", "runner", c.RunnerGone, "revision", c.Revision)
+		case c.ZoneOut != "":
+			f.log.Info("zone out", "zone", c.ZoneOut, "revision", c.Revision)
+		case c.ZoneBack != "":
+			f.log.Info("zone back", "zone", c.ZoneBack, "revision", c.Revision)
+		case c.Instance != nil:
+			if _, ok := old.Instances[c.Instance.Name]; !ok {
+				f.log.Info("instance seen", "instance", c.Instance.Name, "zone", c.Instance.Zone, "revision", c.Revision)
+			}
+		case c.InstanceGone != "":
+			f.log.Info("instance gone", "instance", c.InstanceGone, "revision", c.Revision)
+		}
+	}
+}
+
+func (f *follower) Adopt(s *Snapshot, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.current.Load()
+	if s.Revision > old.Revision && f.current.Advance(s) {
+		f.log.Info("taken over from another instance", "revision", s.Revision, "was", old.Revision)
+	}
+	if s.Revision >= old.Revision {
+		f.current.Confirm(at)
+	}
+}
--- /dev/null
+++ b/router/relay/plain.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/target"
+)
+
+// maxWhole bounds the answers that are read whole before they are passed back.
+// Longer ones are passed back as they come.
+const maxWhole = 1 << 20
+
+// attempt is what became of a call at one runner.
+type attempt struct {
+	answer *Answer
+	body   []byte
+	err    error
+}
+
+// plain serves a call with a single answer.
+func (x *relay) plain(w http.ResponseWriter, p *plan) error {
+	x.Repeats.Success(p.service)
+	run := fault.NotRun
+	var avoid []*target.Target
+	var last attempt
+	for n := 0; n < p.route.MaxAttempts; n++ {
+		if p.ctx.Err() != nil {
+			break
+		}
+		if n > 0 && !x.Repeats.Allow(p.service) {
+			break
+		}
+		t := x.Targets.Plain(p.service, x.Zone, avoid)
+		if t == nil {
+			break
+		}
+		avoid = append(avoid, t)
+		_, ended := t.Begin(0)
+		last = x.try(p, t)
+		ended()
+		if last.err == nil && !last.answer.NotRun {
+			run = fault.Run
+			if usable(last.answer) {
+				break
+			}
+		}
+		var unanswered *Unanswered
+		if errors.As(last.err, &unanswered) && unanswered.Sent {
+			run = fault.Unknown
+		}
+		if run != fault.NotRun && p.once() {
+			break
+		}
+	}
+	return x.reply(w, p, last, run)
+}
+
+// usable reports whether an answer is worth passing back at once.
+func usable(a *Answer) bool {
+	return a.Status < http.StatusInternalServerError && (a.Status >= 300 || a.Sealed)
+}
+
+// try sends the call to one runner and reads the answer whole.
+func (x *relay) try(p *plan, t *target.Target) attempt {
+	a, err := x.send(p, t, Dispatch{ResumeAfter: p.call.ResumeAfter})
+	if err != nil {
+		return attempt{err: err}
+	}
+	defer a.Close()
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
+	if err == nil && len(body) > maxWhole {
+		err = errors.New("the answer is too long")
+	}
+	if err != nil {
+		t.Failed(x.Clock.Now())
+		return attempt{err: &Unanswered{Sent: true, Err: err}}
+	}
+	return attempt{answer: a, body: body}
+}
+
+// reply passes the last answer back, or refuses the call.
+func (x *relay) reply(w http.ResponseWriter, p *plan, last attempt, run fault.Outcome) error {
+	if last.err == nil && last.answer != nil && !last.answer.NotRun && (last.answer.Sealed || last.answer.Status >= 300) {
+		maps.Copy(w.Header(), last.answer.Header)
+		w.WriteHeader(last.answer.Status)
+		_, err := w.Write(last.body)
+		if err != nil {
+			x.Log.Info("answer not delivered", "request", p.call.ID, "error", err)
+		}
+		return nil
+	}
+	switch {
+	case p.ctx.Err() != nil:
+		return x.ended(p, run)
+	case run == fault.NotRun && last.answer == nil && last.err == nil:
+		return fault.New(fault.NoRunner, "no runner of %q takes calls", p.service)
+	case run == fault.NotRun:
+		return fault.New(fault.Overloaded, "the runners of %q took the call from nobody", p.service)
+	}
+	return fault.Wrap(fault.OutcomeUnknown, errOr(last.err), "no usable answer of %q", p.service).WithOutcome(run)
+}
+
+var errUnsealed = errors.New("the answer doesn't prove its origin")
+
+func errOr(err error) error {
+	if err == nil {
+		return errUnsealed
+	}
+	return err
+}
--- /dev/null
+++ b/router/relay/relay.go
@@ -0,0 +1,180 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/routing"
+	"cicadawell.dev/router/stage"
+	"cicadawell.dev/router/target"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Relay serves calls.
+type Relay interface {
+	// Serve answers one call. It panics with http.ErrAbortHandler to break an
+	// answer off, so that it can't be taken for complete.
+	Serve(ctx context.Context, w http.ResponseWriter, c *Call)
+}
+
+// Parts are what a relay works with.
+type Parts struct {
+	Clock   clock.Clock
+	Current *inventory.Current
+	Targets target.Set
+	Pieces  stage.Workshop
+	Runners Runners
+	Repeats Repeats
+	Log     hclog.Logger
+	// Zone is the availability zone of this instance.
+	Zone string
+	// KnownFor is how old the configuration may be for calls with a key; zero
+	// means any age.
+	KnownFor time.Duration
+	// Random decides between the services of a route.
+	Random *rand.Rand
+}
+
+// New returns a relay.
+func New(p Parts) Relay { return &relay{Parts: p} }
+
+type relay struct{ Parts }
+
+func (x *relay) Serve(ctx context.Context, w http.ResponseWriter, c *Call) {
+	p, err := x.plan(c)
+	if err != nil {
+		x.refuse(w, c, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.until.Sub(x.Clock.Now()))
+	defer cancel()
+	p.ctx = ctx
+	if p.route.Kind == routing.Streaming {
+		err = x.stream(w, p)
+	} else {
+		err = x.plain(w, p)
+	}
+	if err != nil {
+		x.refuse(w, c, err)
+	}
+}
+
+// plan finds out what the configuration says of a call.
+func (x *relay) plan(c *Call) (*plan, error) {
+	s := x.Current.Load()
+	if s.Table == nil {
+		return nil, fault.New(fault.NotReady, "no configuration is known yet")
+	}
+	r := s.Table.Match(c.Host, c.Path)
+	if r == nil {
+		return nil, fault.New(fault.UnknownRoute, "no route matches").WithField("path")
+	}
+	p := &plan{call: c, route: r, priority: r.Priority}
+	if s.Table.NeedsKey(r) {
+		if age := x.Current.Age(); x.KnownFor > 0 && age > x.KnownFor {
+			return nil, fault.New(fault.StaleConfiguration, "the configuration was last confirmed %v ago", age)
+		}
+		team := s.Table.Team(c.Key)
+		if team == nil {
+			return nil, fault.New(fault.Unauthenticated, "no team has this key").WithField("key")
+		}
+		p.team = team.Name
+		if team.HasPriority {
+			p.priority = team.Priority
+		}
+	}
+	p.service = x.service(r)
+	patience := r.Timeout
+	if c.Patience > 0 {
+		patience = min(patience, c.Patience)
+	}
+	p.until = c.Arrived.Add(patience)
+	if !p.until.After(x.Clock.Now()) {
+		return nil, fault.New(fault.DeadlineShort, "the deadline has passed").WithField("deadline")
+	}
+	return p, nil
+}
+
+// service chooses among a route's services by their weights.
+func (x *relay) service(r *routing.Route) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	sum := 0
+	for _, s := range r.Shares {
+		sum += s.Weight
+	}
+	n := x.Random.IntN(sum)
+	for _, s := range r.Shares {
+		if n -= s.Weight; n < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[0].Service
+}
+
+// refuse answers a call by the table of kinds.
+func (x *relay) refuse(w http.ResponseWriter, c *Call, err error) {
+	e := fault.Of(err)
+	status := fault.AnswerOf(e.Kind()).Status
+	outcome := e.Outcome()
+	if status == http.StatusServiceUnavailable && outcome != fault.NotRun {
+		status = http.StatusBadGateway
+	}
+	if after := e.RetryAfter(); after > 0 && outcome == fault.NotRun {
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	x.Log.Info("refused", "request", c.ID, "kind", e.Kind(), "outcome", outcome, "status", status,
+		"afterMillis", x.Clock.Now().Sub(c.Arrived).Milliseconds(), "error", e)
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// send passes the call to one runner and notes how that went.
+func (x *relay) send(p *plan, t *target.Target, d Dispatch) (*Answer, error) {
+	d.Runner = t.Runner()
+	d.Team = p.team
+	d.Urgency = p.priority
+	d.Left = p.until.Sub(x.Clock.Now())
+	d.Once = p.once()
+	start := x.Clock.Now()
+	a, err := x.Runners.Send(p.ctx, p.call, d)
+	now := x.Clock.Now()
+	switch {
+	case err != nil && p.ctx.Err() == nil:
+		t.Broke(now)
+	case err != nil:
+	case a.NotRun || a.Status >= http.StatusInternalServerError || (a.Status < 300 && !a.Sealed):
+		t.Failed(now)
+	default:
+		t.Succeeded(now, now.Sub(start))
+	}
+	x.Log.Debug("sent", "request", p.call.ID, "route", p.route.Name, "service", p.service, "runner", d.Runner.ID,
+		"leftMillis", d.Left.Milliseconds(), "tookMillis", now.Sub(start).Milliseconds(), "status", statusOf(a), "error", err)
+	return a, err
+}
+
+func statusOf(a *Answer) int {
+	if a == nil {
+		return 0
+	}
+	return a.Status
+}
+
+// ended returns the error of a call whose time or caller has gone.
+func (x *relay) ended(p *plan, run fault.Outcome) error {
+	if errors.Is(context.Cause(p.ctx), context.DeadlineExceeded) {
+		if run == fault.NotRun {
+			return fault.New(fault.DeadlineShort, "the deadline passed before a runner took the call")
+		}
+		return fault.New(fault.DeadlineMissed, "the deadline passed while the call ran").WithOutcome(run)
+	}
+	return fault.New(fault.CallerGone, "the caller left").WithOutcome(run)
+}
--- /dev/null
+++ b/router/relay/stages.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/stage"
+	"golang.org/x/sync/errgroup"
+)
+
+// results are those of a call's stages, which are kept at their makers until
+// they are given up.
+type results struct {
+	pieces stage.Workshop
+	mu     sync.Mutex
+	// byStage has the results of each stage that is done.
+	byStage [][]stage.Result
+	// users counts, for each stage, the stages and the call that still take its
+	// results.
+	users []int
+}
+
+// stages makes all pieces that a call needs. The caller gives the results up.
+func (x *relay) stages(p *plan) (*results, error) {
+	n := len(p.route.Stages)
+	res := &results{pieces: x.Pieces, byStage: make([][]stage.Result, n), users: make([]int, n)}
+	if n == 0 {
+		return res, nil
+	}
+	if len(p.call.Pieces) != n {
+		return res, fault.New(fault.BadRequest, "found %d counts of pieces, the route has %d stages", len(p.call.Pieces), n).WithField("pieces")
+	}
+	for _, s := range p.route.Stages {
+		for _, a := range s.After {
+			res.users[a]++
+		}
+	}
+	for _, f := range p.route.Final() {
+		res.users[f]++
+	}
+	group, ctx := errgroup.WithContext(p.ctx)
+	done := make([]chan struct{}, n)
+	for i := range done {
+		done[i] = make(chan struct{})
+	}
+	for i := range n {
+		group.Go(func() error {
+			for _, a := range p.route.Stages[i].After {
+				select {
+				case <-done[a]:
+				case <-ctx.Done():
+					return ctx.Err()
+				}
+			}
+			if err := x.makeStage(ctx, p, res, i); err != nil {
+				return err
+			}
+			close(done[i])
+			return nil
+		})
+	}
+	err := group.Wait()
+	if err != nil && p.ctx.Err() != nil {
+		err = x.ended(p, fault.NotRun)
+	}
+	return res, err
+}
+
+// makeStage makes the pieces of one stage.
+func (x *relay) makeStage(ctx context.Context, p *plan, res *results, i int) error {
+	spec := p.route.Stages[i]
+	pieces := make([]stage.Piece, p.call.Pieces[i])
+	for n := range pieces {
+		pieces[n] = stage.Piece{Call: p.call.ID, Stage: i, Index: n}
+		if len(spec.After) == 0 {
+			pieces[n].Key = p.call.PieceKey
+		} else {
+			pieces[n].Inputs = res.handles(spec.After)
+		}
+	}
+	if len(pieces) > 0 {
+		made := x.Pieces.Make(ctx, stage.Order{
+			Service: spec.Service, Pieces: pieces, Until: p.until, Rank: p.priority, After: x.restOf(p, i),
+		})
+		res.set(i, made)
+		for _, r := range made {
+			if r.Failure != "" {
+				x.Log.Debug("stage failed", "request", p.call.ID, "stage", i, "service", spec.Service, "failure", r.Failure)
+				return failureOf(r.Failure, i)
+			}
+		}
+	}
+	for _, a := range spec.After {
+		res.used(a)
+	}
+	return nil
+}
+
+// restOf returns the least time that a call needs after a stage.
+func (x *relay) restOf(p *plan, i int) time.Duration {
+	table := x.Current.Load().Table
+	var longest time.Duration
+	for j := i + 1; j < len(p.route.Stages); j++ {
+		if !slices.Contains(p.route.Stages[j].After, i) || p.call.Pieces[j] == 0 {
+			continue
+		}
+		svc := table.Service(p.route.Stages[j].Service)
+		if svc == nil || svc.Batches == nil {
+			continue
+		}
+		longest = max(longest, svc.Batches.CallTime+svc.Batches.PieceTime+x.restOf(p, j))
+	}
+	return longest
+}
+
+// failureOf returns the error of a call whose piece failed. The call itself
+// hasn't run then.
+func failureOf(f stage.Failure, i int) error {
+	switch f {
+	case stage.Late:
+		return fault.New(fault.DeadlineShort, "stage %d can't be made in time", i)
+	case stage.Abandoned:
+		return fault.New(fault.CallerGone, "the caller left during stage %d", i).WithOutcome(fault.NotRun)
+	}
+	return fault.New(fault.Overloaded, "stage %d: %s", i, f)
+}
+
+func (r *results) set(i int, made []stage.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byStage[i] = made
+}
+
+// handles returns the handles of all results of these stages.
+func (r *results) handles(stages []int) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, i := range stages {
+		for _, made := range r.byStage[i] {
+			out = append(out, made.Handle)
+		}
+	}
+	return out
+}
+
+// used notes that one user of a stage's results has taken them, and gives them
+// up after the last one.
+func (r *results) used(i int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.users[i]--
+	if r.users[i] == 0 {
+		r.pieces.Free(r.byStage[i])
+		r.byStage[i] = nil
+	}
+}
+
+// release gives all results up.
+func (r *results) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.byStage {
+		r.pieces.Free(r.byStage[i])
+		r.byStage[i] = nil
+	}
+}
--- /dev/null
+++ b/router/relay/stream.go
@@ -0,0 +1,179 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"time"
+
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/target"
+)
+
+// streamState is the progress of a stream towards its caller.
+type streamState struct {
+	w http.ResponseWriter
+	// begun is set once the head of the answer left for the caller.
+	begun bool
+	// last is the identifier of the last event that was passed on.
+	last string
+	// events counts them.
+	events int
+}
+
+// stream serves a call that is answered by events.
+func (x *relay) stream(w http.ResponseWriter, p *plan) error {
+	res, err := x.stages(p)
+	defer res.release()
+	if err != nil {
+		return err
+	}
+	x.Repeats.Success(p.service)
+	inputs := res.handles(p.route.Final())
+	state := &streamState{w: w, last: p.call.ResumeAfter}
+	run := fault.NotRun
+	var avoid []*target.Target
+	var last error
+	for n := 0; n < p.route.MaxAttempts && p.ctx.Err() == nil; n++ {
+		if n > 0 && !x.Repeats.Allow(p.service) {
+			break
+		}
+		t := x.Targets.Engine(p.service, x.Zone, p.call.Prompt, avoid)
+		if t == nil {
+			break
+		}
+		avoid = append(avoid, t)
+		outcome, err := x.streamFrom(p, t, state, res, inputs)
+		if err == nil {
+			return nil
+		}
+		last = err
+		if outcome != fault.NotRun {
+			run = outcome
+		}
+		if run != fault.NotRun && p.once() {
+			break
+		}
+	}
+	return x.broken(p, state, run, last)
+}
+
+// streamFrom sends the call to one engine and passes its events on. Without an
+// error the answer is complete.
+func (x *relay) streamFrom(p *plan, t *target.Target, s *streamState, res *results, inputs []string) (fault.Outcome, error) {
+	answered, ended := t.Begin(p.call.Prompt.Tokens)
+	defer ended()
+	a, err := x.send(p, t, Dispatch{Inputs: inputs, ResumeAfter: s.last})
+	var unanswered *Unanswered
+	switch {
+	case errors.As(err, &unanswered) && !unanswered.Sent:
+		return fault.NotRun, err
+	case err != nil:
+		return fault.Unknown, err
+	}
+	defer a.Close()
+	if a.NotRun {
+		return fault.NotRun, fault.New(fault.Overloaded, "runner %q answered %d", t.Runner().ID, a.Status)
+	}
+	if !a.Events || a.Status >= 300 {
+		return fault.Run, x.whole(p, s, a)
+	}
+	if !a.Sealed {
+		return fault.Unknown, errUnsealed
+	}
+	return fault.Run, x.pass(p, t, s, a, func() {
+		answered()
+		for _, f := range p.route.Final() {
+			res.used(f)
+		}
+	})
+}
+
+// whole passes back an answer without events, as runners give on failure.
+func (x *relay) whole(p *plan, s *streamState, a *Answer) error {
+	if s.begun {
+		return fault.New(fault.RunnerFailed, "the runner answered %d to a stream that goes on", a.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole))
+	if err != nil {
+		return err
+	}
+	if a.Status >= http.StatusInternalServerError && !p.once() {
+		return fault.New(fault.RunnerFailed, "the runner answered %d", a.Status)
+	}
+	if a.Status < 300 && !a.Sealed {
+		return errUnsealed
+	}
+	maps.Copy(s.w.Header(), a.Header)
+	s.w.WriteHeader(a.Status)
+	if _, err := s.w.Write(body); err != nil {
+		x.Log.Info("answer not delivered", "request", p.call.ID, "error", err)
+	}
+	return nil
+}
+
+// pass passes events on as they come. It calls first at the first one.
+func (x *relay) pass(p *plan, t *target.Target, s *streamState, a *Answer, first func()) error {
+	events := newEventReader(a.Body)
+	start := x.Clock.Now()
+	for n := 0; ; n++ {
+		event, id, err := events.next()
+		if errors.Is(err, io.EOF) {
+			if n == 0 && !s.begun {
+				return fault.New(fault.RunnerFailed, "the stream has no event")
+			}
+			x.Log.Debug("stream complete", "request", p.call.ID, "runner", t.Runner().ID, "events", s.events,
+				"tookMillis", x.Clock.Now().Sub(start).Milliseconds())
+			return nil
+		}
+		if err != nil {
+			if p.ctx.Err() == nil {
+				t.Broke(x.Clock.Now())
+			}
+			return err
+		}
+		if n == 0 {
+			first()
+		}
+		if err := s.write(a, event); err != nil {
+			return fault.Wrap(fault.CallerGone, err, "pass an event on").WithOutcome(fault.Run)
+		}
+		if id != "" {
+			s.last = id
+		}
+	}
+}
+
+// write passes one event on, after the head of the answer if it is the first.
+// A stream that goes on at another runner keeps the head of the first.
+func (s *streamState) write(a *Answer, event []byte) error {
+	if !s.begun {
+		maps.Copy(s.w.Header(), a.Header)
+		s.w.WriteHeader(a.Status)
+		s.begun = true
+	}
+	s.events++
+	if _, err := s.w.Write(event); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.w).Flush()
+}
+
+// broken ends a stream that can't be completed.
+func (x *relay) broken(p *plan, s *streamState, run fault.Outcome, last error) error {
+	if s.begun {
+		x.Log.Info("stream broken off", "request", p.call.ID, "route", p.route.Name, "events", s.events,
+			"afterMillis", x.Clock.Now().Sub(p.call.Arrived)/time.Millisecond, "error", last)
+		panic(http.ErrAbortHandler)
+	}
+	switch {
+	case p.ctx.Err() != nil:
+		return x.ended(p, run)
+	case last == nil:
+		return fault.New(fault.NoRunner, "no runner of %q takes calls", p.service)
+	case run == fault.NotRun:
+		return fault.Wrap(fault.Overloaded, last, "no runner of %q took the call", p.service)
+	}
+	return fault.Wrap(fault.OutcomeUnknown, last, "no usable answer of %q", p.service).WithOutcome(run)
+}
--- /dev/null
+++ b/router/stage/piece.go
@@ -0,0 +1,87 @@
+// Package stage makes the pieces that calls need before they can run. It
+// gathers pieces of many calls into the batches that runners take.
+package stage
+
+import (
+	"context"
+	"time"
+
+	"cicadawell.dev/router/inventory"
+)
+
+// Piece is a part of a stage of a call.
+type Piece struct {
+	// Call is the identifier of the call that needs the piece.
+	Call  string `json:"call"`
+	Stage int    `json:"stage"`
+	Index int    `json:"index"`
+	// Key names the input of stages that follow no other.
+	Key string `json:"key,omitempty"`
+	// Inputs are the handles of all results of the stages before.
+	Inputs []string `json:"inputs,omitempty"`
+}
+
+// Result is what became of a piece.
+type Result struct {
+	// Handle names the result at its maker; it is empty on failure.
+	Handle string `json:"handle,omitempty"`
+	// Runner is the maker.
+	Runner string `json:"runner,omitempty"`
+	// Failure is empty on success.
+	Failure Failure `json:"failure,omitempty"`
+}
+
+// Failure says why a piece wasn't made.
+type Failure string
+
+// The failures.
+const (
+	// Late pieces could no longer be made in time.
+	Late Failure = "late"
+	// InputGone means that an input isn't kept any more.
+	InputGone Failure = "inputGone"
+	// NoRoom means that the runner has no room for the result.
+	NoRoom Failure = "noRoom"
+	// Failed means that the runner failed at the piece.
+	Failed Failure = "failed"
+	// Refused means that the runner took nothing of the batch.
+	Refused Failure = "refused"
+	// Lost means that no answer came.
+	Lost Failure = "lost"
+	// Abandoned pieces lost their call while they waited.
+	Abandoned Failure = "abandoned"
+)
+
+// Order asks for pieces of one stage of one call.
+type Order struct {
+	Service string  `json:"service"`
+	Pieces  []Piece `json:"pieces"`
+	// Until is when the pieces are of no use any more.
+	Until time.Time `json:"until"`
+	// Rank is the call's priority; 0 is the most urgent.
+	Rank int `json:"rank"`
+	// After is the least time that the call needs after these pieces.
+	After time.Duration `json:"after"`
+}
+
+// Maker makes the pieces of an order. It returns a result for each piece, in
+// order.
+type Maker interface {
+	Make(ctx context.Context, o Order) []Result
+}
+
+// Runners passes batches to runners.
+type Runners interface {
+	// Run makes the pieces and returns a result for each, in order. On an error
+	// there are no results; it tells whether the runner refused the batch as a
+	// whole.
+	Run(ctx context.Context, r *inventory.Runner, batch []Timed) (results []Result, refused bool, err error)
+	// Free gives results up.
+	Free(ctx context.Context, r *inventory.Runner, handles []string) error
+}
+
+// Timed is a piece with the time that is left for it.
+type Timed struct {
+	Piece
+	Left time.Duration
+}
--- /dev/null
+++ b/router/stage/workshop.go
@@ -0,0 +1,132 @@
+package stage
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/routing"
+	"cicadawell.dev/router/target"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Workshop has a pool for each service that makes pieces.
+type Workshop interface {
+	Maker
+	// Free gives results up. It returns at once.
+	Free(results []Result)
+	// Run frees results until ctx ends.
+	Run(ctx context.Context) error
+	// Close waits for the batches at runners.
+	Close()
+}
+
+// freeEvery is how often results that were given up are told to their makers:
+// a fraction of the time that one call of a stage takes.
+const freeEvery = 100 * time.Millisecond
+
+// freeTimeout bounds one such call.
+const freeTimeout = time.Second
+
+// NewWorkshop returns a workshop over the runners of this instance's snapshot.
+func NewWorkshop(clk clock.Clock, current *inventory.Current, targets target.Set, runners Runners, log hclog.Logger) Workshop {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &workshop{
+		clk: clk, current: current, targets: targets, runners: runners, log: log, ctx: ctx, cancel: cancel,
+		pools: make(map[string]*Pool), freed: make(map[string][]string),
+	}
+}
+
+type workshop struct {
+	clk     clock.Clock
+	current *inventory.Current
+	targets target.Set
+	runners Runners
+	log     hclog.Logger
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	mu    sync.Mutex
+	pools map[string]*Pool
+	// freed has the handles to give up, by runner.
+	freed map[string][]string
+}
+
+func (s *workshop) Make(ctx context.Context, o Order) []Result {
+	return s.pool(o.Service).Make(ctx, o)
+}
+
+func (s *workshop) pool(service string) *Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pools[service]
+	if p == nil {
+		p = &Pool{
+			clk: s.clk, runners: s.runners, log: s.log, service: service, ctx: s.ctx,
+			targets: func() []*target.Target { return s.targets.Usable(service) },
+			batches: func() *routing.Batches {
+				if svc := s.current.Load().Table.Service(service); svc != nil {
+					return svc.Batches
+				}
+				return nil
+			},
+			busy: make(map[*target.Target]int), rest: make(map[*target.Target]time.Time),
+		}
+		s.pools[service] = p
+	}
+	return p
+}
+
+func (s *workshop) Free(results []Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range results {
+		if r.Handle != "" {
+			s.freed[r.Runner] = append(s.freed[r.Runner], r.Handle)
+		}
+	}
+}
+
+func (s *workshop) Run(ctx context.Context) error {
+	for s.clk.Sleep(ctx, freeEvery) == nil {
+		s.free(ctx)
+	}
+	return nil
+}
+
+// free tells the runners of this instance's results what to give up. What a
+// runner doesn't hear it gives up by itself after a while.
+func (s *workshop) free(ctx context.Context) {
+	s.mu.Lock()
+	freed := s.freed
+	s.freed = make(map[string][]string)
+	s.mu.Unlock()
+	var group sync.WaitGroup
+	for id, handles := range freed {
+		t := s.targets.Find(id)
+		if t == nil {
+			continue
+		}
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, freeTimeout)
+			defer cancel()
+			if err := s.runners.Free(ctx, t.Runner(), handles); err != nil {
+				s.log.Debug("results not given up, the runner drops them in time", "runner", id, "results", len(handles), "error", err)
+			}
+		})
+	}
+	group.Wait()
+}
+
+func (s *workshop) Close() {
+	s.mu.Lock()
+	pools := s.pools
+	s.mu.Unlock()
+	s.cancel()
+	for _, p := range pools {
+		p.Dispatch()
+		p.group.Wait()
+	}
+}
--- /dev/null
+++ b/router/target/target.go
@@ -0,0 +1,99 @@
+// Package target keeps the live state of runners beside what they say of
+// themselves, and chooses among them. It does no I/O.
+package target
+
+import (
+	"sync"
+	"time"
+
+	"cicadawell.dev/router/inventory"
+)
+
+// Target is one incarnation of a runner with what this instance has learned of
+// it.
+type Target struct {
+	mu     sync.Mutex
+	runner *inventory.Runner
+
+	gone bool
+	// running counts the calls of this instance that the runner has.
+	running int
+	// tokens is the sum of the prompt tokens of those calls that the runner
+	// hasn't answered yet.
+	tokens int
+	health health
+	cold   bucket
+	// doubted is the revision of the description under which a connection
+	// broke. The runner may have started again, so that it is cold until a
+	// newer description says otherwise; zero means no doubt.
+	doubted int64
+}
+
+// Runner returns the newest description of the runner.
+func (t *Target) Runner() *inventory.Runner {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.runner
+}
+
+// Running returns how many calls of this instance the runner has.
+func (t *Target) Running() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.running
+}
+
+// Begin notes a call with this many prompt tokens, and returns what notes the
+// answer to it, and its end.
+func (t *Target) Begin(tokens int) (answered, ended func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running++
+	t.tokens += tokens
+	var once, last sync.Once
+	answered = func() {
+		once.Do(func() {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.tokens -= tokens
+		})
+	}
+	ended = func() {
+		answered()
+		last.Do(func() {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.running--
+		})
+	}
+	return answered, ended
+}
+
+// Succeeded notes an answer of the runner after d.
+func (t *Target) Succeeded(now time.Time, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.health.success(d)
+}
+
+// Failed notes a call without a usable answer.
+func (t *Target) Failed(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.health.failure(now)
+}
+
+// Broke notes that a connection to the runner couldn't be opened or broke.
+func (t *Target) Broke(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.health.broke(now)
+	t.doubted = t.runner.Revision
+}
+
+// coldAt reports whether the runner has to be taken for cold. The caller holds
+// mu.
+func (t *Target) coldAt(now time.Time, zonesBack map[string]int64) bool {
+	r := t.runner
+	return r.ColdAt(now) || t.doubted >= r.Revision || zonesBack[r.Zone] > r.Revision
+}
