Gather each stage's pieces at one instance, in the zone of the engine

Cause: five instances each send batches of their own by what they have in flight themselves; runners get batches that are far from full, and refuse what finds their queue full. Results of 3 MB cross zones, since neither the maker nor the engine looks at where the other is.

Ruled out: larger local batches, which wait while runners are idle.

Change: orders for pieces go to the owner of the service, by rendezvous over the registered instances, with successors and the own pool as last resort; pieces are made in the zone of the engine that is preferred for the prompt; calls that can still be answered in time go first.

--- a/router/relay/stages.go
+++ b/router/relay/stages.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/router/stage"
+	"cicadawell.dev/router/target"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -26,7 +28,7 @@
 // stages makes all pieces that a call needs. The caller gives the results up.
 func (x *relay) stages(p *plan) (*results, error) {
 	n := len(p.route.Stages)
-	res := &results{pieces: x.Pieces, byStage: make([][]stage.Result, n), users: make([]int, n)}
+	res := &results{pieces: x.Results, byStage: make([][]stage.Result, n), users: make([]int, n)}
 	if n == 0 {
 		return res, nil
 	}
@@ -41,6 +43,10 @@
 	for _, f := range p.route.Final() {
 		res.users[f]++
 	}
+	home := x.Targets.Home(p.service, p.call.Prompt)
+	if home == "" {
+		home = x.Zone
+	}
 	group, ctx := errgroup.WithContext(p.ctx)
 	done := make([]chan struct{}, n)
 	for i := range done {
@@ -55,7 +61,7 @@
 					return ctx.Err()
 				}
 			}
-			if err := x.makeStage(ctx, p, res, i); err != nil {
+			if err := x.makeStage(ctx, p, res, i, home); err != nil {
 				return err
 			}
 			close(done[i])
@@ -69,8 +75,9 @@
 	return res, err
 }
 
-// makeStage makes the pieces of one stage.
-func (x *relay) makeStage(ctx context.Context, p *plan, res *results, i int) error {
+// makeStage makes the pieces of one stage, in a zone if that makes no
+// difference otherwise.
+func (x *relay) makeStage(ctx context.Context, p *plan, res *results, i int, zone string) error {
 	spec := p.route.Stages[i]
 	pieces := make([]stage.Piece, p.call.Pieces[i])
 	for n := range pieces {
@@ -83,7 +90,8 @@
 	}
 	if len(pieces) > 0 {
 		made := x.Pieces.Make(ctx, stage.Order{
-			Service: spec.Service, Pieces: pieces, Until: p.until, Rank: p.priority, After: x.restOf(p, i),
+			ID: p.call.ID + "/" + strconv.Itoa(i), Service: spec.Service, Pieces: pieces, Zone: zone,
+			Until: p.until, Due: p.call.Arrived.Add(p.route.Objective), Rank: p.priority, After: x.restOf(p, i),
 		})
 		res.set(i, made)
 		for _, r := range made {
@@ -102,7 +110,7 @@
 // restOf returns the least time that a call needs after a stage.
 func (x *relay) restOf(p *plan, i int) time.Duration {
 	table := x.Current.Load().Table
-	var longest time.Duration
+	longest := target.FirstEvent(p.call.Prompt)
 	for j := i + 1; j < len(p.route.Stages); j++ {
 		if !slices.Contains(p.route.Stages[j].After, i) || p.call.Pieces[j] == 0 {
 			continue
@@ -147,6 +155,19 @@
 	return out
 }
 
+// makers returns the runners that made the results of these stages.
+func (r *results) makers(stages []int) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, i := range stages {
+		for _, made := range r.byStage[i] {
+			out = append(out, made.Runner)
+		}
+	}
+	return out
+}
+
 // used notes that one user of a stage's results has taken them, and gives them
 // up after the last one.
 func (r *results) used(i int) {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -30,7 +30,7 @@
 		return err
 	}
 	x.Repeats.Success(p.service)
-	inputs := res.handles(p.route.Final())
+	inputs, zone := res.handles(p.route.Final()), x.resultZone(p, res)
 	state := &streamState{w: w, last: p.call.ResumeAfter}
 	run := fault.NotRun
 	var avoid []*target.Target
@@ -39,7 +39,7 @@
 		if n > 0 && !x.Repeats.Allow(p.service) {
 			break
 		}
-		t := x.Targets.Engine(p.service, x.Zone, p.call.Prompt, avoid)
+		t := x.Targets.Engine(p.service, zone, p.call.Prompt, avoid)
 		if t == nil {
 			break
 		}
@@ -59,6 +59,23 @@
 	return x.broken(p, state, run, last)
 }
 
+// resultZone returns the zone that has most results for the call's runner, or
+// that of this instance.
+func (x *relay) resultZone(p *plan, res *results) string {
+	count := make(map[string]int)
+	best := x.Zone
+	for _, id := range res.makers(p.route.Final()) {
+		if t := x.Targets.Find(id); t != nil {
+			zone := t.Runner().Zone
+			count[zone]++
+			if count[zone] > count[best] {
+				best = zone
+			}
+		}
+	}
+	return best
+}
+
 // streamFrom sends the call to one engine and passes its events on. Without an
 // error the answer is complete.
 func (x *relay) streamFrom(p *plan, t *target.Target, s *streamState, res *results, inputs []string) (fault.Outcome, error) {
--- a/router/stage/piece.go
+++ b/router/stage/piece.go
@@ -54,14 +54,19 @@
 
 // Order asks for pieces of one stage of one call.
 type Order struct {
-	Service string  `json:"service"`
-	Pieces  []Piece `json:"pieces"`
-	// Until is when the pieces are of no use any more.
-	Until time.Time `json:"until"`
+	// ID tells orders apart; it is unique in the fleet.
+	ID      string
+	Service string
+	Pieces  []Piece
+	// Until is when the call is given up, Due when it has to be answered for
+	// its full value.
+	Until, Due time.Time
 	// Rank is the call's priority; 0 is the most urgent.
-	Rank int `json:"rank"`
+	Rank int
 	// After is the least time that the call needs after these pieces.
-	After time.Duration `json:"after"`
+	After time.Duration
+	// Zone is where the results are wanted, or empty.
+	Zone string
 }
 
 // Maker makes the pieces of an order. It returns a result for each piece, in
--- a/router/stage/pool.go
+++ b/router/stage/pool.go
@@ -1,7 +1,6 @@
 package stage
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -31,29 +30,16 @@
 
 	mu    sync.Mutex
 	queue []*waiting
-	// busy has the batches at each runner.
+	// busy has the number of batches at each runner.
 	busy map[*target.Target]int
 	// rest has, for runners that refused or failed, when they are tried again.
 	rest map[*target.Target]time.Time
 }
 
-// waiting is a piece in the queue.
-type waiting struct {
-	piece Piece
-	order *Order
-	since time.Time
-	// tries counts the batches that it was part of.
-	tries  int
-	result Result
-	done   func()
-	// taken is set while the piece is part of a batch.
-	taken bool
-}
-
 const (
 	// maxTries bounds the batches that a piece is put in.
 	maxTries = 3
-	// refusedRest is how long a runner that refused a batch isn't tried: most
+	// refusedRest is how long a runner that refused a batch isn't tried: a part
 	// of the time that a call takes.
 	refusedRest = 60 * time.Millisecond
 	// failedRest is how long a runner that failed isn't tried.
@@ -61,8 +47,6 @@
 	// callSlack is added to the expected time of a call until it counts as
 	// lost.
 	callSlack = 600 * time.Millisecond
-	// depth is how many batches of this instance a runner has at a time.
-	depth = 1
 )
 
 // Make puts the pieces into the queue and waits for them.
@@ -92,90 +76,54 @@
 func (p *Pool) abandon(list []*waiting) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.drop(Abandoned, func(w *waiting) bool { return slices.Contains(list, w) })
+}
+
+// drop settles waiting pieces with a failure. The caller holds mu.
+func (p *Pool) drop(f Failure, which func(w *waiting) bool) {
 	p.queue = slices.DeleteFunc(p.queue, func(w *waiting) bool {
-		if !slices.Contains(list, w) {
+		if !which(w) {
 			return false
 		}
-		p.end(w, Result{Failure: Abandoned})
+		w.end(Result{Failure: f})
 		return true
 	})
 }
 
-// end settles a piece. The caller holds mu or owns the piece.
-func (p *Pool) end(w *waiting, r Result) {
+// end settles a piece.
+func (w *waiting) end(r Result) {
 	w.result = r
 	w.done()
 }
 
-// Dispatch gives batches to the runners that are free.
+// Dispatch gives batches to the runners that are idle.
 func (p *Pool) Dispatch() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	limits := p.batches()
-	if limits == nil || p.ctx.Err() != nil {
-		p.fail(Refused)
+	limits, targets := p.batches(), p.targets()
+	if limits == nil || len(targets) == 0 || p.ctx.Err() != nil {
+		p.drop(Refused, func(*waiting) bool { return true })
 		return
 	}
-	targets := p.targets()
-	if len(targets) == 0 {
-		p.fail(Refused)
-		return
-	}
-	p.dropLate(limits)
-	slices.SortStableFunc(p.queue, before)
-	for len(p.queue) > 0 {
-		t := p.free(targets)
-		if t == nil {
-			return
-		}
-		n := min(len(p.queue), limits.MaxPieces)
-		batch := slices.Clone(p.queue[:n])
-		p.queue = slices.Delete(p.queue, 0, n)
-		p.busy[t]++
-		p.group.Go(func() { p.run(t, limits, batch) })
-	}
-}
-
-// fail settles all that waits. The caller holds mu.
-func (p *Pool) fail(f Failure) {
-	for _, w := range p.queue {
-		p.end(w, Result{Failure: f})
-	}
-	p.queue = nil
-}
-
-// dropLate settles the pieces whose call can't be in time any more, even if a
-// runner began at once. The caller holds mu.
-func (p *Pool) dropLate(limits *routing.Batches) {
-	soonest := p.clk.Now().Add(limits.CallTime + limits.PieceTime)
-	p.queue = slices.DeleteFunc(p.queue, func(w *waiting) bool {
-		if !soonest.Add(w.order.After).After(w.order.Until) {
-			return false
-		}
-		p.end(w, Result{Failure: Late})
-		return true
-	})
-}
-
-// before orders the queue: urgent calls first, then those that came first.
-func before(a, b *waiting) int {
-	return cmp.Or(cmp.Compare(a.order.Rank, b.order.Rank), a.since.Compare(b.since))
-}
-
-// free returns the runner with the least work that may get a batch, or nil. The
-// caller holds mu.
-func (p *Pool) free(targets []*target.Target) *target.Target {
 	now := p.clk.Now()
-	var best *target.Target
-	for _, t := range targets {
-		if p.busy[t] >= depth || now.Before(p.rest[t]) {
+	a := assembly{now: now, limits: limits}
+	p.drop(Late, a.hopeless)
+	idle := slices.DeleteFunc(slices.Clone(targets), func(t *target.Target) bool {
+		return p.busy[t] >= limits.Slots || now.Before(p.rest[t])
+	})
+	benches := make([]bench, len(idle))
+	for i, t := range idle {
+		benches[i] = bench{id: t.Runner().ID, zone: t.Runner().Zone}
+	}
+	var taken [][]*waiting
+	taken, p.queue = a.batches(p.queue, benches)
+	for i, batch := range taken {
+		if len(batch) == 0 {
 			continue
 		}
-		if best == nil || p.busy[t] < p.busy[best] {
-			best = t
-		}
+		p.busy[idle[i]]++
+		p.group.Go(func() { p.run(idle[i], limits, batch) })
 	}
-	return best
 }
 
 // run passes one batch to a runner.
@@ -183,14 +131,12 @@
 	now := p.clk.Now()
 	timed := make([]Timed, len(batch))
 	for i, w := range batch {
-		timed[i] = Timed{Piece: w.piece, Left: w.order.Until.Sub(now)}
+		timed[i] = Timed{Piece: w.piece, Left: w.order.Until.Sub(now) - w.order.After}
 	}
 	expected := limits.CallTime + time.Duration(len(batch))*limits.PieceTime
 	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(1+limits.Queue)*expected+callSlack)
 	defer cancel()
-	_, ended := t.Begin(0)
 	results, refused, err := p.runners.Run(ctx, t.Runner(), timed)
-	ended()
 	p.settle(t, batch, results, refused, err)
 	p.Dispatch()
 }
@@ -199,23 +145,13 @@
 func (p *Pool) settle(t *target.Target, batch []*waiting, results []Result, refused bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.clk.Now()
 	p.busy[t]--
 	if p.busy[t] == 0 {
 		delete(p.busy, t)
 	}
 	delete(p.rest, t)
 	if err != nil {
-		rest := failedRest
-		if refused {
-			rest = refusedRest
-		}
-		p.rest[t] = now.Add(rest)
-		p.group.Go(func() {
-			if p.clk.Sleep(p.ctx, rest) == nil {
-				p.Dispatch()
-			}
-		})
+		p.setAside(t, refused)
 		p.log.Debug("batch not made", "service", p.service, "runner", t.Runner().ID, "pieces", len(batch), "refused", refused, "error", err)
 	}
 	for i, w := range batch {
@@ -223,7 +159,6 @@
 		switch {
 		case err == nil:
 			r = results[i]
-			r.Runner = t.Runner().ID
 		case refused:
 			r = Result{Failure: Refused}
 		}
@@ -234,8 +169,22 @@
 			p.queue = append(p.queue, w)
 			continue
 		}
-		p.end(w, r)
+		w.end(r)
+	}
+}
+
+// setAside leaves a runner alone for a while. The caller holds mu.
+func (p *Pool) setAside(t *target.Target, refused bool) {
+	rest := failedRest
+	if refused {
+		rest = refusedRest
 	}
+	p.rest[t] = p.clk.Now().Add(rest)
+	p.group.Go(func() {
+		if p.clk.Sleep(p.ctx, rest) == nil {
+			p.Dispatch()
+		}
+	})
 }
 
 // again reports whether a piece may be made elsewhere after this failure.
--- /dev/null
+++ b/router/stage/shared.go
@@ -0,0 +1,187 @@
+package stage
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/inventory"
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Methods that other instances answer.
+const (
+	methodMake    = "stage.make"
+	methodAbandon = "stage.abandon"
+)
+
+const (
+	// awayFor is how long an instance that didn't answer isn't asked: long
+	// enough that its registration ends if it is lost.
+	awayFor = 3 * time.Second
+	// abandonTimeout bounds the notice that an order is of no use any more.
+	abandonTimeout = 300 * time.Millisecond
+)
+
+// NewShared returns a maker that has the pieces of each service gathered at one
+// instance of the fleet, which is the same for all as long as they know the same
+// instances. If it doesn't answer, its successor is asked; the last resort is
+// this instance's own maker. Pieces may be made twice then, which does no harm.
+func NewShared(clk clock.Clock, self string, current *inventory.Current, mesh instance.Mesh, own Maker, log hclog.Logger) Maker {
+	s := &shared{
+		clk: clk, self: self, current: current, mesh: mesh, own: own, log: log,
+		away: make(map[string]time.Time), orders: make(map[string]context.CancelFunc),
+	}
+	mesh.Handle(methodMake, s.serveMake)
+	mesh.Handle(methodAbandon, s.serveAbandon)
+	return s
+}
+
+type shared struct {
+	clk     clock.Clock
+	self    string
+	current *inventory.Current
+	mesh    instance.Mesh
+	own     Maker
+	log     hclog.Logger
+
+	mu sync.Mutex
+	// away has the instances that didn't answer, with the end of their rest.
+	away map[string]time.Time
+	// orders has those of other instances that are being made here.
+	orders map[string]context.CancelFunc
+}
+
+// orderBody is an order on its way to another instance. Times are durations,
+// since clocks are not compared between instances.
+type orderBody struct {
+	ID          string  `json:"id"`
+	Service     string  `json:"service"`
+	Pieces      []Piece `json:"pieces"`
+	UntilMicros int64   `json:"untilMicros"`
+	DueMicros   int64   `json:"dueMicros"`
+	Rank        int     `json:"rank"`
+	AfterMicros int64   `json:"afterMicros"`
+	Zone        string  `json:"zone,omitempty"`
+}
+
+type abandonBody struct {
+	ID string `json:"id"`
+}
+
+func (s *shared) Make(ctx context.Context, o Order) []Result {
+	for {
+		owner := s.owner(o.Service)
+		if owner == "" || owner == s.self {
+			return s.own.Make(ctx, o)
+		}
+		results, err := s.ask(ctx, owner, o)
+		if err == nil {
+			return results
+		}
+		if ctx.Err() != nil {
+			return failed(o, Abandoned)
+		}
+		s.log.Warn("owner of a stage doesn't answer", "owner", owner, "service", o.Service, "order", o.ID, "error", err)
+		s.mu.Lock()
+		s.away[owner] = s.clk.Now().Add(awayFor)
+		s.mu.Unlock()
+	}
+}
+
+func failed(o Order, f Failure) []Result {
+	out := make([]Result, len(o.Pieces))
+	for i := range out {
+		out[i].Failure = f
+	}
+	return out
+}
+
+// owner returns the instance that gathers the pieces of a service, by
+// rendezvous hashing over the known instances that answer.
+func (s *shared) owner(service string) string {
+	known := s.current.Load().Instances
+	now := s.clk.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best, top := "", uint64(0)
+	for name := range known {
+		if now.Before(s.away[name]) {
+			continue
+		}
+		if h := xxhash.Sum64String(service + "/" + name); best == "" || h > top {
+			best, top = name, h
+		}
+	}
+	return best
+}
+
+// ask has an order made by another instance.
+func (s *shared) ask(ctx context.Context, owner string, o Order) ([]Result, error) {
+	now := s.clk.Now()
+	body := orderBody{
+		ID: o.ID, Service: o.Service, Pieces: o.Pieces, Rank: o.Rank, Zone: o.Zone,
+		UntilMicros: o.Until.Sub(now).Microseconds(), DueMicros: o.Due.Sub(now).Microseconds(), AfterMicros: o.After.Microseconds(),
+	}
+	var results []Result
+	err := s.mesh.Call(instance.Repeatable(ctx), owner, methodMake, body, &results)
+	if err != nil && ctx.Err() != nil {
+		s.abandon(owner, o.ID)
+	}
+	if err == nil && len(results) != len(o.Pieces) {
+		err = fault.New(fault.Internal, "found %d results for %d pieces", len(results), len(o.Pieces))
+	}
+	return results, err
+}
+
+// abandon tells the owner that an order is of no use any more.
+func (s *shared) abandon(owner, order string) {
+	ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
+	defer cancel()
+	if err := s.mesh.Call(instance.Repeatable(ctx), owner, methodAbandon, abandonBody{ID: order}, nil); err != nil {
+		s.log.Debug("order not abandoned, it is made in vain", "owner", owner, "order", order, "error", err)
+	}
+}
+
+func (s *shared) serveMake(ctx context.Context, from string, params json.RawMessage) (any, error) {
+	var b orderBody
+	if err := json.Unmarshal(params, &b); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "decode an order").WithField(methodMake)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.mu.Lock()
+	s.orders[b.ID] = cancel
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.orders, b.ID)
+	}()
+	now := s.clk.Now()
+	return s.own.Make(ctx, Order{
+		ID: b.ID, Service: b.Service, Pieces: b.Pieces, Rank: b.Rank, Zone: b.Zone,
+		Until: now.Add(micros(b.UntilMicros)), Due: now.Add(micros(b.DueMicros)), After: micros(b.AfterMicros),
+	}), nil
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+func (s *shared) serveAbandon(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var b abandonBody
+	if err := json.Unmarshal(params, &b); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "decode an abandoned order").WithField(methodAbandon)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cancel := s.orders[b.ID]; cancel != nil {
+		cancel()
+	}
+	return nil, nil
+}
+
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -28,6 +28,9 @@
 	crossZone = 2 * time.Millisecond
 	// prefillPerToken is about what an engine spends on one token of a prompt.
 	prefillPerToken = 16 * time.Microsecond
+	// engineStart is about what an engine needs for a first event beside the
+	// prompt.
+	engineStart = 30 * time.Millisecond
 	// decodePerCall is about how much one running request slows another down
 	// until its first event.
 	decodePerCall = 2 * time.Millisecond
@@ -46,6 +49,29 @@
 	})
 }
 
+// FirstEvent returns about how long an engine with nothing else to do needs for
+// the first event of an answer.
+func FirstEvent(p Prompt) time.Duration {
+	return engineStart + time.Duration(p.Tokens)*prefillPerToken
+}
+
+// Home returns the zone of the engine that is preferred for a prompt, or "".
+func (s *set) Home(service string, p Prompt) string {
+	if t := s.Find(s.homeOf(service, p)); t != nil {
+		return t.Runner().Zone
+	}
+	return ""
+}
+
+// homeOf returns the runner that is preferred for the shared parts of a prompt,
+// or "".
+func (s *set) homeOf(service string, p Prompt) string {
+	if len(p.Parts) < 2 {
+		return ""
+	}
+	return s.home(service, p.Parts[len(p.Parts)-2].ID)
+}
+
 // Engine prefers the engine that read the prompt's shared parts before, as long
 // as waiting there costs less than reading them elsewhere.
 func (s *set) Engine(service, zone string, p Prompt, avoid []*Target) *Target {
@@ -54,10 +80,7 @@
 	for _, part := range shared {
 		tokens += part.Tokens
 	}
-	home := ""
-	if len(shared) > 0 {
-		home = s.home(service, shared[len(shared)-1].ID)
-	}
+	home := s.homeOf(service, p)
 	return s.choose(service, zone, avoid, func(t *Target) time.Duration {
 		cost := time.Duration(t.tokens)*prefillPerToken + time.Duration(t.running)*decodePerCall
 		if t.runner.ID != home {
--- a/router/target/set.go
+++ b/router/target/set.go
@@ -17,6 +17,8 @@
 	Usable(service string) []*Target
 	// Find returns the target of a runner, or nil.
 	Find(id string) *Target
+	// Home returns the zone of the engine that is preferred for a prompt, or "".
+	Home(service string, p Prompt) string
 	// Plain chooses a target for one more call of a service, or nil. Those in
 	// avoid were tried already.
 	Plain(service, zone string, avoid []*Target) *Target
