Count the room for results, announce orders before any work is done

Ruled out: smaller batches (capacity goes with the calls, 150 ms each).

Change: rooms counted by the owner, results given up through it; begun orders go first; calls are announced to the owners of all their stages and refused at once when the queue ahead costs them their objective; orders of instances that left are dropped and their results freed; registration waits for the configuration.

--- a/router/instance/incoming.go
+++ b/router/instance/incoming.go
@@ -123,7 +123,7 @@
 		_ = conn.ReplyWithError(ctx, r.ID, wireError(fault.New(fault.BadRequest, "call before the greeting")))
 		return
 	}
-	answer, err := in.network.handle(ctx, *from, r.Method, params(r))
+	answer, err := in.network.handle(withDisconnect(ctx, conn.DisconnectNotify()), *from, r.Method, params(r))
 	if err == nil {
 		err = conn.Reply(ctx, r.ID, answer)
 		if err == nil || errors.Is(err, jsonrpc2.ErrClosed) {
--- a/router/membership/membership.go
+++ b/router/membership/membership.go
@@ -39,6 +39,8 @@
 	leaseTTL = 4 * time.Second
 	// renewEvery leaves room for two failed renewals within a lease.
 	renewEvery = 1300 * time.Millisecond
+	// waitEvery is how often it is looked whether this instance can work yet.
+	waitEvery = 50 * time.Millisecond
 	// callTimeout bounds one call of the store.
 	callTimeout = 800 * time.Millisecond
 	// settleAfter is how long after the first sight of its own registration an
@@ -95,6 +97,13 @@
 
 func (m *member) Run(ctx context.Context) error {
 	for {
+		if m.current.Load().Table == nil {
+			// Others would send work to an instance that can't do it.
+			if m.clk.Sleep(ctx, waitEvery) != nil {
+				return nil
+			}
+			continue
+		}
 		if err := m.keep(ctx); err != nil && ctx.Err() == nil {
 			m.log.Warn("registration not renewed", "error", err)
 		}
--- /dev/null
+++ b/router/relay/announce.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"strconv"
+	"time"
+
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/stage"
+	"golang.org/x/sync/errgroup"
+)
+
+// orderID names the order for one stage of a call.
+func orderID(p *plan, i int) string { return p.call.ID + "/" + strconv.Itoa(i) }
+
+// announce asks the makers of all stages whether the call can be answered in
+// time, before any work is done for it. If one refuses, the call is refused with
+// the time after which it would have been taken.
+func (x *relay) announce(p *plan) error {
+	ready := x.earliest(p)
+	forecasts := make([]stage.Forecast, len(ready))
+	var group errgroup.Group
+	for i, s := range p.route.Stages {
+		if p.call.Pieces[i] == 0 {
+			continue
+		}
+		group.Go(func() error {
+			forecasts[i] = x.Pieces.Announce(p.ctx, stage.Announcement{
+				ID: orderID(p, i), Service: s.Service, Pieces: p.call.Pieces[i], Ready: ready[i], Rank: p.priority,
+				Until: p.until, Due: p.call.Arrived.Add(p.route.Objective), After: x.restOf(p, i),
+			})
+			return nil
+		})
+	}
+	_ = group.Wait()
+	for i, f := range forecasts {
+		if f.Refused {
+			x.withdraw(p)
+			return fault.New(fault.Overloaded, "stage %d would wait %v", i, f.Wait).WithRetryAfter(f.Wait)
+		}
+	}
+	return nil
+}
+
+// withdraw gives up the places of all stages whose orders didn't come.
+func (x *relay) withdraw(p *plan) {
+	for i, s := range p.route.Stages {
+		if p.call.Pieces[i] > 0 {
+			x.Pieces.Withdraw(s.Service, orderID(p, i))
+		}
+	}
+}
+
+// earliest returns when each stage of a call can begin if nothing waits.
+func (x *relay) earliest(p *plan) []time.Time {
+	table := x.Current.Load().Table
+	ready := make([]time.Time, len(p.route.Stages))
+	ends := make([]time.Time, len(p.route.Stages))
+	for i, s := range p.route.Stages {
+		ready[i] = x.Clock.Now()
+		for _, a := range s.After {
+			if ends[a].After(ready[i]) {
+				ready[i] = ends[a]
+			}
+		}
+		ends[i] = ready[i]
+		if svc := table.Service(s.Service); svc != nil && svc.Batches != nil && p.call.Pieces[i] > 0 {
+			pieces := min(p.call.Pieces[i], svc.Batches.MaxPieces)
+			ends[i] = ready[i].Add(svc.Batches.CallTime + time.Duration(pieces)*svc.Batches.PieceTime)
+		}
+	}
+	return ready
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -29,9 +29,7 @@
 	Clock   clock.Clock
 	Current *inventory.Current
 	Targets target.Set
-	// Pieces makes the pieces of stages, Results gives them up.
 	Pieces  stage.Maker
-	Results stage.Workshop
 	Runners Runners
 	Repeats Repeats
 	Log     hclog.Logger
--- a/router/relay/stages.go
+++ b/router/relay/stages.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/routing"
 	"cicadawell.dev/router/stage"
 	"cicadawell.dev/router/target"
 	"golang.org/x/sync/errgroup"
@@ -16,7 +16,8 @@
 // results are those of a call's stages, which are kept at their makers until
 // they are given up.
 type results struct {
-	pieces stage.Workshop
+	pieces stage.Maker
+	route  *routing.Route
 	mu     sync.Mutex
 	// byStage has the results of each stage that is done.
 	byStage [][]stage.Result
@@ -28,7 +29,7 @@
 // stages makes all pieces that a call needs. The caller gives the results up.
 func (x *relay) stages(p *plan) (*results, error) {
 	n := len(p.route.Stages)
-	res := &results{pieces: x.Results, byStage: make([][]stage.Result, n), users: make([]int, n)}
+	res := &results{pieces: x.Pieces, route: p.route, byStage: make([][]stage.Result, n), users: make([]int, n)}
 	if n == 0 {
 		return res, nil
 	}
@@ -47,6 +48,9 @@
 	if home == "" {
 		home = x.Zone
 	}
+	if err := x.announce(p); err != nil {
+		return res, err
+	}
 	group, ctx := errgroup.WithContext(p.ctx)
 	done := make([]chan struct{}, n)
 	for i := range done {
@@ -69,6 +73,9 @@
 		})
 	}
 	err := group.Wait()
+	if err != nil {
+		x.withdraw(p)
+	}
 	if err != nil && p.ctx.Err() != nil {
 		err = x.ended(p, fault.NotRun)
 	}
@@ -90,7 +97,7 @@
 	}
 	if len(pieces) > 0 {
 		made := x.Pieces.Make(ctx, stage.Order{
-			ID: p.call.ID + "/" + strconv.Itoa(i), Service: spec.Service, Pieces: pieces, Zone: zone,
+			ID: orderID(p, i), Service: spec.Service, Pieces: pieces, Zone: zone, ResultBytes: spec.ResultBytes,
 			Until: p.until, Due: p.call.Arrived.Add(p.route.Objective), Rank: p.priority, After: x.restOf(p, i),
 		})
 		res.set(i, made)
@@ -175,7 +182,7 @@
 	defer r.mu.Unlock()
 	r.users[i]--
 	if r.users[i] == 0 {
-		r.pieces.Free(r.byStage[i])
+		r.pieces.Free(r.route.Stages[i].Service, r.byStage[i])
 		r.byStage[i] = nil
 	}
 }
@@ -185,7 +192,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range r.byStage {
-		r.pieces.Free(r.byStage[i])
+		r.pieces.Free(r.route.Stages[i].Service, r.byStage[i])
 		r.byStage[i] = nil
 	}
 }
--- a/router/stage/assembly.go
+++ b/router/stage/assembly.go
@@ -21,8 +21,21 @@
 
 // bench is a runner that may get a batch now.
 type bench struct {
-	id   string
 	zone string
+	// room is how many bytes of results fit.
+	room int64
+	// vacant is set if the runner holds no results at all.
+	vacant bool
+}
+
+// takes reports whether the result of a piece fits beside a batch. A result
+// that is larger than any room is tried where there is nothing else.
+func (b bench) takes(batch []*waiting, w *waiting) bool {
+	sum := w.order.ResultBytes
+	for _, o := range batch {
+		sum += o.order.ResultBytes
+	}
+	return sum <= b.room || (b.vacant && len(batch) == 0)
 }
 
 // assembly decides which pieces go to which idle runner. It answers all loads
@@ -50,16 +63,22 @@
 	return w.order.Due.Sub(a.now) - a.callTime(a.limits.MaxPieces) - w.order.After
 }
 
+// class returns the order's class; lower ones go first. What was begun is
+// finished first, since what was made of it is of no use alone.
+func (a assembly) class(w *waiting) int {
+	switch {
+	case w.order.begun:
+		return 0
+	case a.slack(w) >= 0:
+		return 1
+	}
+	return 2
+}
+
 // compare orders the queue.
 func (a assembly) compare(x, y *waiting) int {
-	lateX, lateY := a.slack(x) < 0, a.slack(y) < 0
-	if lateX != lateY {
-		if lateX {
-			return 1
-		}
-		return -1
-	}
 	return cmp.Or(
+		cmp.Compare(a.class(x), a.class(y)),
 		cmp.Compare(x.order.Rank, y.order.Rank),
 		cmp.Compare(a.slack(x), a.slack(y)),
 		x.since.Compare(y.since),
@@ -69,7 +88,7 @@
 // sameClass reports whether two pieces differ in nothing that goes before the
 // zone.
 func (a assembly) sameClass(x, y *waiting) bool {
-	return x.order.Rank == y.order.Rank && (a.slack(x) < 0) == (a.slack(y) < 0)
+	return x.order.Rank == y.order.Rank && a.class(x) == a.class(y)
 }
 
 // batches takes pieces out of a queue for the idle runners. It returns the
@@ -100,7 +119,7 @@
 		case first == nil:
 			first = w
 		}
-		if w.order.Zone == b.zone && len(batch) < a.limits.MaxPieces && ahead < a.limits.MaxPieces {
+		if w.order.Zone == b.zone && len(batch) < a.limits.MaxPieces && ahead < a.limits.MaxPieces && b.takes(batch, w) {
 			batch = append(batch, w)
 			continue
 		}
@@ -117,7 +136,7 @@
 		wanted[w.order.Zone]++
 	}
 	for _, w := range queue {
-		if len(batch) >= a.limits.MaxPieces || a.leave(w, b, wanted, idle) {
+		if len(batch) >= a.limits.MaxPieces || !b.takes(batch, w) || a.leave(w, b, wanted, idle) {
 			rest = append(rest, w)
 			continue
 		}
--- /dev/null
+++ b/router/stage/forecast.go
@@ -0,0 +1,76 @@
+package stage
+
+import "time"
+
+// announced is an order that was announced and has not come yet.
+type announced struct {
+	pieces int
+	rank   int
+	due    time.Time
+	// until is when the place is given up if the order didn't come.
+	until time.Time
+}
+
+const (
+	// fill is the part of the pieces that batches have room for which they
+	// carry under load.
+	fill = 0.9
+	// patienceForOrder is how long after its earliest time an announced order
+	// is waited for.
+	patienceForOrder = 2 * time.Second
+)
+
+// forecast says when an announced order would be made. Under overload each
+// order that is taken on beyond what the runners make costs others their time,
+// so that it is refused before any work is done for it.
+func (p *Pool) forecast(a Announcement) Forecast {
+	limits, targets := p.batches(), p.targets()
+	if limits == nil || len(targets) == 0 {
+		return Forecast{Refused: true, Wait: failedRest}
+	}
+	now := p.clk.Now()
+	asm := assembly{now: now, limits: limits}
+	ahead := a.Pieces
+	for _, w := range p.queue {
+		if w.order.Rank <= a.Rank && asm.slack(w) >= 0 {
+			ahead++
+		}
+	}
+	for id, o := range p.announced {
+		if now.After(o.until) {
+			delete(p.announced, id)
+			continue
+		}
+		if o.rank <= a.Rank {
+			ahead += o.pieces
+		}
+	}
+	batch := asm.callTime(limits.MaxPieces)
+	perSecond := fill * float64(len(targets)*limits.Slots*limits.MaxPieces) / batch.Seconds()
+	wait := time.Duration(float64(ahead) / perSecond * float64(time.Second))
+	start := now.Add(wait)
+	if a.Ready.After(start) {
+		start = a.Ready
+	}
+	// An order that would be late even without a queue is no reason to refuse.
+	late := start.Add(batch + a.After).After(a.Due)
+	return Forecast{Refused: late && wait > batch, Wait: wait}
+}
+
+// Announce keeps a place for an order unless it would come too late.
+func (p *Pool) Announce(a Announcement) Forecast {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f := p.forecast(a)
+	if !f.Refused {
+		p.announced[a.ID] = announced{pieces: a.Pieces, rank: a.Rank, due: a.Due, until: a.Ready.Add(patienceForOrder)}
+	}
+	return f
+}
+
+// Withdraw gives a place up.
+func (p *Pool) Withdraw(order string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.announced, order)
+}
--- a/router/stage/piece.go
+++ b/router/stage/piece.go
@@ -67,12 +67,48 @@
 	After time.Duration
 	// Zone is where the results are wanted, or empty.
 	Zone string
+	// ResultBytes is the approximate size of one result.
+	ResultBytes int64
+
+	// begun is set once a piece of the order is at a runner.
+	begun bool
 }
 
-// Maker makes the pieces of an order. It returns a result for each piece, in
-// order.
+// Maker makes pieces.
 type Maker interface {
+	// Make makes the pieces of an order and returns a result for each, in order.
 	Make(ctx context.Context, o Order) []Result
+	// Free gives results of a service up. It returns at once.
+	Free(service string, results []Result)
+	// Announce asks whether an order that will follow can be made in time. If
+	// it can, its place is kept until the order, or Withdraw.
+	Announce(ctx context.Context, a Announcement) Forecast
+	// Withdraw gives the place of an announced order up. It returns at once.
+	Withdraw(service, order string)
+}
+
+// Announcement tells of an order that will follow.
+type Announcement struct {
+	// ID and Service are those of the order.
+	ID      string
+	Service string
+	// Pieces is how many there will be.
+	Pieces int
+	// Ready is when the order will come at the earliest.
+	Ready time.Time
+	// Until, Due, Rank and After are those of the order.
+	Until, Due time.Time
+	Rank       int
+	After      time.Duration
+}
+
+// Forecast says whether an order can be made in time.
+type Forecast struct {
+	// Refused is set if the order would come too late because of what waits
+	// before it.
+	Refused bool `json:"refused,omitempty"`
+	// Wait is how long the order would wait for its turn.
+	Wait time.Duration `json:"wait"`
 }
 
 // Runners passes batches to runners.
--- a/router/stage/pool.go
+++ b/router/stage/pool.go
@@ -32,6 +32,10 @@
 	queue []*waiting
 	// busy has the number of batches at each runner.
 	busy map[*target.Target]int
+	// rooms has what the results at each runner take.
+	rooms map[*target.Target]*room
+	// announced has the orders that are expected, by identifier.
+	announced map[string]announced
 	// rest has, for runners that refused or failed, when they are tried again.
 	rest map[*target.Target]time.Time
 }
@@ -39,8 +43,8 @@
 const (
 	// maxTries bounds the batches that a piece is put in.
 	maxTries = 3
-	// refusedRest is how long a runner that refused a batch isn't tried: a part
-	// of the time that a call takes.
+	// refusedRest is how long a runner that refused a batch, or had no room for
+	// a result, isn't tried: a part of the time that a call takes.
 	refusedRest = 60 * time.Millisecond
 	// failedRest is how long a runner that failed isn't tried.
 	failedRest = 500 * time.Millisecond
@@ -60,6 +64,7 @@
 	}
 	p.mu.Lock()
 	p.queue = append(p.queue, list...)
+	delete(p.announced, o.ID)
 	p.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { p.abandon(list) })
 	defer stop()
@@ -113,7 +118,8 @@
 	})
 	benches := make([]bench, len(idle))
 	for i, t := range idle {
-		benches[i] = bench{id: t.Runner().ID, zone: t.Runner().Zone}
+		r := p.room(t)
+		benches[i] = bench{zone: t.Runner().Zone, room: r.left(limits.ResultRoom, now), vacant: r.empty()}
 	}
 	var taken [][]*waiting
 	taken, p.queue = a.batches(p.queue, benches)
@@ -121,11 +127,49 @@
 		if len(batch) == 0 {
 			continue
 		}
+		for _, w := range batch {
+			w.order.begun = true
+		}
 		p.busy[idle[i]]++
+		p.room(idle[i]).pending += sizeOf(batch)
 		p.group.Go(func() { p.run(idle[i], limits, batch) })
 	}
 }
 
+// room returns what is known of a runner's room. The caller holds mu.
+func (p *Pool) room(t *target.Target) *room {
+	r := p.rooms[t]
+	if r == nil {
+		r = newRoom()
+		p.rooms[t] = r
+	}
+	return r
+}
+
+func sizeOf(batch []*waiting) int64 {
+	var sum int64
+	for _, w := range batch {
+		sum += w.order.ResultBytes
+	}
+	return sum
+}
+
+// Freed notes that a runner was told to give results up.
+func (p *Pool) Freed(t *target.Target, handles []string) {
+	p.mu.Lock()
+	r := p.rooms[t]
+	if r != nil {
+		for _, h := range handles {
+			r.free(h)
+		}
+		if r.empty() {
+			delete(p.rooms, t)
+		}
+	}
+	p.mu.Unlock()
+	p.Dispatch()
+}
+
 // run passes one batch to a runner.
 func (p *Pool) run(t *target.Target, limits *routing.Batches, batch []*waiting) {
 	now := p.clk.Now()
@@ -137,14 +181,17 @@
 	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(1+limits.Queue)*expected+callSlack)
 	defer cancel()
 	results, refused, err := p.runners.Run(ctx, t.Runner(), timed)
-	p.settle(t, batch, results, refused, err)
+	p.settle(t, limits, batch, results, refused, err)
 	p.Dispatch()
 }
 
 // settle notes the results and puts back what may be tried again.
-func (p *Pool) settle(t *target.Target, batch []*waiting, results []Result, refused bool, err error) {
+func (p *Pool) settle(t *target.Target, limits *routing.Batches, batch []*waiting, results []Result, refused bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.clk.Now()
+	r := p.room(t)
+	r.pending -= sizeOf(batch)
 	p.busy[t]--
 	if p.busy[t] == 0 {
 		delete(p.busy, t)
@@ -154,22 +201,30 @@
 		p.setAside(t, refused)
 		p.log.Debug("batch not made", "service", p.service, "runner", t.Runner().ID, "pieces", len(batch), "refused", refused, "error", err)
 	}
+	full := false
 	for i, w := range batch {
-		r := Result{Failure: Lost}
+		made := Result{Failure: Lost}
 		switch {
 		case err == nil:
-			r = results[i]
+			made = results[i]
 		case refused:
-			r = Result{Failure: Refused}
+			made = Result{Failure: Refused}
 		}
-		if !refused {
+		if made.Handle != "" {
+			r.hold(made.Handle, w.order.ResultBytes, now.Add(limits.KeepFor))
+		}
+		full = full || made.Failure == NoRoom
+		if made.Failure == Failed || made.Failure == Lost {
 			w.tries++
 		}
-		if again(r.Failure) && w.tries < maxTries {
+		if again(made.Failure) && w.tries < maxTries {
 			p.queue = append(p.queue, w)
 			continue
 		}
-		w.end(r)
+		w.end(made)
+	}
+	if full {
+		p.setAside(t, true)
 	}
 }
 
--- a/router/stage/shared.go
+++ b/router/stage/shared.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,14 +17,20 @@
 
 // Methods that other instances answer.
 const (
-	methodMake    = "stage.make"
-	methodAbandon = "stage.abandon"
+	methodMake     = "stage.make"
+	methodAbandon  = "stage.abandon"
+	methodFree     = "stage.free"
+	methodAnnounce = "stage.announce"
+	methodWithdraw = "stage.withdraw"
 )
 
 const (
 	// awayFor is how long an instance that didn't answer isn't asked: long
 	// enough that its registration ends if it is lost.
 	awayFor = 3 * time.Second
+	// announceTimeout bounds the question whether an order can be made: a
+	// fraction of what a stage takes.
+	announceTimeout = 100 * time.Millisecond
 	// abandonTimeout bounds the notice that an order is of no use any more.
 	abandonTimeout = 300 * time.Millisecond
 )
@@ -39,6 +46,9 @@
 	}
 	mesh.Handle(methodMake, s.serveMake)
 	mesh.Handle(methodAbandon, s.serveAbandon)
+	mesh.Handle(methodFree, s.serveFree)
+	mesh.Handle(methodAnnounce, s.serveAnnounce)
+	mesh.Handle(methodWithdraw, s.serveWithdraw)
 	return s
 }
 
@@ -49,6 +59,8 @@
 	mesh    instance.Mesh
 	own     Maker
 	log     hclog.Logger
+	// group has the notices on their way.
+	group sync.WaitGroup
 
 	mu sync.Mutex
 	// away has the instances that didn't answer, with the end of their rest.
@@ -68,12 +80,18 @@
 	Rank        int     `json:"rank"`
 	AfterMicros int64   `json:"afterMicros"`
 	Zone        string  `json:"zone,omitempty"`
+	ResultBytes int64   `json:"resultBytes"`
 }
 
 type abandonBody struct {
 	ID string `json:"id"`
 }
 
+type freeBody struct {
+	Service string   `json:"service"`
+	Results []Result `json:"results"`
+}
+
 func (s *shared) Make(ctx context.Context, o Order) []Result {
 	for {
 		owner := s.owner(o.Service)
@@ -125,7 +143,7 @@
 func (s *shared) ask(ctx context.Context, owner string, o Order) ([]Result, error) {
 	now := s.clk.Now()
 	body := orderBody{
-		ID: o.ID, Service: o.Service, Pieces: o.Pieces, Rank: o.Rank, Zone: o.Zone,
+		ID: o.ID, Service: o.Service, Pieces: o.Pieces, Rank: o.Rank, Zone: o.Zone, ResultBytes: o.ResultBytes,
 		UntilMicros: o.Until.Sub(now).Microseconds(), DueMicros: o.Due.Sub(now).Microseconds(), AfterMicros: o.After.Microseconds(),
 	}
 	var results []Result
@@ -153,21 +171,34 @@
 	if err := json.Unmarshal(params, &b); err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "decode an order").WithField(methodMake)
 	}
+	now := s.clk.Now()
+	o := Order{
+		ID: b.ID, Service: b.Service, Pieces: b.Pieces, Rank: b.Rank, Zone: b.Zone, ResultBytes: b.ResultBytes,
+		Until: now.Add(micros(b.UntilMicros)), Due: now.Add(micros(b.DueMicros)), After: micros(b.AfterMicros),
+	}
+	var results []Result
+	instance.WhileConnected(ctx, func(ctx context.Context) {
+		results = s.makeFor(ctx, o)
+	})
+	return results, nil
+}
+
+// makeFor makes an order of another instance. Results that nobody waits for any
+// more are given up here.
+func (s *shared) makeFor(ctx context.Context, o Order) []Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.mu.Lock()
-	s.orders[b.ID] = cancel
+	s.orders[o.ID] = cancel
 	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.orders, b.ID)
-	}()
-	now := s.clk.Now()
-	return s.own.Make(ctx, Order{
-		ID: b.ID, Service: b.Service, Pieces: b.Pieces, Rank: b.Rank, Zone: b.Zone,
-		Until: now.Add(micros(b.UntilMicros)), Due: now.Add(micros(b.DueMicros)), After: micros(b.AfterMicros),
-	}), nil
+	results := s.own.Make(ctx, o)
+	s.mu.Lock()
+	delete(s.orders, o.ID)
+	s.mu.Unlock()
+	if ctx.Err() != nil {
+		s.own.Free(o.Service, results)
+	}
+	return results
 }
 
 func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
@@ -185,3 +216,110 @@
 	return nil, nil
 }
 
+// Free has results given up by the owner of their service, which counts the
+// room at runners.
+func (s *shared) Free(service string, results []Result) {
+	results = slices.DeleteFunc(slices.Clone(results), func(r Result) bool { return r.Handle == "" })
+	if len(results) == 0 {
+		return
+	}
+	owner := s.owner(service)
+	if owner == "" || owner == s.self {
+		s.own.Free(service, results)
+		return
+	}
+	s.group.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
+		defer cancel()
+		if err := s.mesh.Call(instance.Repeatable(ctx), owner, methodFree, freeBody{Service: service, Results: results}, nil); err != nil {
+			s.log.Debug("results given up by this instance itself", "owner", owner, "service", service, "error", err)
+			s.own.Free(service, results)
+		}
+	})
+}
+
+func (s *shared) serveFree(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var b freeBody
+	if err := json.Unmarshal(params, &b); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "decode results to give up").WithField(methodFree)
+	}
+	s.own.Free(b.Service, b.Results)
+	return nil, nil
+}
+
+// announcementBody is an announcement on its way to another instance.
+type announcementBody struct {
+	ID          string `json:"id"`
+	Service     string `json:"service"`
+	Pieces      int    `json:"pieces"`
+	ReadyMicros int64  `json:"readyMicros"`
+	UntilMicros int64  `json:"untilMicros"`
+	DueMicros   int64  `json:"dueMicros"`
+	Rank        int    `json:"rank"`
+	AfterMicros int64  `json:"afterMicros"`
+}
+
+type withdrawBody struct {
+	Service string `json:"service"`
+	ID      string `json:"id"`
+}
+
+// Announce asks the owner of the service. Without an answer nothing is known
+// against the order.
+func (s *shared) Announce(ctx context.Context, a Announcement) Forecast {
+	owner := s.owner(a.Service)
+	if owner == "" || owner == s.self {
+		return s.own.Announce(ctx, a)
+	}
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+	now := s.clk.Now()
+	body := announcementBody{
+		ID: a.ID, Service: a.Service, Pieces: a.Pieces, Rank: a.Rank, ReadyMicros: a.Ready.Sub(now).Microseconds(),
+		UntilMicros: a.Until.Sub(now).Microseconds(), DueMicros: a.Due.Sub(now).Microseconds(), AfterMicros: a.After.Microseconds(),
+	}
+	var f Forecast
+	if err := s.mesh.Call(instance.Repeatable(ctx), owner, methodAnnounce, body, &f); err != nil {
+		s.log.Debug("order not announced", "owner", owner, "order", a.ID, "error", err)
+		return Forecast{}
+	}
+	return f
+}
+
+func (s *shared) serveAnnounce(ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	var b announcementBody
+	if err := json.Unmarshal(params, &b); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "decode an announcement").WithField(methodAnnounce)
+	}
+	now := s.clk.Now()
+	return s.own.Announce(ctx, Announcement{
+		ID: b.ID, Service: b.Service, Pieces: b.Pieces, Rank: b.Rank, Ready: now.Add(micros(b.ReadyMicros)),
+		Until: now.Add(micros(b.UntilMicros)), Due: now.Add(micros(b.DueMicros)), After: micros(b.AfterMicros),
+	}), nil
+}
+
+// Withdraw tells the owner of the service. If it doesn't hear, the place is kept
+// for a while in vain.
+func (s *shared) Withdraw(service, order string) {
+	owner := s.owner(service)
+	if owner == "" || owner == s.self {
+		s.own.Withdraw(service, order)
+		return
+	}
+	s.group.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
+		defer cancel()
+		if err := s.mesh.Call(instance.Repeatable(ctx), owner, methodWithdraw, withdrawBody{Service: service, ID: order}, nil); err != nil {
+			s.log.Debug("order not withdrawn", "owner", owner, "order", order, "error", err)
+		}
+	})
+}
+
+func (s *shared) serveWithdraw(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var b withdrawBody
+	if err := json.Unmarshal(params, &b); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "decode a withdrawal").WithField(methodWithdraw)
+	}
+	s.own.Withdraw(b.Service, b.ID)
+	return nil, nil
+}
--- a/router/stage/workshop.go
+++ b/router/stage/workshop.go
@@ -15,9 +15,7 @@
 // Workshop has a pool for each service that makes pieces.
 type Workshop interface {
 	Maker
-	// Free gives results up. It returns at once.
-	Free(results []Result)
-	// Run frees results until ctx ends.
+	// Run gives results up until ctx ends.
 	Run(ctx context.Context) error
 	// Close waits for the batches at runners.
 	Close()
@@ -25,7 +23,7 @@
 
 // freeEvery is how often results that were given up are told to their makers:
 // a fraction of the time that one call of a stage takes.
-const freeEvery = 100 * time.Millisecond
+const freeEvery = 40 * time.Millisecond
 
 // freeTimeout bounds one such call.
 const freeTimeout = time.Second
@@ -58,6 +56,12 @@
 	return s.pool(o.Service).Make(ctx, o)
 }
 
+func (s *workshop) Announce(_ context.Context, a Announcement) Forecast {
+	return s.pool(a.Service).Announce(a)
+}
+
+func (s *workshop) Withdraw(service, order string) { s.pool(service).Withdraw(order) }
+
 func (s *workshop) pool(service string) *Pool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,19 +71,21 @@
 			clk: s.clk, runners: s.runners, log: s.log, service: service, ctx: s.ctx,
 			targets: func() []*target.Target { return s.targets.Usable(service) },
 			batches: func() *routing.Batches {
-				if svc := s.current.Load().Table.Service(service); svc != nil {
-					return svc.Batches
+				table := s.current.Load().Table
+				if table == nil || table.Service(service) == nil {
+					return nil
 				}
-				return nil
+				return table.Service(service).Batches
 			},
-			busy: make(map[*target.Target]int), rest: make(map[*target.Target]time.Time),
+			busy: make(map[*target.Target]int), rooms: make(map[*target.Target]*room),
+			announced: make(map[string]announced), rest: make(map[*target.Target]time.Time),
 		}
 		s.pools[service] = p
 	}
 	return p
 }
 
-func (s *workshop) Free(results []Result) {
+func (s *workshop) Free(_ string, results []Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range results {
@@ -109,17 +115,22 @@
 		if t == nil {
 			continue
 		}
-		group.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, freeTimeout)
-			defer cancel()
-			if err := s.runners.Free(ctx, t.Runner(), handles); err != nil {
-				s.log.Debug("results not given up, the runner drops them in time", "runner", id, "results", len(handles), "error", err)
-			}
-		})
+		group.Go(func() { s.freeAt(ctx, t, handles) })
 	}
 	group.Wait()
 }
 
+func (s *workshop) freeAt(ctx context.Context, t *target.Target, handles []string) {
+	ctx, cancel := context.WithTimeout(ctx, freeTimeout)
+	defer cancel()
+	r := t.Runner()
+	if err := s.runners.Free(ctx, r, handles); err != nil {
+		s.log.Debug("results not given up, the runner drops them in time", "runner", r.ID, "results", len(handles), "error", err)
+		return
+	}
+	s.pool(r.Service).Freed(t, handles)
+}
+
 func (s *workshop) Close() {
 	s.mu.Lock()
 	pools := s.pools
