Drop overtaken orders, hold back parallel stages, stay out of the view when leaving

Change: as the title says; the forecast also takes the age of the oldest waiting piece; 60 ms instead of a whole call for a runner of the wanted zone; stopping waits for orders of others; runners are asked for their room after a result found none.

--- a/router/membership/membership.go
+++ b/router/membership/membership.go
@@ -69,6 +69,8 @@
 	mu sync.Mutex
 	// lease is 0 while there is none.
 	lease int64
+	// left is set for good when the instance leaves.
+	left bool
 	// seenAt is since when this instance sees its own registration; zero while
 	// it doesn't.
 	seenAt time.Time
@@ -118,8 +120,11 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	m.mu.Lock()
-	lease := m.lease
+	lease, left := m.lease, m.left
 	m.mu.Unlock()
+	if left {
+		return nil
+	}
 	if lease != 0 {
 		err := m.registry.Renew(ctx, lease)
 		if !fault.Is(err, fault.NotFound) {
@@ -135,21 +140,29 @@
 	if err := m.registry.Register(ctx, m.self, lease); err != nil {
 		return err
 	}
-	m.set(lease)
+	if !m.set(lease) {
+		// The instance left meanwhile.
+		return m.registry.End(ctx, lease)
+	}
 	m.log.Info("registered", "lease", lease)
 	return nil
 }
 
-func (m *member) set(lease int64) {
+// set takes a lease over unless the instance has left.
+func (m *member) set(lease int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.left {
+		return false
+	}
 	m.lease = lease
+	return true
 }
 
 func (m *member) Leave(ctx context.Context) error {
 	m.mu.Lock()
 	lease := m.lease
-	m.lease = 0
+	m.lease, m.left = 0, true
 	m.mu.Unlock()
 	if lease == 0 {
 		return nil
--- a/router/relay/announce.go
+++ b/router/relay/announce.go
@@ -52,21 +52,14 @@
 
 // earliest returns when each stage of a call can begin if nothing waits.
 func (x *relay) earliest(p *plan) []time.Time {
-	table := x.Current.Load().Table
 	ready := make([]time.Time, len(p.route.Stages))
-	ends := make([]time.Time, len(p.route.Stages))
 	for i, s := range p.route.Stages {
 		ready[i] = x.Clock.Now()
 		for _, a := range s.After {
-			if ends[a].After(ready[i]) {
-				ready[i] = ends[a]
+			if end := ready[a].Add(x.stageTime(p, a)); end.After(ready[i]) {
+				ready[i] = end
 			}
 		}
-		ends[i] = ready[i]
-		if svc := table.Service(s.Service); svc != nil && svc.Batches != nil && p.call.Pieces[i] > 0 {
-			pieces := min(p.call.Pieces[i], svc.Batches.MaxPieces)
-			ends[i] = ready[i].Add(svc.Batches.CallTime + time.Duration(pieces)*svc.Batches.PieceTime)
-		}
 	}
 	return ready
 }
--- a/router/relay/stages.go
+++ b/router/relay/stages.go
@@ -58,6 +58,9 @@
 	}
 	for i := range n {
 		group.Go(func() error {
+			if !x.awaitTurn(ctx, p, i) {
+				return ctx.Err()
+			}
 			for _, a := range p.route.Stages[i].After {
 				select {
 				case <-done[a]:
@@ -82,6 +85,35 @@
 	return res, err
 }
 
+// awaitTurn holds a stage back that takes less time than those beside it. Its
+// results would only take room at their maker meanwhile.
+func (x *relay) awaitTurn(ctx context.Context, p *plan, i int) bool {
+	if len(p.route.Stages[i].After) > 0 || p.call.Pieces[i] == 0 {
+		return true
+	}
+	longest := time.Duration(0)
+	for j, s := range p.route.Stages {
+		if len(s.After) == 0 && p.call.Pieces[j] > 0 {
+			longest = max(longest, x.pathFrom(p, j))
+		}
+	}
+	return x.Clock.Sleep(ctx, longest-x.pathFrom(p, i)) == nil
+}
+
+// pathFrom returns how long a stage and those after it take if nothing waits.
+func (x *relay) pathFrom(p *plan, i int) time.Duration {
+	return x.stageTime(p, i) + x.restOf(p, i)
+}
+
+// stageTime returns how long a stage takes if nothing waits.
+func (x *relay) stageTime(p *plan, i int) time.Duration {
+	svc := x.Current.Load().Table.Service(p.route.Stages[i].Service)
+	if svc == nil || svc.Batches == nil || p.call.Pieces[i] == 0 {
+		return 0
+	}
+	return svc.Batches.CallTime + time.Duration(min(p.call.Pieces[i], svc.Batches.MaxPieces))*svc.Batches.PieceTime
+}
+
 // makeStage makes the pieces of one stage, in a zone if that makes no
 // difference otherwise.
 func (x *relay) makeStage(ctx context.Context, p *plan, res *results, i int, zone string) error {
@@ -96,11 +128,14 @@
 		}
 	}
 	if len(pieces) > 0 {
+		start := x.Clock.Now()
 		made := x.Pieces.Make(ctx, stage.Order{
 			ID: orderID(p, i), Service: spec.Service, Pieces: pieces, Zone: zone, ResultBytes: spec.ResultBytes,
 			Until: p.until, Due: p.call.Arrived.Add(p.route.Objective), Rank: p.priority, After: x.restOf(p, i),
 		})
 		res.set(i, made)
+		x.Log.Debug("stage made", "request", p.call.ID, "route", p.route.Name, "stage", i, "service", spec.Service, "pieces", len(pieces),
+			"tookMillis", x.Clock.Now().Sub(start).Milliseconds(), "sinceMillis", x.Clock.Now().Sub(p.call.Arrived).Milliseconds())
 		for _, r := range made {
 			if r.Failure != "" {
 				x.Log.Debug("stage failed", "request", p.call.ID, "stage", i, "service", spec.Service, "failure", r.Failure)
@@ -116,17 +151,12 @@
 
 // restOf returns the least time that a call needs after a stage.
 func (x *relay) restOf(p *plan, i int) time.Duration {
-	table := x.Current.Load().Table
 	longest := target.FirstEvent(p.call.Prompt)
 	for j := i + 1; j < len(p.route.Stages); j++ {
 		if !slices.Contains(p.route.Stages[j].After, i) || p.call.Pieces[j] == 0 {
 			continue
 		}
-		svc := table.Service(p.route.Stages[j].Service)
-		if svc == nil || svc.Batches == nil {
-			continue
-		}
-		longest = max(longest, svc.Batches.CallTime+svc.Batches.PieceTime+x.restOf(p, j))
+		longest = max(longest, x.stageTime(p, j)+x.restOf(p, j))
 	}
 	return longest
 }
--- a/router/stage/assembly.go
+++ b/router/stage/assembly.go
@@ -19,6 +19,10 @@
 	done   func()
 }
 
+// zoneWait is how long a piece waits for a runner of the zone in which its
+// result is wanted: a fraction of a call.
+const zoneWait = 60 * time.Millisecond
+
 // bench is a runner that may get a batch now.
 type bench struct {
 	zone string
@@ -63,16 +67,23 @@
 	return w.order.Due.Sub(a.now) - a.callTime(a.limits.MaxPieces) - w.order.After
 }
 
-// class returns the order's class; lower ones go first. What was begun is
+// The classes of orders, in the order in which they are made. What was begun is
 // finished first, since what was made of it is of no use alone.
+const (
+	begun = iota
+	inTime
+	late
+)
+
+// class returns the class of a piece's order.
 func (a assembly) class(w *waiting) int {
 	switch {
 	case w.order.begun:
-		return 0
+		return begun
 	case a.slack(w) >= 0:
-		return 1
+		return inTime
 	}
-	return 2
+	return late
 }
 
 // compare orders the queue.
@@ -154,5 +165,5 @@
 		// That runner's batch was full.
 		return false
 	}
-	return a.slack(w) > a.callTime(a.limits.MaxPieces) && a.now.Sub(w.since) < a.callTime(a.limits.MaxPieces)
+	return a.slack(w) > a.callTime(a.limits.MaxPieces) && a.now.Sub(w.since) < zoneWait
 }
--- a/router/stage/forecast.go
+++ b/router/stage/forecast.go
@@ -31,9 +31,11 @@
 	now := p.clk.Now()
 	asm := assembly{now: now, limits: limits}
 	ahead := a.Pieces
+	var oldest time.Duration
 	for _, w := range p.queue {
-		if w.order.Rank <= a.Rank && asm.slack(w) >= 0 {
+		if w.order.Rank <= a.Rank && asm.class(w) != late {
 			ahead++
+			oldest = max(oldest, now.Sub(w.since))
 		}
 	}
 	for id, o := range p.announced {
@@ -48,13 +50,16 @@
 	batch := asm.callTime(limits.MaxPieces)
 	perSecond := fill * float64(len(targets)*limits.Slots*limits.MaxPieces) / batch.Seconds()
 	wait := time.Duration(float64(ahead) / perSecond * float64(time.Second))
+	// Runners may make less than their batches would let them, for want of room
+	// or inputs; then those that wait have waited for longer.
+	wait = max(wait, oldest)
 	start := now.Add(wait)
 	if a.Ready.After(start) {
 		start = a.Ready
 	}
 	// An order that would be late even without a queue is no reason to refuse.
-	late := start.Add(batch + a.After).After(a.Due)
-	return Forecast{Refused: late && wait > batch, Wait: wait}
+	tooLate := start.Add(batch + a.After).After(a.Due)
+	return Forecast{Refused: tooLate && wait > batch, Wait: wait}
 }
 
 // Announce keeps a place for an order unless it would come too late.
--- a/router/stage/pool.go
+++ b/router/stage/pool.go
@@ -48,6 +48,11 @@
 	refusedRest = 60 * time.Millisecond
 	// failedRest is how long a runner that failed isn't tried.
 	failedRest = 500 * time.Millisecond
+	// askEvery is how often a runner is asked for its room at most: about once
+	// a call.
+	askEvery = 200 * time.Millisecond
+	// askTimeout bounds such a question.
+	askTimeout = 500 * time.Millisecond
 	// callSlack is added to the expected time of a call until it counts as
 	// lost.
 	callSlack = 600 * time.Millisecond
@@ -120,9 +125,13 @@
 	for i, t := range idle {
 		r := p.room(t)
 		benches[i] = bench{zone: t.Runner().Zone, room: r.left(limits.ResultRoom, now), vacant: r.empty()}
+		if r.foreign > 0 && len(p.queue) > 0 {
+			p.askRoom(t, limits)
+		}
 	}
 	var taken [][]*waiting
 	taken, p.queue = a.batches(p.queue, benches)
+	p.dropOvertaken(a)
 	for i, batch := range taken {
 		if len(batch) == 0 {
 			continue
@@ -136,6 +145,18 @@
 	}
 }
 
+// dropOvertaken settles the pieces of late calls while others that are in time
+// wait: they would not get a turn, and their inputs take the room that the stage
+// before needs. The caller holds mu.
+func (p *Pool) dropOvertaken(a assembly) {
+	if !slices.ContainsFunc(p.queue, func(w *waiting) bool { return a.class(w) == inTime }) {
+		return
+	}
+	p.drop(Late, func(w *waiting) bool {
+		return a.class(w) == late && a.now.Sub(w.since) > a.callTime(a.limits.MaxPieces)
+	})
+}
+
 // room returns what is known of a runner's room. The caller holds mu.
 func (p *Pool) room(t *target.Target) *room {
 	r := p.rooms[t]
@@ -181,6 +202,8 @@
 	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(1+limits.Queue)*expected+callSlack)
 	defer cancel()
 	results, refused, err := p.runners.Run(ctx, t.Runner(), timed)
+	p.log.Debug("batch", "service", p.service, "runner", t.Runner().ID, "zone", t.Runner().Zone, "pieces", len(batch),
+		"waitedMillis", now.Sub(batch[0].since).Milliseconds(), "tookMillis", p.clk.Now().Sub(now).Milliseconds(), "refused", refused, "error", err)
 	p.settle(t, limits, batch, results, refused, err)
 	p.Dispatch()
 }
@@ -225,9 +248,34 @@
 	}
 	if full {
 		p.setAside(t, true)
+		p.askRoom(t, limits)
 	}
 }
 
+// askRoom asks a runner for its room, which results of former owners take too.
+// The caller holds mu.
+func (p *Pool) askRoom(t *target.Target, limits *routing.Batches) {
+	now := p.clk.Now()
+	r := p.room(t)
+	if now.Sub(r.asked) < askEvery {
+		return
+	}
+	r.asked = now
+	p.group.Go(func() {
+		ctx, cancel := context.WithTimeout(p.ctx, askTimeout)
+		defer cancel()
+		free, err := p.runners.Room(ctx, t.Runner())
+		if err != nil {
+			p.log.Debug("room not known", "runner", t.Runner().ID, "error", err)
+			return
+		}
+		p.mu.Lock()
+		r.found(free, limits.ResultRoom, p.clk.Now().Add(limits.KeepFor))
+		p.mu.Unlock()
+		p.Dispatch()
+	})
+}
+
 // setAside leaves a runner alone for a while. The caller holds mu.
 func (p *Pool) setAside(t *target.Target, refused bool) {
 	rest := failedRest
--- a/router/stage/room.go
+++ b/router/stage/room.go
@@ -13,6 +13,12 @@
 	// held has the results that were made and not given up.
 	held map[string]held
 	used int64
+	// foreign is what others' results take, as found at the runner, and
+	// foreignUntil when the runner will have given the last of them up.
+	foreign      int64
+	foreignUntil time.Time
+	// asked is when the runner was asked last.
+	asked time.Time
 }
 
 type held struct {
@@ -32,7 +38,16 @@
 			}
 		}
 	}
-	return int64(roomShare*float64(limit)) - r.used - r.pending
+	if now.After(r.foreignUntil) {
+		r.foreign = 0
+	}
+	return int64(roomShare*float64(limit)) - r.used - r.pending - r.foreign
+}
+
+// found notes how much room a runner said that it has.
+func (r *room) found(free, limit int64, until time.Time) {
+	r.foreign = max(0, limit-free-r.used-r.pending)
+	r.foreignUntil = until
 }
 
 func (r *room) hold(handle string, bytes int64, until time.Time) {
@@ -48,4 +63,4 @@
 }
 
 // empty reports whether nothing is known to be at the runner.
-func (r *room) empty() bool { return r.pending == 0 && len(r.held) == 0 }
+func (r *room) empty() bool { return r.pending == 0 && len(r.held) == 0 && r.foreign == 0 }
--- a/router/stage/shared.go
+++ b/router/stage/shared.go
@@ -180,6 +180,9 @@
 	instance.WhileConnected(ctx, func(ctx context.Context) {
 		results = s.makeFor(ctx, o)
 	})
+	if len(results) > 0 && results[0].Failure == Refused {
+		return nil, fault.New(fault.NotReady, "this instance has no runners of %q", b.Service)
+	}
 	return results, nil
 }
 
--- a/router/stage/workshop.go
+++ b/router/stage/workshop.go
@@ -17,8 +17,9 @@
 	Maker
 	// Run gives results up until ctx ends.
 	Run(ctx context.Context) error
-	// Close waits for the batches at runners.
-	Close()
+	// Close waits until ctx ends for the orders that are being made, and drops
+	// the rest.
+	Close(ctx context.Context)
 }
 
 // freeEvery is how often results that were given up are told to their makers:
@@ -46,13 +47,26 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 
-	mu    sync.Mutex
-	pools map[string]*Pool
+	// making has the orders that are being made.
+	making sync.WaitGroup
+
+	mu sync.Mutex
+	// closed is set by Close; no order is taken after.
+	closed bool
+	pools  map[string]*Pool
 	// freed has the handles to give up, by runner.
 	freed map[string][]string
 }
 
 func (s *workshop) Make(ctx context.Context, o Order) []Result {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return failed(o, Refused)
+	}
+	s.making.Add(1)
+	s.mu.Unlock()
+	defer s.making.Done()
 	return s.pool(o.Service).Make(ctx, o)
 }
 
@@ -131,13 +145,24 @@
 	s.pool(r.Service).Freed(t, handles)
 }
 
-func (s *workshop) Close() {
+func (s *workshop) Close(ctx context.Context) {
 	s.mu.Lock()
+	s.closed = true
 	pools := s.pools
 	s.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() { s.abort(pools) })
+	s.making.Wait()
+	stop()
+	s.abort(pools)
+	for _, p := range pools {
+		p.group.Wait()
+	}
+}
+
+// abort drops all that waits and ends the calls to runners.
+func (s *workshop) abort(pools map[string]*Pool) {
 	s.cancel()
 	for _, p := range pools {
 		p.Dispatch()
-		p.group.Wait()
 	}
 }
