--- a/fleet/fault/kind.go
+++ b/fleet/fault/kind.go
@@ -32,6 +32,8 @@
 	BadRequest Kind = "badRequest"
 	// TooLarge is a body, header or field over its limit.
 	TooLarge Kind = "tooLarge"
+	// HeaderTooLarge is a header over its limit.
+	HeaderTooLarge Kind = "headerTooLarge"
 	// SlowCaller is a caller that did not deliver its request in time.
 	SlowCaller Kind = "slowCaller"
 	// CallerGone is a caller that left before its answer was there.
@@ -121,6 +123,7 @@
 var answers = map[Kind]Answer{
 	BadRequest:         {http.StatusBadRequest, NotRun, 0},
 	TooLarge:           {http.StatusRequestEntityTooLarge, NotRun, 0},
+	HeaderTooLarge:     {http.StatusRequestHeaderFieldsTooLarge, NotRun, 0},
 	SlowCaller:         {http.StatusRequestTimeout, NotRun, retrySoon},
 	CallerGone:         {statusCallerGone, Unknown, 0},
 	Unauthenticated:    {http.StatusUnauthorized, NotRun, 0},
@@ -151,7 +154,7 @@
 // Kinds returns the closed list in the order of this file.
 func Kinds() []Kind {
 	return []Kind{
-		BadRequest, TooLarge, SlowCaller, CallerGone, Unauthenticated, Forbidden,
+		BadRequest, TooLarge, HeaderTooLarge, SlowCaller, CallerGone, Unauthenticated, Forbidden,
 		UnknownPipeline, UnknownRoute, BadDeadline, BadKey, KeyConflict, NotFound,
 		Overloaded, TeamLimit, Displaced, DeadlineShort, DeadlineMissed,
 		NoRunner, RunnerFailed, HomeUnsettled, OutcomeUnknown, StaleConfiguration, NotReady,
--- a/router/membership/membership.go
+++ b/router/membership/membership.go
@@ -43,13 +43,12 @@
 	waitEvery = 50 * time.Millisecond
 	// callTimeout bounds one call of the store.
 	callTimeout = 800 * time.Millisecond
+	// maxAge is how old the view of the instances may be for shared limits: a
+	// read that waits in vain for changes, and the next one.
+	maxAge = 2500 * time.Millisecond
 	// settleAfter is how long after the first sight of its own registration an
-	// instance takes for granted that the others have seen it too: several
-	// times the pause between their reads.
-	settleAfter = 1500 * time.Millisecond
-	// maxAge is how old the view of the instances may be: a lease that ends
-	// and a new instance that settles meanwhile are seen in time.
-	maxAge = 1500 * time.Millisecond
+	// instance takes for granted that all whose view counts have seen it too.
+	settleAfter = maxAge + 500*time.Millisecond
 )
 
 // New returns the member of this instance.
--- a/router/relay/plain.go
+++ b/router/relay/plain.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"maps"
 	"net/http"
+	"time"
 
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/router/target"
@@ -14,6 +16,16 @@
 // Longer ones are passed back as they come.
 const maxWhole = 1 << 20
 
+const (
+	// attemptShare is how many times its objective an idempotent call may take
+	// at a runner before another is asked: runners that hang or are far slower
+	// than usual are told from a long call that way.
+	attemptShare = 2
+	// shortestAttempt is the least such time: several round trips and a wait
+	// behind other calls.
+	shortestAttempt = 100 * time.Millisecond
+)
+
 // attempt is what became of a call at one runner.
 type attempt struct {
 	answer *Answer
@@ -40,7 +52,7 @@
 		}
 		avoid = append(avoid, t)
 		_, ended := t.Begin(0)
-		last = x.try(p, t)
+		last = x.try(p, t, n+1 < p.route.MaxAttempts)
 		ended()
 		if last.err == nil && !last.answer.NotRun {
 			run = fault.Run
@@ -65,8 +77,13 @@
 }
 
 // try sends the call to one runner and reads the answer whole.
-func (x *relay) try(p *plan, t *target.Target) attempt {
-	a, err := x.send(p, t, Dispatch{ResumeAfter: p.call.ResumeAfter})
+func (x *relay) try(p *plan, t *target.Target, more bool) attempt {
+	ctx, cancel := p.ctx, context.CancelFunc(func() {})
+	if more && !p.once() {
+		ctx, cancel = context.WithTimeout(p.ctx, max(attemptShare*p.route.Objective, shortestAttempt))
+	}
+	defer cancel()
+	a, err := x.send(ctx, p, t, Dispatch{ResumeAfter: p.call.ResumeAfter})
 	if err != nil {
 		return attempt{err: err}
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -27,6 +27,7 @@
 // Parts are what a relay works with.
 type Parts struct {
 	Clock   clock.Clock
+	Timers  clock.Timers
 	Current *inventory.Current
 	Targets target.Set
 	Pieces  stage.Maker
@@ -74,7 +75,7 @@
 	}
 	r := s.Table.Match(c.Host, c.Path)
 	if r == nil {
-		return nil, fault.New(fault.UnknownRoute, "no route matches").WithField("path")
+		return nil, x.deny(fault.New(fault.UnknownRoute, "no route matches").WithField("path"))
 	}
 	p := &plan{call: c, route: r, priority: r.Priority}
 	if s.Table.NeedsKey(r) {
@@ -83,7 +84,7 @@
 		}
 		team := s.Table.Team(c.Key)
 		if team == nil {
-			return nil, fault.New(fault.Unauthenticated, "no team has this key").WithField("key")
+			return nil, x.deny(fault.New(fault.Unauthenticated, "no team has this key").WithField("key"))
 		}
 		p.team = team.Name
 		if team.HasPriority {
@@ -102,6 +103,19 @@
 	return p, nil
 }
 
+// denyAge is how old the configuration may be for an answer that says that it
+// doesn't allow a call: below the bounds on applying a newer one.
+const denyAge = 1500 * time.Millisecond
+
+// deny returns the error of a call that the configuration doesn't allow. What
+// may have become allowed meanwhile is not denied.
+func (x *relay) deny(denial error) error {
+	if age := x.Current.Age(); age > denyAge {
+		return fault.Wrap(fault.StaleConfiguration, denial, "the configuration was last confirmed %v ago", age)
+	}
+	return denial
+}
+
 // service chooses among a route's services by their weights.
 func (x *relay) service(r *routing.Route) string {
 	if len(r.Shares) == 1 {
@@ -138,18 +152,20 @@
 }
 
 // send passes the call to one runner and notes how that went.
-func (x *relay) send(p *plan, t *target.Target, d Dispatch) (*Answer, error) {
+func (x *relay) send(ctx context.Context, p *plan, t *target.Target, d Dispatch) (*Answer, error) {
 	d.Runner = t.Runner()
 	d.Team = p.team
 	d.Urgency = p.priority
 	d.Left = p.until.Sub(x.Clock.Now())
 	d.Once = p.once()
 	start := x.Clock.Now()
-	a, err := x.Runners.Send(p.ctx, p.call, d)
+	a, err := x.Runners.Send(ctx, p.call, d)
 	now := x.Clock.Now()
 	switch {
-	case err != nil && p.ctx.Err() == nil:
+	case err != nil && ctx.Err() == nil:
 		t.Broke(now)
+	case err != nil && p.ctx.Err() == nil:
+		t.Failed(now)
 	case err != nil:
 	case a.NotRun || a.Status >= http.StatusInternalServerError || (a.Status < 300 && !a.Sealed):
 		t.Failed(now)
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -81,7 +81,9 @@
 func (x *relay) streamFrom(p *plan, t *target.Target, s *streamState, res *results, inputs []string) (fault.Outcome, error) {
 	answered, ended := t.Begin(p.call.Prompt.Tokens)
 	defer ended()
-	a, err := x.send(p, t, Dispatch{Inputs: inputs, ResumeAfter: s.last})
+	ctx, stall := x.watchStream(p)
+	defer stall.stop()
+	a, err := x.send(ctx, p, t, Dispatch{Inputs: inputs, ResumeAfter: s.last})
 	var unanswered *Unanswered
 	switch {
 	case errors.As(err, &unanswered) && !unanswered.Sent:
@@ -99,7 +101,7 @@
 	if !a.Sealed {
 		return fault.Unknown, errUnsealed
 	}
-	return fault.Run, x.pass(p, t, s, a, func() {
+	return fault.Run, x.pass(p, t, s, a, stall, func() {
 		answered()
 		for _, f := range p.route.Final() {
 			res.used(f)
@@ -131,7 +133,7 @@
 }
 
 // pass passes events on as they come. It calls first at the first one.
-func (x *relay) pass(p *plan, t *target.Target, s *streamState, a *Answer, first func()) error {
+func (x *relay) pass(p *plan, t *target.Target, s *streamState, a *Answer, stall *stallWatch, first func()) error {
 	events := newEventReader(a.Body)
 	start := x.Clock.Now()
 	for n := 0; ; n++ {
@@ -153,6 +155,7 @@
 		if n == 0 {
 			first()
 		}
+		stall.event()
 		if err := s.write(a, event); err != nil {
 			return fault.Wrap(fault.CallerGone, err, "pass an event on").WithOutcome(fault.Run)
 		}
--- a/router/retry/retry.go
+++ b/router/retry/retry.go
@@ -52,6 +52,12 @@
 	return func(b *budget) { b.burst = int64(n) * milli }
 }
 
+// WithBurstOf sets what tells how many attempts a budget holds at most, where
+// that changes. Budgets start empty then.
+func WithBurstOf(f func() int) Option {
+	return func(b *budget) { b.burst, b.burstOf = 0, f }
+}
+
 // New returns a Budget that takes hedge delays from latencies.
 func New(latencies Latencies, options ...Option) Budget {
 	b := &budget{
@@ -71,6 +77,8 @@
 	// perSuccess and burst are in thousandths of an attempt.
 	perSuccess int64
 	burst      int64
+	// burstOf replaces burst where it isn't nil.
+	burstOf func() int
 	// mu is held to add a service; readers use services alone.
 	mu       sync.Mutex
 	services atomic.Pointer[map[string]*atomic.Int64]
@@ -93,13 +101,21 @@
 	tokens := b.tokens(service)
 	for {
 		have := tokens.Load()
-		next := min(have+b.perSuccess, b.burst)
+		next := max(have, min(have+b.perSuccess, b.most()))
 		if next == have || tokens.CompareAndSwap(have, next) {
 			return
 		}
 	}
 }
 
+// most returns how much a budget holds at most.
+func (b *budget) most() int64 {
+	if b.burstOf != nil {
+		return int64(b.burstOf()) * milli
+	}
+	return b.burst
+}
+
 func (b *budget) HedgeAfter(pipelineID string, stage int) (time.Duration, bool) {
 	_, high, ok := b.latencies.Typical(pipelineID, stage)
 	return high, ok
--- a/router/stage/assembly.go
+++ b/router/stage/assembly.go
@@ -21,7 +21,7 @@
 
 // zoneWait is how long a piece waits for a runner of the zone in which its
 // result is wanted: a fraction of a call.
-const zoneWait = 60 * time.Millisecond
+const zoneWait = 140 * time.Millisecond
 
 // bench is a runner that may get a batch now.
 type bench struct {
--- a/router/stage/piece.go
+++ b/router/stage/piece.go
@@ -117,7 +117,7 @@
 	// there are no results; it tells whether the runner refused the batch as a
 	// whole.
 	Run(ctx context.Context, r *inventory.Runner, batch []Timed) (results []Result, refused bool, err error)
-	// Room returns how many bytes of results still fit at the runner.
+	// Room returns how many bytes of results still fit at the runner at most.
 	Room(ctx context.Context, r *inventory.Runner) (int64, error)
 	// Free gives results up.
 	Free(ctx context.Context, r *inventory.Runner, handles []string) error
--- a/router/stage/pool.go
+++ b/router/stage/pool.go
@@ -24,6 +24,8 @@
 	// take.
 	targets func() []*target.Target
 	batches func() *routing.Batches
+	// permit reports whether a runner may get one more call.
+	permit func(*target.Target) bool
 	// ctx ends the calls to runners.
 	ctx   context.Context
 	group sync.WaitGroup
@@ -136,6 +138,11 @@
 		if len(batch) == 0 {
 			continue
 		}
+		if !p.permit(idle[i]) {
+			p.queue = append(p.queue, batch...)
+			p.setAside(idle[i], true)
+			continue
+		}
 		for _, w := range batch {
 			w.order.begun = true
 		}
--- a/router/stage/workshop.go
+++ b/router/stage/workshop.go
@@ -91,7 +91,8 @@
 				}
 				return table.Service(service).Batches
 			},
-			busy: make(map[*target.Target]int), rooms: make(map[*target.Target]*room),
+			permit: s.targets.Permit,
+			busy:   make(map[*target.Target]int), rooms: make(map[*target.Target]*room),
 			announced: make(map[string]announced), rest: make(map[*target.Target]time.Time),
 		}
 		s.pools[service] = p
--- a/router/target/set.go
+++ b/router/target/set.go
@@ -19,6 +19,9 @@
 	Find(id string) *Target
 	// Home returns the zone of the engine that is preferred for a prompt, or "".
 	Home(service string, p Prompt) string
+	// Permit reports whether a target may get one more call now. For a cold one
+	// it takes the permit.
+	Permit(t *Target) bool
 	// Plain chooses a target for one more call of a service, or nil. Those in
 	// avoid were tried already.
 	Plain(service, zone string, avoid []*Target) *Target
@@ -30,6 +33,12 @@
 // runner that bears perSecond from all instances.
 type ColdRate func(runner string, perSecond float64) float64
 
+func (s *set) Permit(t *Target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return s.mayCall(s.view.Load(), t, s.clk.Now())
+}
+
 // NewSet returns an empty set.
 func NewSet(clk clock.Clock, rate ColdRate) Set {
 	s := &set{clk: clk, rate: rate}
