Read the configuration anew before a denial, doubt warmth for two heartbeats only

Change: doubts end after two heartbeats; a denial by a configuration that was last confirmed over 1.5 s ago is decided anew after a read, one read at a time and five a second at most; a watch without changes is asked again at once and waits 1.2 s.

--- a/router/inventory/change.go
+++ b/router/inventory/change.go
@@ -8,8 +8,8 @@
 	"cicadawell.dev/router/routing"
 )
 
-// Change is one change of what the store holds. Exactly one of its fields
-// besides Revision is set.
+// Change is one change of what the store holds. It tells of one
+// thing only.
 type Change struct {
 	Revision int64
 	// Table is a new configuration.
@@ -20,6 +20,8 @@
 	RunnerGone string
 	// ZoneOut is a zone that was taken out, ZoneBack one that was taken back.
 	ZoneOut, ZoneBack string
+	// SeenAt is when the return of a zone was read.
+	SeenAt time.Time
 	// Instance is a member of the fleet, InstanceGone the name of a former one.
 	Instance     *Instance
 	InstanceGone string
@@ -73,7 +75,7 @@
 		s.ZonesOut[c.ZoneOut] = true
 	case c.ZoneBack != "":
 		delete(s.ZonesOut, c.ZoneBack)
-		s.ZonesBack[c.ZoneBack] = c.Revision
+		s.ZonesBack[c.ZoneBack] = Return{Revision: c.Revision, SeenAt: c.SeenAt}
 	case c.Instance != nil:
 		s.Instances[c.Instance.Name] = *c.Instance
 	case c.InstanceGone != "":
--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -17,6 +17,8 @@
 	// Adopt takes over what another instance knows, if it is newer, and notes
 	// that it was the newest at a time.
 	Adopt(s *Snapshot, at time.Time)
+	// Refresh asks the source at once whether there are changes.
+	Refresh(ctx context.Context) error
 	// Failing returns for how long the source hasn't answered; zero if its last
 	// answer was in order.
 	Failing() time.Duration
@@ -29,9 +31,10 @@
 	// defaultPause is how long changes are gathered before the next call: a
 	// fraction of the bounds on applying a configuration and on draining.
 	defaultPause = 350 * time.Millisecond
-	// defaultWait is how long a call waits for changes. An answer is needed to
-	// know that nothing has changed.
-	defaultWait = time.Second
+	// defaultWait is how long a call waits for changes: a fraction of the bound
+	// on keys that were taken away, since only an answer shows that nothing has
+	// changed.
+	defaultWait = 1200 * time.Millisecond
 	// answerSlack is how long a call may take beyond its wait.
 	answerSlack = 700 * time.Millisecond
 	// listTimeout bounds the reading of all items.
@@ -91,11 +94,15 @@
 	f.mu.Unlock()
 	retry := firstRetry
 	for ctx.Err() == nil {
-		pause := f.pause
-		if err := f.step(ctx); err != nil {
+		changed, err := f.step(ctx)
+		pause := time.Duration(0)
+		switch {
+		case err != nil:
 			pause = retry
 			retry = min(2*retry, lastRetry)
-		} else {
+		case changed:
+			pause, retry = f.pause, firstRetry
+		default:
 			retry = firstRetry
 		}
 		if f.clk.Sleep(ctx, pause) != nil {
@@ -105,8 +112,9 @@
 	return nil
 }
 
-// step makes one call and takes its answer over.
-func (f *follower) step(ctx context.Context) error {
+// step makes one call and takes its answer over. It reports whether there were
+// changes.
+func (f *follower) step(ctx context.Context) (bool, error) {
 	f.mu.Lock()
 	relist, after := f.relist, f.current.Load().Revision
 	f.mu.Unlock()
@@ -125,9 +133,19 @@
 	}
 	if err != nil {
 		f.failed(start, err)
-		return err
+		return false, err
 	}
 	f.take(start, changes, revision, relist)
+	return len(changes) > 0 || relist, nil
+}
+
+func (f *follower) Refresh(ctx context.Context) error {
+	start := f.clk.Now()
+	changes, revision, err := f.source.Changes(ctx, f.current.Load().Revision, 0)
+	if err != nil {
+		return err
+	}
+	f.take(start, changes, revision, false)
 	return nil
 }
 
@@ -157,19 +175,18 @@
 		f.back = now
 	}
 	old := f.current.Load()
-	base := old
 	if all {
-		changes = append(changes, missing(old, changes, revision)...)
+		changes = append(changes, missing(old, changes, revision, now)...)
 		f.relist = false
 	}
 	changes = f.believe(now, changes)
 	f.report(old, changes)
-	f.current.Advance(base.with(changes, revision))
+	f.current.Advance(old.with(changes, revision))
 	f.current.Confirm(start)
 }
 
 // missing returns removals of what a complete list doesn't have any more.
-func missing(old *Snapshot, list []Change, revision int64) []Change {
+func missing(old *Snapshot, list []Change, revision int64, now time.Time) []Change {
 	listed := make(map[string]bool, len(list))
 	for _, c := range list {
 		switch {
@@ -189,7 +206,7 @@
 	}
 	for zone := range old.ZonesOut {
 		if !listed["zone "+zone] {
-			out = append(out, Change{Revision: revision, ZoneBack: zone})
+			out = append(out, Change{Revision: revision, ZoneBack: zone, SeenAt: now})
 		}
 	}
 	for name := range old.Instances {
--- a/router/inventory/peers.go
+++ b/router/inventory/peers.go
@@ -65,11 +65,11 @@
 	AgeMicros int64 `json:"ageMicros"`
 	Revision  int64 `json:"revision"`
 	// Config is left out where the asking instance has it.
-	Config    *routing.Config  `json:"config,omitempty"`
-	Runners   []knownRunner    `json:"runners"`
-	ZonesOut  []string         `json:"zonesOut"`
-	ZonesBack map[string]int64 `json:"zonesBack"`
-	Instances []Instance       `json:"instances"`
+	Config    *routing.Config `json:"config,omitempty"`
+	Runners   []knownRunner   `json:"runners"`
+	ZonesOut  []string        `json:"zonesOut"`
+	ZonesBack []knownReturn   `json:"zonesBack"`
+	Instances []Instance      `json:"instances"`
 }
 
 // knownRunner is a runner's description. What it says of its cold time counts
@@ -79,6 +79,13 @@
 	ColdMicros int64 `json:"coldMicros"`
 }
 
+// knownReturn is the return of a zone some time before the answer.
+type knownReturn struct {
+	Zone      string `json:"zone"`
+	Revision  int64  `json:"revision"`
+	AgoMicros int64  `json:"agoMicros"`
+}
+
 func (e *exchange) Run(ctx context.Context) error {
 	for e.clk.Sleep(ctx, askEvery) == nil {
 		if e.follower.Failing() < askAfter {
@@ -128,7 +135,7 @@
 		return nil, fault.New(fault.NotReady, "nothing is known here")
 	}
 	k := knowledge{
-		AgeMicros: e.current.Age().Microseconds(), Revision: s.Revision, ZonesBack: s.ZonesBack,
+		AgeMicros: e.current.Age().Microseconds(), Revision: s.Revision,
 		ZonesOut: slices.Sorted(maps.Keys(s.ZonesOut)), Instances: slices.Collect(maps.Values(s.Instances)),
 	}
 	if s.Table.Version() != q.Version {
@@ -136,6 +143,9 @@
 		k.Config = &cfg
 	}
 	now := e.clk.Now()
+	for zone, back := range s.ZonesBack {
+		k.ZonesBack = append(k.ZonesBack, knownReturn{Zone: zone, Revision: back.Revision, AgoMicros: now.Sub(back.SeenAt).Microseconds()})
+	}
 	for _, r := range s.Runners {
 		k.Runners = append(k.Runners, knownRunner{Runner: *r, ColdMicros: (r.Cold - now.Sub(r.SeenAt)).Microseconds()})
 	}
@@ -147,7 +157,7 @@
 func (k knowledge) snapshot(table *routing.Table, now time.Time) (*Snapshot, error) {
 	s := &Snapshot{
 		Table: table, Revision: k.Revision, Runners: make(map[string]*Runner, len(k.Runners)),
-		ZonesOut: make(map[string]bool), ZonesBack: clone(k.ZonesBack), Instances: make(map[string]Instance),
+		ZonesOut: make(map[string]bool), ZonesBack: make(map[string]Return), Instances: make(map[string]Instance),
 	}
 	if k.Config != nil {
 		t, err := routing.NewTable(*k.Config)
@@ -161,6 +171,9 @@
 		runner.Cold, runner.SeenAt = time.Duration(r.ColdMicros)*time.Microsecond, now
 		s.Runners[runner.ID] = &runner
 	}
+	for _, b := range k.ZonesBack {
+		s.ZonesBack[b.Zone] = Return{Revision: b.Revision, SeenAt: now.Add(-time.Duration(b.AgoMicros) * time.Microsecond)}
+	}
 	for _, z := range k.ZonesOut {
 		s.ZonesOut[z] = true
 	}
--- a/router/inventory/snapshot.go
+++ b/router/inventory/snapshot.go
@@ -38,6 +38,15 @@
 	Address string
 }
 
+// Return is the end of a zone's evacuation. Descriptions of runners that are
+// older say nothing of their warmth until the runners had time for newer ones.
+type Return struct {
+	// Revision is that of the store.
+	Revision int64
+	// SeenAt is when this instance read of it.
+	SeenAt time.Time
+}
+
 // Snapshot is what was known at one time. It doesn't change.
 type Snapshot struct {
 	// Table is nil as long as no configuration is known.
@@ -46,9 +55,8 @@
 	Runners map[string]*Runner
 	// ZonesOut holds the zones whose runners get nothing new.
 	ZonesOut map[string]bool
-	// ZonesBack has, for zones that were taken back, the store's revision of
-	// that; descriptions of runners that are older say nothing of their warmth.
-	ZonesBack map[string]int64
+	// ZonesBack has the zones that were taken back.
+	ZonesBack map[string]Return
 	// Instances is by name.
 	Instances map[string]Instance
 	// Revision is that of the store up to which this is complete.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -29,6 +29,8 @@
 	Clock   clock.Clock
 	Timers  clock.Timers
 	Current *inventory.Current
+	// Refresh reads at once whether the configuration has changed.
+	Refresh func(ctx context.Context) error
 	Targets target.Set
 	Pieces  stage.Maker
 	Runners Runners
@@ -44,12 +46,20 @@
 }
 
 // New returns a relay.
-func New(p Parts) Relay { return &relay{Parts: p} }
+func New(p Parts) Relay {
+	return &relay{Parts: p, refreshing: shared{clk: p.Clock}}
+}
 
-type relay struct{ Parts }
+type relay struct {
+	Parts
+	refreshing shared
+}
 
 func (x *relay) Serve(ctx context.Context, w http.ResponseWriter, c *Call) {
 	p, err := x.plan(c)
+	if fault.Is(err, fault.StaleConfiguration) {
+		p, err = x.planAnew(ctx, c)
+	}
 	if err != nil {
 		x.refuse(w, c, err)
 		return
@@ -116,6 +126,20 @@
 	return denial
 }
 
+// refreshTimeout bounds the wait for a configuration that is known to be the
+// newest: several times what the store usually takes.
+const refreshTimeout = 150 * time.Millisecond
+
+// planAnew plans a call after the configuration was read again.
+func (x *relay) planAnew(ctx context.Context, c *Call) (*plan, error) {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	if err := x.refreshing.Do(ctx, x.Refresh); err != nil {
+		x.Log.Debug("configuration not confirmed", "request", c.ID, "error", err)
+	}
+	return x.plan(c)
+}
+
 // service chooses among a route's services by their weights.
 func (x *relay) service(r *routing.Route) string {
 	if len(r.Shares) == 1 {
--- a/router/target/set.go
+++ b/router/target/set.go
@@ -39,9 +39,10 @@
 	return s.mayCall(s.view.Load(), t, s.clk.Now())
 }
 
-// NewSet returns an empty set.
-func NewSet(clk clock.Clock, rate ColdRate) Set {
-	s := &set{clk: clk, rate: rate}
+// NewSet returns an empty set. Runners describe themselves anew within lag after
+// something has changed.
+func NewSet(clk clock.Clock, rate ColdRate, lag time.Duration) Set {
+	s := &set{clk: clk, rate: rate, lag: lag}
 	s.view.Store(&view{snapshot: &inventory.Snapshot{}})
 	return s
 }
@@ -49,6 +50,7 @@
 type set struct {
 	clk  clock.Clock
 	rate ColdRate
+	lag  time.Duration
 	// mu is held by Update; readers use view alone.
 	mu   sync.Mutex
 	view atomic.Pointer[view]
@@ -89,7 +91,7 @@
 // mayCall reports whether a cold target may get one more call, and takes the
 // permit for it. Warm targets always may. The caller holds the target's mu.
 func (s *set) mayCall(v *view, t *Target, now time.Time) bool {
-	if !t.coldAt(now, v.snapshot.ZonesBack) {
+	if !t.coldAt(now, v.snapshot.ZonesBack[t.runner.Zone], s.lag) {
 		return true
 	}
 	svc := v.snapshot.Table.Service(t.runner.Service)
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -24,9 +24,10 @@
 	health health
 	cold   bucket
 	// doubted is the revision of the description under which a connection
-	// broke. The runner may have started again, so that it is cold until a
-	// newer description says otherwise; zero means no doubt.
-	doubted int64
+	// broke, and doubtedAt when. The runner may have started again, so that it
+	// counts as cold until it had time to describe itself anew.
+	doubted   int64
+	doubtedAt time.Time
 }
 
 // Runner returns the newest description of the runner.
@@ -88,12 +89,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.health.broke(now)
-	t.doubted = t.runner.Revision
+	t.doubted, t.doubtedAt = t.runner.Revision, now
 }
 
-// coldAt reports whether the runner has to be taken for cold. The caller holds
-// mu.
-func (t *Target) coldAt(now time.Time, zonesBack map[string]int64) bool {
+// coldAt reports whether the runner has to be taken for cold. Runners describe
+// themselves anew within lag if something has changed. The caller holds mu.
+func (t *Target) coldAt(now time.Time, back inventory.Return, lag time.Duration) bool {
 	r := t.runner
-	return r.ColdAt(now) || t.doubted >= r.Revision || zonesBack[r.Zone] > r.Revision
+	return r.ColdAt(now) ||
+		(t.doubted >= r.Revision && now.Before(t.doubtedAt.Add(lag))) ||
+		(back.Revision > r.Revision && now.Before(back.SeenAt.Add(lag)))
 }
