Test routing, the inventory's follower and single exchanges

Cause: the new packages had no tests of their own.

Change: table tests from text files; a scripted source under synctest; raw answers of servers. Found by them: a follower that stops counted its own end as a failure of the store.

--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -123,13 +123,16 @@
 	var revision int64
 	var err error
 	if relist {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
+		listing, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
-		changes, revision, err = f.source.List(ctx)
+		changes, revision, err = f.source.List(listing)
 	} else {
-		ctx, cancel := context.WithTimeout(ctx, defaultWait+answerSlack)
+		watching, cancel := context.WithTimeout(ctx, defaultWait+answerSlack)
 		defer cancel()
-		changes, revision, err = f.source.Changes(ctx, after, defaultWait)
+		changes, revision, err = f.source.Changes(watching, after, defaultWait)
+	}
+	if ctx.Err() != nil {
+		return false, ctx.Err()
 	}
 	if err != nil {
 		f.failed(start, err)
--- /dev/null
+++ b/router/inventory/follower_test.go
@@ -0,0 +1,191 @@
+package inventory_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/routing"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+)
+
+// step is an answer of a scripted source.
+type step struct {
+	// after is how long the answer takes.
+	after    time.Duration
+	changes  []inventory.Change
+	revision int64
+	err      error
+}
+
+// script answers each call with the next step. At its end it waits for ever.
+type script struct {
+	lists, steps []step
+	listed       int
+}
+
+func (s *script) List(ctx context.Context) ([]inventory.Change, int64, error) {
+	s.listed++
+	return answer(ctx, &s.lists)
+}
+
+func (s *script) Changes(ctx context.Context, _ int64, _ time.Duration) ([]inventory.Change, int64, error) {
+	return answer(ctx, &s.steps)
+}
+
+func answer(ctx context.Context, steps *[]step) ([]inventory.Change, int64, error) {
+	if len(*steps) == 0 {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	next := (*steps)[0]
+	*steps = (*steps)[1:]
+	if err := clock.System().Sleep(ctx, next.after); err != nil {
+		return nil, 0, err
+	}
+	return next.changes, next.revision, next.err
+}
+
+var errAway = errors.New("away")
+
+func config(t *testing.T, version int64) *routing.Table {
+	t.Helper()
+	table, err := routing.NewTable(routing.Config{Version: version})
+	is.New(t).NoErr(err)
+	return table
+}
+
+func runner(id string, revision int64) inventory.Change {
+	return inventory.Change{Revision: revision, Runner: &inventory.Runner{ID: id, Service: "s", Zone: "z", Revision: revision}}
+}
+
+func gone(id string, revision int64) inventory.Change {
+	return inventory.Change{Revision: revision, RunnerGone: id}
+}
+
+// follow runs a follower over a script for some time and returns what it knows.
+func follow(t *testing.T, s *script, d time.Duration) (*inventory.Current, inventory.Follower) {
+	t.Helper()
+	current := inventory.NewCurrent(clock.System())
+	f := inventory.NewFollower(clock.System(), s, current, hclog.NewNullLogger(), inventory.WithPause(10*time.Millisecond))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	_ = clock.System().Sleep(t.Context(), d)
+	cancel()
+	is.New(t).NoErr(<-done)
+	return current, f
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{
+			lists: []step{{changes: []inventory.Change{{Revision: 5, Table: config(t, 7)}}, revision: 5}},
+			steps: []step{{changes: []inventory.Change{{Revision: 6, Table: config(t, 3)}}, revision: 6}},
+		}
+		current, f := follow(t, s, 100*time.Millisecond)
+		is.New(t).Equal(current.Load().Table.Version(), int64(7))
+		f.Adopt(&inventory.Snapshot{Table: config(t, 4), Revision: 9}, time.Now())
+		is.New(t).Equal(current.Load().Table.Version(), int64(7))
+		f.Adopt(&inventory.Snapshot{Table: config(t, 9), Revision: 2}, time.Now())
+		is.New(t).Equal(current.Load().Table.Version(), int64(7)) // an older snapshot says nothing
+	})
+}
+
+func TestConfirmationCountsFromTheStartOfTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{
+			lists: []step{{revision: 1}},
+			steps: []step{{after: time.Second, revision: 1}},
+		}
+		current, _ := follow(t, s, 1050*time.Millisecond)
+		is.New(t).True(current.Age() >= time.Second)
+	})
+}
+
+func TestRunnersThatLapsedDuringAnOutageAreKeptForAWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &script{
+			lists: []step{{changes: []inventory.Change{runner("back", 1), runner("dead", 2)}, revision: 2}},
+			steps: []step{
+				{err: errAway}, {err: errAway},
+				{changes: []inventory.Change{gone("back", 3), gone("dead", 4)}, revision: 4},
+				{after: 500 * time.Millisecond, changes: []inventory.Change{runner("back", 5)}, revision: 5},
+				{after: 500 * time.Millisecond, revision: 5},
+				{after: 1200 * time.Millisecond, revision: 5},
+			},
+		}
+		current, _ := follow(t, s, 1500*time.Millisecond)
+		is.Equal(len(current.Load().Runners), 2)
+		s = &script{
+			lists: []step{{changes: []inventory.Change{runner("back", 1), runner("dead", 2)}, revision: 2}},
+			steps: []step{
+				{err: errAway},
+				{changes: []inventory.Change{gone("back", 3), gone("dead", 4)}, revision: 4},
+				{after: 500 * time.Millisecond, changes: []inventory.Change{runner("back", 5)}, revision: 5},
+				{after: 1800 * time.Millisecond, revision: 5},
+			},
+		}
+		current, _ = follow(t, s, 3*time.Second)
+		is.Equal(len(current.Load().Runners), 1)
+		is.True(current.Load().Runners["back"] != nil)
+	})
+}
+
+func TestRunnersThatLeaveWithoutAnOutageAreGoneAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{
+			lists: []step{{changes: []inventory.Change{runner("a", 1)}, revision: 1}},
+			steps: []step{{changes: []inventory.Change{gone("a", 2)}, revision: 2}},
+		}
+		current, _ := follow(t, s, 100*time.Millisecond)
+		is.New(t).Equal(len(current.Load().Runners), 0)
+	})
+}
+
+func TestLostHistoryIsReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &script{
+			lists: []step{
+				{changes: []inventory.Change{runner("a", 1), runner("b", 2), {Revision: 3, ZoneOut: "z"}}, revision: 3},
+				{changes: []inventory.Change{runner("b", 2)}, revision: 9},
+			},
+			steps: []step{{err: fault.New(fault.HistoryGone, "compacted")}},
+		}
+		current, f := follow(t, s, time.Second)
+		is.Equal(s.listed, 2)
+		is.Equal(len(current.Load().Runners), 1)
+		is.Equal(len(current.Load().ZonesOut), 0)
+		is.Equal(current.Load().ZonesBack["z"].Revision, int64(9))
+		is.Equal(f.Failing(), time.Duration(0)) // the store answered
+	})
+}
+
+func TestSilenceCountsAsFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{lists: []step{{revision: 1}}}
+		_, f := follow(t, s, 5*time.Second)
+		is.New(t).True(f.Failing() > 2*time.Second)
+	})
+}
+
+func TestOlderDescriptionsAreNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		draining := runner("a", 5)
+		draining.Runner.Draining = true
+		s := &script{
+			lists: []step{{changes: []inventory.Change{draining}, revision: 5}},
+			steps: []step{{changes: []inventory.Change{runner("a", 4)}, revision: 6}},
+		}
+		current, _ := follow(t, s, 100*time.Millisecond)
+		is.New(t).True(current.Load().Runners["a"].Draining)
+	})
+}
--- /dev/null
+++ b/router/link/exchange_test.go
@@ -0,0 +1,215 @@
+package link_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/golden"
+	"cicadawell.dev/router/link"
+	"github.com/matryer/is"
+)
+
+// server answers each request on a connection with the next of its scripts and
+// closes the connection after the last one.
+type server struct {
+	address string
+	mu      sync.Mutex
+	// got has the requests of all connections, in order.
+	got   []string
+	conns int
+	open  []net.Conn
+}
+
+// serve answers with raw bytes. A script that ends in "\x00" leaves the
+// connection open, one that ends in "\x01" resets it.
+func serve(t *testing.T, scripts ...string) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	s := &server{address: l.Addr().String()}
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns++
+			s.open = append(s.open, c)
+			s.mu.Unlock()
+			group.Go(func() { s.talk(c, scripts) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		s.mu.Lock()
+		for _, c := range s.open {
+			_ = c.Close()
+		}
+		s.mu.Unlock()
+		group.Wait()
+	})
+	return s
+}
+
+func (s *server) talk(c net.Conn, scripts []string) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		n := len(s.got)
+		s.got = append(s.got, req.Method+" "+req.RequestURI+" "+string(body))
+		s.mu.Unlock()
+		if n >= len(scripts) {
+			return
+		}
+		text, reset := strings.CutSuffix(scripts[n], "\x01")
+		text, open := strings.CutSuffix(text, "\x00")
+		if _, err := io.WriteString(c, text); err != nil {
+			return
+		}
+		if reset {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			return
+		}
+		if !open {
+			return
+		}
+	}
+}
+
+func request() *link.Request {
+	return &link.Request{
+		Method: http.MethodPost, Target: "/run?q=1", Host: "h", Header: http.Header{"Id": {"1"}}, Body: []byte("body"),
+		MaxIdle: time.Minute, Accept: func(h http.Header) bool { return h.Get("Id") == "1" },
+	}
+}
+
+// outcome makes an exchange and describes what came of it.
+func outcome(t *testing.T, pool link.Pool, address string) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	a, err := pool.Exchange(ctx, address, request())
+	var failed *link.Error
+	if errors.As(err, &failed) {
+		return "failed, sent " + boolText(failed.Sent)
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a.Body)
+	text := a.Header.Get("Id") + " " + http.StatusText(a.Status) + " " + string(body) + ", framed " + boolText(a.Framed)
+	if err != nil {
+		text += ", incomplete"
+	}
+	return text
+}
+
+func boolText(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+// TestAnswers reads the answer of a server from each text file and compares
+// what the exchange, and a second one, make of it.
+func TestAnswers(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.http")
+	is.New(t).NoErr(err)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			is := is.New(t)
+			raw, err := os.ReadFile(file)
+			is.NoErr(err)
+			first := strings.NewReplacer("\n", "\r\n", "<OPEN>\n", "\x00", "<RESET>\n", "\x01", "<END>\n", "").Replace(string(raw))
+			s := serve(t, first, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 6\r\n\r\nsecond\x00")
+			pool := link.NewPool()
+			out := outcome(t, pool, s.address) + "\n" + outcome(t, pool, s.address) + "\n"
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.conns == 1 {
+				out += "one connection\n"
+			}
+			golden.Check(t, strings.TrimSuffix(file, ".http")+".golden", out)
+			is.Equal(len(s.got), 2) // each exchange sends once
+		})
+	}
+}
+
+func TestNothingIsSentToAClosedPort(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	address := l.Addr().String()
+	is.New(t).NoErr(l.Close())
+	is.New(t).Equal(outcome(t, link.NewPool(), address), "failed, sent no")
+}
+
+// TestKeptConnectionThatClosedIsNotUsed has the server close an idle connection:
+// the next exchange must not lose its request on it.
+func TestKeptConnectionThatClosedIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok\x00")
+	pool := link.NewPool()
+	is.Equal(outcome(t, pool, s.address), "1 OK ok, framed yes")
+	is.Equal(outcome(t, pool, s.address), "1 OK ok, framed yes")
+	is.Equal(len(s.got), 2)
+}
+
+func TestCancelledExchangeClosesItsConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	closed := make(chan error, 1)
+	read := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() {
+		c, err := l.Accept()
+		if err != nil {
+			closed <- err
+			return
+		}
+		defer func() { _ = c.Close() }()
+		buf := make([]byte, 1<<10)
+		_, _ = c.Read(buf)
+		close(read)
+		for {
+			if _, err := c.Read(buf); err != nil {
+				closed <- err
+				return
+			}
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	group.Go(func() {
+		<-read
+		cancel()
+	})
+	_, err = link.NewPool().Exchange(ctx, l.Addr().String(), request())
+	var failed *link.Error
+	is.True(errors.As(err, &failed) && failed.Sent)
+	is.True(errors.Is(err, context.Canceled))
+	is.True(<-closed != nil)
+	group.Wait()
+}
