--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Cicadawell's build. `make demo` and `make test` do all set-up themselves.
-MODULES := fleet router ctl standin
+MODULES := fleet router ctl standin platform
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 TOOLS := $(shell go env GOPATH)/bin
 GOFUMPT := $(TOOLS)/gofumpt
--- /dev/null
+++ b/router/relay/relay_test.go
@@ -0,0 +1,399 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/property"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/relay"
+	"cicadawell.dev/router/retry"
+	"cicadawell.dev/router/routing"
+	"cicadawell.dev/router/stage"
+	"cicadawell.dev/router/target"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { property.Main(m, 400) }
+
+// act is what a runner does with a call.
+type act struct {
+	name string
+	// ran is whether the runner ran the call.
+	ran bool
+	do  func(ctx context.Context) (*relay.Answer, error)
+}
+
+func reply(status int, body string, change func(*relay.Answer)) func(context.Context) (*relay.Answer, error) {
+	return func(context.Context) (*relay.Answer, error) {
+		a := &relay.Answer{Status: status, Header: http.Header{"X": {"1"}}, Body: strings.NewReader(body), Sealed: true, Close: func() {}}
+		if change != nil {
+			change(a)
+		}
+		return a, nil
+	}
+}
+
+func lost(sent bool) func(context.Context) (*relay.Answer, error) {
+	return func(context.Context) (*relay.Answer, error) {
+		return nil, &relay.Unanswered{Sent: sent, Err: errors.New("lost")}
+	}
+}
+
+func hang(ctx context.Context) (*relay.Answer, error) {
+	<-ctx.Done()
+	return nil, &relay.Unanswered{Sent: true, Err: ctx.Err()}
+}
+
+// cutBody fails after its text.
+type cutBody struct{ io.Reader }
+
+func (c cutBody) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = errors.New("reset")
+	}
+	return n, err
+}
+
+func events(body string, cut bool) func(context.Context) (*relay.Answer, error) {
+	return reply(http.StatusOK, "", func(a *relay.Answer) {
+		a.Events = true
+		a.Body = strings.NewReader(body)
+		if cut {
+			a.Body = cutBody{strings.NewReader(body)}
+		}
+	})
+}
+
+var (
+	good     = act{"good", true, reply(http.StatusOK, "answer", nil)}
+	failing  = act{"failing", true, reply(http.StatusInternalServerError, "bad", nil)}
+	unsealed = act{"unsealed", true, reply(http.StatusOK, "forged", func(a *relay.Answer) { a.Sealed = false })}
+	cut      = act{"cut", true, reply(http.StatusOK, "ans", func(a *relay.Answer) { a.Body = cutBody{strings.NewReader("ans")} })}
+	full     = act{"full", false, reply(http.StatusServiceUnavailable, "", func(a *relay.Answer) { a.NotRun, a.Sealed = true, false })}
+	reset    = act{"reset", true, lost(true)}
+	refused  = act{"refused", false, lost(false)}
+	hanging  = act{"hanging", true, hang}
+)
+
+// fakeRunners answers with the acts in turn, the last one for ever.
+type fakeRunners struct {
+	acts []act
+	sent []relay.Dispatch
+	// done has the acts that were played.
+	done []act
+}
+
+func (f *fakeRunners) Send(ctx context.Context, _ *relay.Call, d relay.Dispatch) (*relay.Answer, error) {
+	a := f.acts[min(len(f.done), len(f.acts)-1)]
+	f.done = append(f.done, a)
+	f.sent = append(f.sent, d)
+	return a.do(ctx)
+}
+
+func (f *fakeRunners) runs() int {
+	n := 0
+	for _, a := range f.done {
+		if a.ran {
+			n++
+		}
+	}
+	return n
+}
+
+// fakePieces makes every piece at once, or fails all.
+type fakePieces struct {
+	fail     stage.Failure
+	forecast stage.Forecast
+	made     []stage.Order
+	freed    []string
+	kept     map[string]bool
+}
+
+func (f *fakePieces) Make(_ context.Context, o stage.Order) []stage.Result {
+	f.made = append(f.made, o)
+	out := make([]stage.Result, len(o.Pieces))
+	for i, p := range o.Pieces {
+		out[i] = stage.Result{Handle: fmt.Sprintf("%d.%d", p.Stage, p.Index), Runner: "maker"}
+		if f.fail != "" {
+			out[i] = stage.Result{Failure: f.fail}
+		}
+	}
+	return out
+}
+
+func (f *fakePieces) Free(_ string, results []stage.Result) {
+	for _, r := range results {
+		if r.Handle != "" {
+			f.freed = append(f.freed, r.Handle)
+		}
+	}
+}
+
+func (f *fakePieces) Announce(context.Context, stage.Announcement) stage.Forecast { return f.forecast }
+
+func (f *fakePieces) Withdraw(string, string) {}
+
+const host = "h"
+
+func testConfig() routing.Config {
+	share := []routing.Share{{Service: "s", Weight: 1}}
+	route := func(name string, k routing.Kind, attempts int) routing.Route {
+		return routing.Route{
+			Name: name, Host: host, Prefix: "/" + name + "/", Kind: k, Timeout: 2 * time.Second, Objective: 300 * time.Millisecond,
+			GapObjective: 250 * time.Millisecond, Shares: share, MaxAttempts: attempts, Open: true,
+		}
+	}
+	staged := route("staged", routing.Streaming, 1)
+	staged.Stages = []routing.Stage{{Service: "p"}, {Service: "p", After: []int{0}}}
+	resumable := route("resumable", routing.Streaming, 3)
+	resumable.Resumable = true
+	closed := route("closed", routing.Idempotent, 2)
+	closed.Open = false
+	return routing.Config{
+		Version:  1,
+		Routes:   []routing.Route{route("safe", routing.Idempotent, 3), route("once", routing.NonIdempotent, 3), route("stream", routing.Streaming, 3), staged, resumable, closed},
+		Services: []routing.Service{{Name: "s"}, {Name: "p", Batches: &routing.Batches{MaxPieces: 4, CallTime: 100 * time.Millisecond, PieceTime: 10 * time.Millisecond}}},
+		Teams:    []routing.Team{{Name: "team", Keys: []string{"key"}}},
+	}
+}
+
+// play serves one call to a route by scripted runners.
+func play(t *testing.T, path string, f *fakeRunners, p *fakePieces, change func(*relay.Call, *inventory.Current)) *httptest.ResponseRecorder {
+	t.Helper()
+	table, err := routing.NewTable(testConfig())
+	is.New(t).NoErr(err)
+	current := inventory.NewCurrent(clock.System())
+	set := target.NewSet(clock.System(), func(string, float64) float64 { return 100 }, time.Second)
+	current.Subscribe(set.Update)
+	s := &inventory.Snapshot{Table: table, Revision: 1, Runners: map[string]*inventory.Runner{}}
+	for i := range 4 {
+		id := fmt.Sprint("r", i)
+		s.Runners[id] = &inventory.Runner{ID: id, Service: "s", Zone: "z", Slots: 1}
+	}
+	current.Advance(s)
+	current.Confirm(time.Now())
+	r := relay.New(relay.Parts{
+		Clock: clock.System(), Timers: clock.SystemTimers(), Current: current, Refresh: func(context.Context) error { return errors.New("away") },
+		Targets: set, Pieces: p, Runners: f, Repeats: retry.New(nil), Log: hclog.NewNullLogger(), Zone: "z", KnownFor: 4 * time.Second,
+		Random: rand.New(rand.NewPCG(1, 1)),
+	})
+	c := &relay.Call{ID: "id", Method: http.MethodPost, Target: path, Path: path, Host: host, Header: http.Header{}, Arrived: time.Now(), Pieces: []int{2, 3}, PieceKey: "k"}
+	if change != nil {
+		change(c, current)
+	}
+	w := httptest.NewRecorder()
+	func() {
+		defer func() {
+			if v := recover(); v != nil {
+				w.Code = -w.Code // broken off
+			}
+		}()
+		r.Serve(t.Context(), w, c)
+	}()
+	return w
+}
+
+// TestCallsThatRunOnceProperty plays any course of events to calls that must not
+// run twice, and checks that refusals are true.
+func TestCallsThatRunOnceProperty(t *testing.T) {
+	acts := []act{good, failing, unsealed, cut, full, reset, refused, hanging}
+	rapid.Check(t, func(rt *rapid.T) {
+		path := rapid.SampledFrom([]string{"/once/1", "/stream/1", "/safe/1", "/resumable/1"}).Draw(rt, "path")
+		f := &fakeRunners{acts: rapid.SliceOfN(rapid.SampledFrom(acts), 1, 5).Draw(rt, "acts")}
+		var w *httptest.ResponseRecorder
+		synctest.Test(t, func(t *testing.T) { w = play(t, path, f, &fakePieces{}, nil) })
+		once := path == "/once/1" || path == "/stream/1"
+		if once && f.runs() > 1 {
+			rt.Fatalf("ran %d times", f.runs())
+		}
+		if len(f.sent) > 3 {
+			rt.Fatalf("sent to %d runners", len(f.sent))
+		}
+		if once && slices.Contains([]int{408, 421, 429, 503}, w.Code) && f.runs() > 0 {
+			rt.Fatalf("answered %d though it ran", w.Code)
+		}
+		if w.Code == http.StatusOK && w.Body.String() != "answer" {
+			rt.Fatalf("body %q", w.Body)
+		}
+	})
+}
+
+func TestPlainCalls(t *testing.T) {
+	for _, c := range []struct {
+		path   string
+		acts   []act
+		status int
+		sends  int
+	}{
+		{"/safe/1", []act{good}, 200, 1},
+		{"/safe/1", []act{failing, good}, 200, 2},
+		{"/safe/1", []act{unsealed, cut, good}, 200, 3},
+		{"/safe/1", []act{failing}, 500, 3},
+		{"/safe/1", []act{hanging, good}, 200, 2},
+		{"/safe/1", []act{reset}, 502, 3},
+		{"/once/1", []act{failing, good}, 500, 1},
+		{"/once/1", []act{unsealed, good}, 502, 1},
+		{"/once/1", []act{full, refused, good}, 200, 3},
+		{"/once/1", []act{full}, 503, 3},
+		{"/once/1", []act{refused}, 503, 3},
+		{"/once/1", []act{reset, good}, 502, 1},
+		{"/once/1", []act{hanging, good}, 504, 1},
+		{"/none/1", []act{good}, 404, 0},
+		{"/closed/1", []act{good}, 401, 0},
+	} {
+		names := ""
+		for _, a := range c.acts {
+			names += " " + a.name
+		}
+		t.Run(c.path+names, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeRunners{acts: c.acts}
+				w := play(t, c.path, f, &fakePieces{}, nil)
+				is.Equal(w.Code, c.status)
+				is.Equal(len(f.sent), c.sends)
+			})
+		})
+	}
+}
+
+const (
+	one   = "id: 1\ndata: a\n\n"
+	two   = "id: 2\ndata: b\n\n"
+	three = "id: 3\r\ndata: c\r\n\r\n"
+)
+
+func stream(body string, cut bool) act { return act{"stream", true, events(body, cut)} }
+
+func TestStreams(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		acts       []act
+		// status is negative for an answer that was broken off.
+		status int
+		body   string
+		resume []string
+	}{
+		{"whole", "/stream/1", []act{stream(one+two+three, false)}, 200, one + two + three, []string{""}},
+		{"cut and not resumable", "/stream/1", []act{stream(one+two, true), stream(three, false)}, -200, one + two, []string{""}},
+		{"torn event", "/stream/1", []act{stream(one+"id: 2\nda", false)}, -200, one, []string{""}},
+		{"goes on after the last whole event", "/resumable/1", []act{stream(one+"id: 2\nda", true), stream(two+three, false)}, 200, one + two + three, []string{"", "1"}},
+		{"cut before the first event", "/resumable/1", []act{stream("", true), stream(one, false)}, 200, one, []string{"", ""}},
+		{"never completes", "/resumable/1", []act{stream(one, true), stream("", true)}, -200, one, []string{"", "1", "1"}},
+		{"refused then served", "/stream/1", []act{full, stream(one, false)}, 200, one, []string{"", ""}},
+		{"no event at all", "/stream/1", []act{stream("", false)}, 502, "", []string{""}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeRunners{acts: c.acts}
+				w := play(t, c.path, f, &fakePieces{}, nil)
+				is.Equal(w.Code, c.status)
+				is.Equal(w.Body.String(), c.body)
+				var resume []string
+				for _, d := range f.sent {
+					resume = append(resume, d.ResumeAfter)
+				}
+				is.Equal(resume, c.resume)
+			})
+		})
+	}
+}
+
+func TestStalledStreamGoesOnElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		stalled := act{"stalled", true, func(ctx context.Context) (*relay.Answer, error) {
+			r, w := io.Pipe()
+			context.AfterFunc(ctx, func() { _ = w.CloseWithError(ctx.Err()) })
+			a, err := events("", false)(ctx)
+			a.Body = io.MultiReader(strings.NewReader(one), r)
+			return a, err
+		}}
+		f := &fakeRunners{acts: []act{stalled, stream(two, false)}}
+		w := play(t, "/resumable/1", f, &fakePieces{}, nil)
+		is.Equal(w.Code, 200)
+		is.Equal(w.Body.String(), one+two)
+	})
+}
+
+func TestStagesFeedTheCallAndGiveTheirResultsUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, p := &fakeRunners{acts: []act{stream(one, false)}}, &fakePieces{}
+		w := play(t, "/staged/1", f, p, nil)
+		is.Equal(w.Code, 200)
+		is.Equal(len(p.made), 2)
+		is.Equal(p.made[0].Pieces[1], stage.Piece{Call: "id", Stage: 0, Index: 1, Key: "k"})
+		is.Equal(p.made[1].Pieces[2], stage.Piece{Call: "id", Stage: 1, Index: 2, Inputs: []string{"0.0", "0.1"}})
+		is.Equal(f.sent[0].Inputs, []string{"1.0", "1.1", "1.2"})
+		is.Equal(p.freed, []string{"0.0", "0.1", "1.0", "1.1", "1.2"})
+	})
+}
+
+func TestCallsWhoseStagesFailDontRun(t *testing.T) {
+	for name, p := range map[string]*fakePieces{
+		"a piece failed":      {fail: stage.Failed},
+		"announced in vain":   {forecast: stage.Forecast{Refused: true, Wait: 700 * time.Millisecond}},
+		"a piece came late":   {fail: stage.Late},
+		"an input isn't kept": {fail: stage.InputGone},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeRunners{acts: []act{good}}
+				w := play(t, "/staged/1", f, p, nil)
+				is.Equal(w.Code, http.StatusServiceUnavailable)
+				is.Equal(len(f.sent), 0)
+				is.True(w.Header().Get("Retry-After") != "")
+				if p.forecast.Refused {
+					is.Equal(w.Header().Get("Retry-After"), "0.700")
+					is.Equal(len(p.made), 0)
+				}
+			})
+		})
+	}
+}
+
+func TestCountsOfPiecesMustMatchTheRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := play(t, "/staged/1", &fakeRunners{acts: []act{good}}, &fakePieces{}, func(c *relay.Call, _ *inventory.Current) { c.Pieces = []int{1} })
+		is.New(t).Equal(w.Code, http.StatusBadRequest)
+	})
+}
+
+// TestOldConfigurationsServeNoKeys lets the configuration grow old.
+func TestOldConfigurationsServeNoKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		age := func(d time.Duration, key string) func(*relay.Call, *inventory.Current) {
+			return func(c *relay.Call, _ *inventory.Current) {
+				c.Key = key
+				_ = clock.System().Sleep(t.Context(), d)
+				c.Arrived = time.Now()
+			}
+		}
+		f := func() *fakeRunners { return &fakeRunners{acts: []act{good}} }
+		is.Equal(play(t, "/closed/1", f(), &fakePieces{}, age(0, "key")).Code, 200)
+		is.Equal(play(t, "/closed/1", f(), &fakePieces{}, age(3*time.Second, "key")).Code, 200)
+		is.Equal(play(t, "/closed/1", f(), &fakePieces{}, age(5*time.Second, "key")).Code, 503)
+		is.Equal(play(t, "/safe/1", f(), &fakePieces{}, age(5*time.Second, "")).Code, 200) // needs no key
+		is.Equal(play(t, "/closed/1", f(), &fakePieces{}, age(3*time.Second, "other")).Code, 503)
+		is.Equal(play(t, "/none/1", f(), &fakePieces{}, age(3*time.Second, "")).Code, 503)
+	})
+}
--- /dev/null
+++ b/router/stage/pool_test.go
@@ -0,0 +1,246 @@
+package stage
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/routing"
+	"cicadawell.dev/router/target"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+)
+
+// benches are runners that take 150 ms a call and 10 ms a piece, one call at a
+// time, as the platform's pages describe them.
+type benches struct {
+	mu      sync.Mutex
+	batches []int
+	freed   []string
+	// fail makes the calls of a runner fail.
+	fail    map[string]bool
+	refuse  map[string]bool
+	results int
+}
+
+func (b *benches) Run(ctx context.Context, r *inventory.Runner, batch []Timed) ([]Result, bool, error) {
+	b.mu.Lock()
+	b.batches = append(b.batches, len(batch))
+	fail, refuse := b.fail[r.ID], b.refuse[r.ID]
+	b.mu.Unlock()
+	if refuse {
+		return nil, true, errors.New("full")
+	}
+	if err := clock.System().Sleep(ctx, 150*time.Millisecond+time.Duration(len(batch))*10*time.Millisecond); err != nil {
+		return nil, false, err
+	}
+	if fail {
+		return nil, false, errors.New("reset")
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]Result, len(batch))
+	for i := range out {
+		b.results++
+		out[i] = Result{Handle: fmt.Sprint("h", b.results), Runner: r.ID}
+	}
+	return out, false, nil
+}
+
+func (b *benches) Free(_ context.Context, _ *inventory.Runner, handles []string) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.freed = append(b.freed, handles...)
+	return nil
+}
+
+func (b *benches) Room(context.Context, *inventory.Runner) (int64, error) { return 1 << 30, nil }
+
+const testService = "encode"
+
+func testWorkshop(t *testing.T, b *benches, runners int) Workshop {
+	t.Helper()
+	table, err := routing.NewTable(routing.Config{Version: 1, Services: []routing.Service{{Name: testService, Batches: &routing.Batches{
+		Slots: 1, Queue: 2, MaxPieces: 8, CallTime: 150 * time.Millisecond, PieceTime: 10 * time.Millisecond, ResultRoom: 1 << 30, KeepFor: 4 * time.Second,
+	}}}})
+	is.New(t).NoErr(err)
+	s := &inventory.Snapshot{Table: table, Runners: map[string]*inventory.Runner{}, Revision: 1}
+	for i := range runners {
+		id := fmt.Sprint("r", i)
+		s.Runners[id] = &inventory.Runner{ID: id, Service: testService, Zone: "z", Slots: 1}
+	}
+	current := inventory.NewCurrent(clock.System())
+	set := target.NewSet(clock.System(), func(string, float64) float64 { return 1 }, time.Second)
+	current.Subscribe(set.Update)
+	current.Advance(s)
+	return NewWorkshop(clock.System(), current, set, b, hclog.NewNullLogger())
+}
+
+func testOrder(id string, n int, due, until time.Duration) Order {
+	now := time.Now()
+	o := Order{ID: id, Service: testService, Due: now.Add(due), Until: now.Add(until)}
+	for i := range n {
+		o.Pieces = append(o.Pieces, Piece{Call: id, Index: i})
+	}
+	return o
+}
+
+func made(results []Result) int {
+	n := 0
+	for _, r := range results {
+		if r.Handle != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// TestOverloadFillsBatches plays 1.5 times what two runners make for 6 s: 90%
+// of what full batches give is made, and the rest is refused when announced.
+func TestOverloadFillsBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &benches{}
+		w := testWorkshop(t, b, 2)
+		const bound = 2 * 8 / 0.230 // pieces a second
+		const load = 6 * time.Second
+		begin := time.Now()
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		taken, done, refused := 0, 0, 0
+		step := 19 * time.Millisecond // 104 pieces a second
+		for at := time.Duration(0); at < load; at += step {
+			id := fmt.Sprint("c", at)
+			group.Go(func() {
+				o := testOrder(id, 2, time.Second, 2*time.Second)
+				f := w.Announce(t.Context(), Announcement{ID: id, Service: testService, Pieces: 2, Ready: time.Now(), Due: o.Due, Until: o.Until})
+				if f.Refused {
+					mu.Lock()
+					refused++
+					mu.Unlock()
+					return
+				}
+				n := made(w.Make(t.Context(), o))
+				mu.Lock()
+				defer mu.Unlock()
+				taken++
+				if n == 2 {
+					done++
+				}
+			})
+			_ = clock.System().Sleep(t.Context(), step)
+		}
+		group.Wait()
+		w.Close(t.Context())
+		perSecond := float64(2*done) / time.Since(begin).Seconds()
+		t.Logf("%.0f pieces a second of %.0f; %d of %d that were taken, %d refused", perSecond, bound, done, taken, refused)
+		is.True(perSecond >= 0.9*bound)
+		is.True(float64(done) >= 0.95*float64(taken)) // who is taken is served
+		is.True(refused > 0)
+	})
+}
+
+// TestHalfLoadAddsLittleWait plays half of what five runners make with orders of
+// two pieces: the median takes at most 1.3 times what an idle pool takes.
+func TestHalfLoadAddsLittleWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &benches{}
+		w := testWorkshop(t, b, 5)
+		const idle = 170 * time.Millisecond
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		var took []time.Duration
+		for i := range 100 {
+			group.Go(func() {
+				start := time.Now()
+				n := made(w.Make(t.Context(), testOrder(fmt.Sprint("c", i), 2, time.Second, 2*time.Second)))
+				mu.Lock()
+				defer mu.Unlock()
+				if n == 2 {
+					took = append(took, time.Since(start))
+				}
+			})
+			_ = clock.System().Sleep(t.Context(), 23*time.Millisecond) // 87 of 174 pieces a second
+		}
+		group.Wait()
+		w.Close(t.Context())
+		is := is.New(t)
+		is.Equal(len(took), 100)
+		within := 0
+		for _, d := range took {
+			if d <= idle*13/10 {
+				within++
+			}
+		}
+		t.Logf("%d of 100 within 1.3 times %v", within, idle)
+		is.True(within >= 50)
+	})
+}
+
+func TestFailedAndRefusingRunnersLeaveTheirPiecesToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &benches{fail: map[string]bool{"r0": true}, refuse: map[string]bool{"r1": true}}
+		w := testWorkshop(t, b, 3)
+		is.Equal(made(w.Make(t.Context(), testOrder("c", 6, 3*time.Second, 4*time.Second))), 6)
+		w.Close(t.Context())
+	})
+}
+
+func TestAbandonedPiecesAreNotMade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &benches{}
+		w := testWorkshop(t, b, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { w.Make(t.Context(), testOrder("first", 8, time.Second, 4*time.Second)) })
+		synctest.Wait()
+		group.Go(func() {
+			for _, r := range w.Make(ctx, testOrder("second", 4, time.Second, 4*time.Second)) {
+				is.Equal(r.Failure, Abandoned)
+			}
+		})
+		synctest.Wait()
+		cancel()
+		group.Wait()
+		w.Close(t.Context())
+		is.Equal(b.results, 8)
+	})
+}
+
+func TestLateOrdersLeaveWhileOthersWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := testWorkshop(t, &benches{}, 1)
+		var group sync.WaitGroup
+		begin := time.Now()
+		group.Go(func() { w.Make(t.Context(), testOrder("running", 8, time.Second, 9*time.Second)) })
+		synctest.Wait()
+		group.Go(func() {
+			for _, r := range w.Make(t.Context(), testOrder("late", 4, 100*time.Millisecond, 9*time.Second)) {
+				is.Equal(r.Failure, Late)
+			}
+			is.True(time.Since(begin) < 2*time.Second) // long before it is given up
+		})
+		for i := range 8 {
+			group.Go(func() { w.Make(t.Context(), testOrder(fmt.Sprint("c", i), 8, 3*time.Second, 9*time.Second)) })
+		}
+		group.Wait()
+		w.Close(t.Context())
+	})
+}
+
+func TestClosedWorkshopRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := testWorkshop(t, &benches{}, 1)
+		w.Close(t.Context())
+		is.New(t).Equal(w.Make(t.Context(), testOrder("c", 1, time.Second, time.Second))[0].Failure, Refused)
+	})
+}
--- /dev/null
+++ b/router/target/set_test.go
@@ -0,0 +1,177 @@
+package target_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/property"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/routing"
+	"cicadawell.dev/router/target"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { property.Main(m, 200) }
+
+const lag = 2 * time.Second
+
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// world is a set with one service of runners.
+type world struct {
+	clk      *clock.Manual
+	set      target.Set
+	snapshot inventory.Snapshot
+}
+
+func newWorld(t testing.TB, coldPerSecond float64, rate target.ColdRate, runners ...inventory.Runner) *world {
+	t.Helper()
+	table, err := routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s", ColdPerSecond: coldPerSecond}}})
+	is.New(t).NoErr(err)
+	w := &world{clk: clock.NewManual(origin)}
+	w.set = target.NewSet(w.clk, rate, lag)
+	w.snapshot = inventory.Snapshot{Table: table, Runners: map[string]*inventory.Runner{}, ZonesOut: map[string]bool{}, ZonesBack: map[string]inventory.Return{}}
+	for _, r := range runners {
+		r.Service, r.Slots = "s", 1
+		w.snapshot.Runners[r.ID] = &r
+	}
+	w.update()
+	return w
+}
+
+func (w *world) update() {
+	s := w.snapshot
+	w.set.Update(&s)
+}
+
+func half(string, float64) float64 { return 2 }
+
+func TestPlainTakesTheRunnerWithLessWork(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 0, half, inventory.Runner{ID: "a", Zone: "z"}, inventory.Runner{ID: "b", Zone: "z"})
+	first := w.set.Plain("s", "z", nil)
+	_, ended := first.Begin(0)
+	second := w.set.Plain("s", "z", nil)
+	is.True(second != first)
+	_, _ = second.Begin(0)
+	ended()
+	ended() // twice makes no difference
+	is.Equal(w.set.Plain("s", "z", nil), first)
+	is.True(w.set.Plain("s", "z", []*target.Target{first, second}) == nil)
+}
+
+func TestRunnerThatBrokeRests(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 0, half, inventory.Runner{ID: "a", Zone: "z"}, inventory.Runner{ID: "b", Zone: "other"})
+	near := w.set.Plain("s", "z", nil)
+	is.Equal(near.Runner().ID, "a")
+	near.Broke(w.clk.Now())
+	is.Equal(w.set.Plain("s", "z", nil).Runner().ID, "b")
+	w.clk.Advance(5 * time.Second)
+	is.Equal(w.set.Plain("s", "z", nil).Runner().ID, "a")
+}
+
+func TestDrainingRunnersAndZonesTakenOutGetNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 0, half, inventory.Runner{ID: "a", Zone: "z"}, inventory.Runner{ID: "b", Zone: "y", Draining: true})
+	is.Equal(len(w.set.Usable("s")), 1)
+	w.snapshot.ZonesOut = map[string]bool{"z": true}
+	w.update()
+	is.Equal(len(w.set.Usable("s")), 0)
+	is.True(w.set.Plain("s", "z", nil) == nil)
+	is.True(w.set.Find("a") != nil) // what it has goes on
+}
+
+func TestNewIncarnationStartsAnew(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 0, half, inventory.Runner{ID: "a", Zone: "z", Born: 1})
+	old := w.set.Find("a")
+	_, _ = old.Begin(0)
+	w.snapshot.Runners = map[string]*inventory.Runner{"a": {ID: "a", Service: "s", Zone: "z", Born: 2}}
+	w.update()
+	is.True(w.set.Find("a") != old)
+	is.Equal(w.set.Find("a").Running(), 0)
+}
+
+// TestColdRunnersGetTheirRate counts the permits of a second for each reason to
+// take a runner for cold.
+func TestColdRunnersGetTheirRate(t *testing.T) {
+	for name, make := range map[string]func(w *world){
+		"said so":         func(*world) {},
+		"connection lost": func(w *world) { w.set.Find("a").Broke(w.clk.Now()) },
+		"zone taken back": func(w *world) {
+			w.snapshot.ZonesBack = map[string]inventory.Return{"z": {Revision: 9, SeenAt: w.clk.Now()}}
+			w.update()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := inventory.Runner{ID: "a", Zone: "z", Revision: 1, SeenAt: origin}
+			if name == "said so" {
+				r.Cold = lag
+			}
+			w := newWorld(t, 9, half, r)
+			make(w)
+			permits := 0
+			for range 1000 {
+				if w.set.Permit(w.set.Find("a")) {
+					permits++
+				}
+				w.clk.Advance(time.Millisecond)
+			}
+			is.Equal(permits, 2)
+			w.clk.Advance(lag)
+			is.True(w.set.Permit(w.set.Find("a")) && w.set.Permit(w.set.Find("a"))) // warm again
+		})
+	}
+}
+
+// TestColdRateHoldsOverAllInstancesProperty lets some instances ask for permits
+// at any time and counts each span of a second.
+func TestColdRateHoldsOverAllInstancesProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const perSecond, slack = 9.0, 5
+		n := rapid.IntRange(1, 5).Draw(rt, "instances")
+		var sets []*world
+		for range n {
+			w := newWorld(t, perSecond, func(_ string, p float64) float64 { return p / float64(n) }, inventory.Runner{ID: "a", Zone: "z", Cold: time.Hour, SeenAt: origin})
+			sets = append(sets, w)
+		}
+		var granted []time.Duration
+		for at := time.Duration(0); at < 4*time.Second; at += 5 * time.Millisecond {
+			for i, w := range sets {
+				if rapid.IntRange(0, 3).Draw(rt, fmt.Sprint("asks", i)) > 0 && w.set.Permit(w.set.Find("a")) {
+					granted = append(granted, at)
+				}
+				w.clk.Advance(5 * time.Millisecond)
+			}
+		}
+		for i := range granted {
+			count := 0
+			for _, at := range granted[i:] {
+				if at < granted[i]+time.Second {
+					count++
+				}
+			}
+			if float64(count) > 1.5*perSecond+slack {
+				rt.Fatalf("%d calls in a second", count)
+			}
+		}
+	})
+}
+
+func TestEngineKeepsToThePromptsHomeUntilItIsBusy(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 0, half, inventory.Runner{ID: "a", Zone: "z"}, inventory.Runner{ID: "b", Zone: "z"}, inventory.Runner{ID: "c", Zone: "z"})
+	p := target.Prompt{Parts: []target.Part{{ID: "shared", Tokens: 10000}, {ID: "own", Tokens: 100}}, Tokens: 10100}
+	home := w.set.Engine("s", "z", p, nil)
+	for range 3 {
+		is.Equal(w.set.Engine("s", "z", p, nil), home)
+	}
+	is.Equal(w.set.Home("s", p), "z")
+	_, _ = home.Begin(30000)
+	is.True(w.set.Engine("s", "z", p, nil) != home) // waiting costs more than reading
+}
