--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -105,9 +105,7 @@
 		default:
 			retry = firstRetry
 		}
-		if f.clk.Sleep(ctx, pause) != nil {
-			break
-		}
+		_ = f.clk.Sleep(ctx, pause)
 	}
 	return nil
 }
@@ -251,27 +249,29 @@
 		case c.Table != nil && (old.Table == nil || c.Table.Version() > old.Table.Version()):
 			f.log.Info("configuration in force", "version", c.Table.Version(), "revision", c.Revision)
 		case c.Runner != nil:
-			was := old.Runners[c.Runner.ID]
-			if was == nil || was.Draining != c.Runner.Draining || was.Born != c.Runner.Born {
-				f.log.Info("runner seen", "runner", c.Runner.ID, "service", c.Runner.Service, "zone", c.Runner.Zone,
-					"draining", c.Runner.Draining, "coldMillis", c.Runner.Cold.Milliseconds(), "revision", c.Revision)
-			}
+			f.reportRunner(old.Runners[c.Runner.ID], c)
 		case c.RunnerGone != "":
 			f.log.Info("runner gone", "runner", c.RunnerGone, "revision", c.Revision)
 		case c.ZoneOut != "":
 			f.log.Info("zone out", "zone", c.ZoneOut, "revision", c.Revision)
 		case c.ZoneBack != "":
 			f.log.Info("zone back", "zone", c.ZoneBack, "revision", c.Revision)
-		case c.Instance != nil:
-			if _, ok := old.Instances[c.Instance.Name]; !ok {
-				f.log.Info("instance seen", "instance", c.Instance.Name, "zone", c.Instance.Zone, "revision", c.Revision)
-			}
 		case c.InstanceGone != "":
 			f.log.Info("instance gone", "instance", c.InstanceGone, "revision", c.Revision)
+		case c.Instance != nil:
+			f.log.Info("instance seen", "instance", c.Instance.Name, "zone", c.Instance.Zone, "revision", c.Revision)
 		}
 	}
 }
 
+func (f *follower) reportRunner(was *Runner, c Change) {
+	r := c.Runner
+	if was == nil || was.Draining != r.Draining || was.Born != r.Born {
+		f.log.Info("runner seen", "runner", r.ID, "service", r.Service, "zone", r.Zone, "draining", r.Draining,
+			"coldMillis", r.Cold.Milliseconds(), "revision", c.Revision)
+	}
+}
+
 func (f *follower) Adopt(s *Snapshot, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/router/inventory/follower_test.go
+++ b/router/inventory/follower_test.go
@@ -91,9 +91,9 @@
 		}
 		current, f := follow(t, s, 100*time.Millisecond)
 		is.New(t).Equal(current.Load().Table.Version(), int64(7))
-		f.Adopt(&inventory.Snapshot{Table: config(t, 4), Revision: 9}, time.Now())
+		f.Adopt(&inventory.Snapshot{Table: config(t, 4), Revision: 9}, clock.System().Now())
 		is.New(t).Equal(current.Load().Table.Version(), int64(7))
-		f.Adopt(&inventory.Snapshot{Table: config(t, 9), Revision: 2}, time.Now())
+		f.Adopt(&inventory.Snapshot{Table: config(t, 9), Revision: 2}, clock.System().Now())
 		is.New(t).Equal(current.Load().Table.Version(), int64(7)) // an older snapshot says nothing
 	})
 }
@@ -115,7 +115,8 @@
 		s := &script{
 			lists: []step{{changes: []inventory.Change{runner("back", 1), runner("dead", 2)}, revision: 2}},
 			steps: []step{
-				{err: errAway}, {err: errAway},
+				{err: errAway},
+				{err: errAway},
 				{changes: []inventory.Change{gone("back", 3), gone("dead", 4)}, revision: 4},
 				{after: 500 * time.Millisecond, changes: []inventory.Change{runner("back", 5)}, revision: 5},
 				{after: 500 * time.Millisecond, revision: 5},
--- a/router/inventory/peers.go
+++ b/router/inventory/peers.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"time"
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/random"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/routing"
 	"github.com/hashicorp/go-hclog"
@@ -37,8 +37,8 @@
 }
 
 // NewExchange returns the exchange of an instance.
-func NewExchange(clk clock.Clock, self string, current *Current, f Follower, mesh instance.Mesh, random *rand.Rand, log hclog.Logger) Exchange {
-	e := &exchange{clk: clk, self: self, current: current, follower: f, mesh: mesh, random: random, log: log}
+func NewExchange(clk clock.Clock, self string, current *Current, f Follower, mesh instance.Mesh, numbers random.Source, log hclog.Logger) Exchange {
+	e := &exchange{clk: clk, self: self, current: current, follower: f, mesh: mesh, random: numbers, log: log}
 	mesh.Handle(methodInventory, e.serve)
 	return e
 }
@@ -49,9 +49,8 @@
 	current  *Current
 	follower Follower
 	mesh     instance.Mesh
-	// random is used by Run alone.
-	random *rand.Rand
-	log    hclog.Logger
+	random   random.Source
+	log      hclog.Logger
 }
 
 // question tells what the asking instance has.
--- a/router/membership/membership.go
+++ b/router/membership/membership.go
@@ -97,21 +97,18 @@
 }
 
 func (m *member) Run(ctx context.Context) error {
-	for {
+	for ctx.Err() == nil {
 		if m.current.Load().Table == nil {
 			// Others would send work to an instance that can't do it.
-			if m.clk.Sleep(ctx, waitEvery) != nil {
-				return nil
-			}
+			_ = m.clk.Sleep(ctx, waitEvery)
 			continue
 		}
 		if err := m.keep(ctx); err != nil && ctx.Err() == nil {
 			m.log.Warn("registration not renewed", "error", err)
 		}
-		if m.clk.Sleep(ctx, renewEvery) != nil {
-			return nil
-		}
+		_ = m.clk.Sleep(ctx, renewEvery)
 	}
+	return nil
 }
 
 // keep renews the lease, or registers under a new one.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/random"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/routing"
 	"cicadawell.dev/router/stage"
@@ -42,7 +42,7 @@
 	// means any age.
 	KnownFor time.Duration
 	// Random decides between the services of a route.
-	Random *rand.Rand
+	Random random.Source
 }
 
 // New returns a relay.
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -16,6 +15,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/property"
+	"cicadawell.dev/fleet/random"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/relay"
 	"cicadawell.dev/router/retry"
@@ -121,7 +121,6 @@
 	forecast stage.Forecast
 	made     []stage.Order
 	freed    []string
-	kept     map[string]bool
 }
 
 func (f *fakePieces) Make(_ context.Context, o stage.Order) []stage.Result {
@@ -186,13 +185,13 @@
 		s.Runners[id] = &inventory.Runner{ID: id, Service: "s", Zone: "z", Slots: 1}
 	}
 	current.Advance(s)
-	current.Confirm(time.Now())
+	current.Confirm(clock.System().Now())
 	r := relay.New(relay.Parts{
 		Clock: clock.System(), Timers: clock.SystemTimers(), Current: current, Refresh: func(context.Context) error { return errors.New("away") },
 		Targets: set, Pieces: p, Runners: f, Repeats: retry.New(nil), Log: hclog.NewNullLogger(), Zone: "z", KnownFor: 4 * time.Second,
-		Random: rand.New(rand.NewPCG(1, 1)),
+		Random: random.NewSeeded(1),
 	})
-	c := &relay.Call{ID: "id", Method: http.MethodPost, Target: path, Path: path, Host: host, Header: http.Header{}, Arrived: time.Now(), Pieces: []int{2, 3}, PieceKey: "k"}
+	c := &relay.Call{ID: "id", Method: http.MethodPost, Target: path, Path: path, Host: host, Header: http.Header{}, Arrived: clock.System().Now(), Pieces: []int{2, 3}, PieceKey: "k"}
 	if change != nil {
 		change(c, current)
 	}
@@ -385,7 +384,7 @@
 			return func(c *relay.Call, _ *inventory.Current) {
 				c.Key = key
 				_ = clock.System().Sleep(t.Context(), d)
-				c.Arrived = time.Now()
+				c.Arrived = clock.System().Now()
 			}
 		}
 		f := func() *fakeRunners { return &fakeRunners{acts: []act{good}} }
--- a/router/relay/stages.go
+++ b/router/relay/stages.go
@@ -26,16 +26,10 @@
 	users []int
 }
 
-// stages makes all pieces that a call needs. The caller gives the results up.
-func (x *relay) stages(p *plan) (*results, error) {
+// newResults counts who takes the results of each stage.
+func (x *relay) newResults(p *plan) *results {
 	n := len(p.route.Stages)
 	res := &results{pieces: x.Pieces, route: p.route, byStage: make([][]stage.Result, n), users: make([]int, n)}
-	if n == 0 {
-		return res, nil
-	}
-	if len(p.call.Pieces) != n {
-		return res, fault.New(fault.BadRequest, "found %d counts of pieces, the route has %d stages", len(p.call.Pieces), n).WithField("pieces")
-	}
 	for _, s := range p.route.Stages {
 		for _, a := range s.After {
 			res.users[a]++
@@ -44,6 +38,19 @@
 	for _, f := range p.route.Final() {
 		res.users[f]++
 	}
+	return res
+}
+
+// stages makes all pieces that a call needs. The caller gives the results up.
+func (x *relay) stages(p *plan) (*results, error) {
+	res := x.newResults(p)
+	n := len(p.route.Stages)
+	if n == 0 {
+		return res, nil
+	}
+	if len(p.call.Pieces) != n {
+		return res, fault.New(fault.BadRequest, "found %d counts of pieces, the route has %d stages", len(p.call.Pieces), n).WithField("pieces")
+	}
 	home := x.Targets.Home(p.service, p.call.Prompt)
 	if home == "" {
 		home = x.Zone
@@ -58,15 +65,8 @@
 	}
 	for i := range n {
 		group.Go(func() error {
-			if !x.awaitTurn(ctx, p, i) {
-				return ctx.Err()
-			}
-			for _, a := range p.route.Stages[i].After {
-				select {
-				case <-done[a]:
-				case <-ctx.Done():
-					return ctx.Err()
-				}
+			if err := x.await(ctx, p, i, done); err != nil {
+				return err
 			}
 			if err := x.makeStage(ctx, p, res, i, home); err != nil {
 				return err
@@ -85,11 +85,23 @@
 	return res, err
 }
 
+// await waits until a stage can begin.
+func (x *relay) await(ctx context.Context, p *plan, i int, done []chan struct{}) error {
+	for _, a := range p.route.Stages[i].After {
+		select {
+		case <-done[a]:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return x.awaitTurn(ctx, p, i)
+}
+
 // awaitTurn holds a stage back that takes less time than those beside it. Its
 // results would only take room at their maker meanwhile.
-func (x *relay) awaitTurn(ctx context.Context, p *plan, i int) bool {
+func (x *relay) awaitTurn(ctx context.Context, p *plan, i int) error {
 	if len(p.route.Stages[i].After) > 0 || p.call.Pieces[i] == 0 {
-		return true
+		return nil
 	}
 	longest := time.Duration(0)
 	for j, s := range p.route.Stages {
@@ -97,7 +109,7 @@
 			longest = max(longest, x.pathFrom(p, j))
 		}
 	}
-	return x.Clock.Sleep(ctx, longest-x.pathFrom(p, i)) == nil
+	return x.Clock.Sleep(ctx, longest-x.pathFrom(p, i))
 }
 
 // pathFrom returns how long a stage and those after it take if nothing waits.
--- a/router/stage/pool_test.go
+++ b/router/stage/pool_test.go
@@ -83,7 +83,7 @@
 }
 
 func testOrder(id string, n int, due, until time.Duration) Order {
-	now := time.Now()
+	now := clock.System().Now()
 	o := Order{ID: id, Service: testService, Due: now.Add(due), Until: now.Add(until)}
 	for i := range n {
 		o.Pieces = append(o.Pieces, Piece{Call: id, Index: i})
@@ -110,7 +110,7 @@
 		w := testWorkshop(t, b, 2)
 		const bound = 2 * 8 / 0.230 // pieces a second
 		const load = 6 * time.Second
-		begin := time.Now()
+		begin := clock.System().Now()
 		var group sync.WaitGroup
 		var mu sync.Mutex
 		taken, done, refused := 0, 0, 0
@@ -119,7 +119,7 @@
 			id := fmt.Sprint("c", at)
 			group.Go(func() {
 				o := testOrder(id, 2, time.Second, 2*time.Second)
-				f := w.Announce(t.Context(), Announcement{ID: id, Service: testService, Pieces: 2, Ready: time.Now(), Due: o.Due, Until: o.Until})
+				f := w.Announce(t.Context(), Announcement{ID: id, Service: testService, Pieces: 2, Ready: clock.System().Now(), Due: o.Due, Until: o.Until})
 				if f.Refused {
 					mu.Lock()
 					refused++
@@ -138,7 +138,7 @@
 		}
 		group.Wait()
 		w.Close(t.Context())
-		perSecond := float64(2*done) / time.Since(begin).Seconds()
+		perSecond := float64(2*done) / clock.System().Now().Sub(begin).Seconds()
 		t.Logf("%.0f pieces a second of %.0f; %d of %d that were taken, %d refused", perSecond, bound, done, taken, refused)
 		is.True(perSecond >= 0.9*bound)
 		is.True(float64(done) >= 0.95*float64(taken)) // who is taken is served
@@ -158,12 +158,12 @@
 		var took []time.Duration
 		for i := range 100 {
 			group.Go(func() {
-				start := time.Now()
+				start := clock.System().Now()
 				n := made(w.Make(t.Context(), testOrder(fmt.Sprint("c", i), 2, time.Second, 2*time.Second)))
 				mu.Lock()
 				defer mu.Unlock()
 				if n == 2 {
-					took = append(took, time.Since(start))
+					took = append(took, clock.System().Now().Sub(start))
 				}
 			})
 			_ = clock.System().Sleep(t.Context(), 23*time.Millisecond) // 87 of 174 pieces a second
@@ -220,14 +220,14 @@
 		is := is.New(t)
 		w := testWorkshop(t, &benches{}, 1)
 		var group sync.WaitGroup
-		begin := time.Now()
+		begin := clock.System().Now()
 		group.Go(func() { w.Make(t.Context(), testOrder("running", 8, time.Second, 9*time.Second)) })
 		synctest.Wait()
 		group.Go(func() {
 			for _, r := range w.Make(t.Context(), testOrder("late", 4, 100*time.Millisecond, 9*time.Second)) {
 				is.Equal(r.Failure, Late)
 			}
-			is.True(time.Since(begin) < 2*time.Second) // long before it is given up
+			is.True(clock.System().Now().Sub(begin) < 2*time.Second) // long before it is given up
 		})
 		for i := range 8 {
 			group.Go(func() { w.Make(t.Context(), testOrder(fmt.Sprint("c", i), 8, 3*time.Second, 9*time.Second)) })
--- a/router/target/set_test.go
+++ b/router/target/set_test.go
@@ -99,7 +99,7 @@
 // TestColdRunnersGetTheirRate counts the permits of a second for each reason to
 // take a runner for cold.
 func TestColdRunnersGetTheirRate(t *testing.T) {
-	for name, make := range map[string]func(w *world){
+	for name, prepare := range map[string]func(w *world){
 		"said so":         func(*world) {},
 		"connection lost": func(w *world) { w.set.Find("a").Broke(w.clk.Now()) },
 		"zone taken back": func(w *world) {
@@ -114,7 +114,7 @@
 				r.Cold = lag
 			}
 			w := newWorld(t, 9, half, r)
-			make(w)
+			prepare(w)
 			permits := 0
 			for range 1000 {
 				if w.set.Permit(w.set.Find("a")) {
@@ -124,7 +124,8 @@
 			}
 			is.Equal(permits, 2)
 			w.clk.Advance(lag)
-			is.True(w.set.Permit(w.set.Find("a")) && w.set.Permit(w.set.Find("a"))) // warm again
+			is.True(w.set.Permit(w.set.Find("a"))) // warm again
+			is.True(w.set.Permit(w.set.Find("a")))
 		})
 	}
 }
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -15,7 +15,6 @@
 	mu     sync.Mutex
 	runner *inventory.Runner
 
-	gone bool
 	// running counts the calls of this instance that the runner has.
 	running int
 	// tokens is the sum of the prompt tokens of those calls that the runner
