Write a line for each decision, bounded, and measure calls

Cause: on-call engineers have only logs and metrics; lines about sends, stages and batches stood at debug, and a reader that doesn't read would have blocked requests.

Change: lines go through a bounded buffer with a rate for failures of their own; decisions are logged with their inputs; counters and histograms of calls, attempts and stages; what the instance believes as gauges.

--- /dev/null
+++ b/router/journal/lines_test.go
@@ -0,0 +1,62 @@
+package journal_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/journal"
+	"github.com/matryer/is"
+)
+
+const (
+	plainLine   = `{"@level":"info","n":%d}` + "\n"
+	failureLine = `{"@level":"warn","n":%d}` + "\n"
+)
+
+func TestLinesNeverWaitForTheirReader(t *testing.T) {
+	is := is.New(t)
+	r, w := io.Pipe() // nobody reads
+	l := journal.NewLines(w, clock.NewManual(time.Unix(0, 0)))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	const lines = 10_000
+	for i := range lines {
+		n, err := fmt.Fprintf(l, plainLine, i)
+		is.NoErr(err)
+		is.True(n > 0)
+	}
+	is.True(l.LeftOut() > 0)
+	cancel()
+	is.NoErr(r.Close())
+	<-done
+}
+
+func TestLinesKeepFailuresBesideManyOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var out bytes.Buffer
+		l := journal.NewLines(&out, clock.System())
+		for i := range 5000 {
+			_, _ = fmt.Fprintf(l, plainLine, i)
+		}
+		for i := range 100 {
+			_, _ = fmt.Fprintf(l, failureLine, i)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- l.Run(ctx) }()
+		_ = clock.System().Sleep(t.Context(), 11*time.Second)
+		cancel()
+		is.NoErr(<-done)
+		is.Equal(strings.Count(out.String(), `"warn"`), 101) // and the count of what was left out
+		is.True(strings.Contains(out.String(), fmt.Sprintf(`"lines left out","count":%d`, l.LeftOut())))
+	})
+}
--- a/router/relay/announce.go
+++ b/router/relay/announce.go
@@ -34,6 +34,8 @@
 	_ = group.Wait()
 	for i, f := range forecasts {
 		if f.Refused {
+			x.Log.Warn("stage refused", "request", p.call.ID, "stage", i, "service", p.route.Stages[i].Service, "rank", p.priority,
+				"waitMillis", f.Wait.Milliseconds(), "objectiveMillis", p.route.Objective.Milliseconds())
 			x.withdraw(p)
 			return fault.New(fault.Overloaded, "stage %d would wait %v", i, f.Wait).WithRetryAfter(f.Wait)
 		}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -35,6 +35,7 @@
 	Pieces  stage.Maker
 	Runners Runners
 	Repeats Repeats
+	Meter   Meter
 	Log     hclog.Logger
 	// Zone is the availability zone of this instance.
 	Zone string
@@ -45,6 +46,13 @@
 	Random random.Source
 }
 
+// Meter measures calls. Its methods are those of gauge.Relay.
+type Meter interface {
+	Answered(route, kind string, took time.Duration)
+	Sent(service string, status int, took time.Duration)
+	Staged(service, failure string, took time.Duration)
+}
+
 // New returns a relay.
 func New(p Parts) Relay {
 	return &relay{Parts: p, refreshing: shared{clk: p.Clock}}
@@ -61,9 +69,12 @@
 		p, err = x.planAnew(ctx, c)
 	}
 	if err != nil {
+		x.Meter.Answered("", string(fault.Of(err).Kind()), x.Clock.Now().Sub(c.Arrived))
 		x.refuse(w, c, err)
 		return
 	}
+	kind := fault.RunnerFailed // stands if the answer is broken off
+	defer func() { x.Meter.Answered(p.route.Name, string(kind), x.Clock.Now().Sub(c.Arrived)) }()
 	ctx, cancel := context.WithTimeout(ctx, p.until.Sub(x.Clock.Now()))
 	defer cancel()
 	p.ctx = ctx
@@ -72,7 +83,9 @@
 	} else {
 		err = x.plain(w, p)
 	}
+	kind = ""
 	if err != nil {
+		kind = fault.Of(err).Kind()
 		x.refuse(w, c, err)
 	}
 }
@@ -169,7 +182,11 @@
 	if after := e.RetryAfter(); after > 0 && outcome == fault.NotRun {
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
-	x.Log.Info("refused", "request", c.ID, "kind", e.Kind(), "outcome", outcome, "status", status,
+	level := hclog.Warn
+	if status < http.StatusInternalServerError {
+		level = hclog.Info
+	}
+	x.Log.Log(level, "refused", "request", c.ID, "kind", e.Kind(), "outcome", outcome, "status", status,
 		"afterMillis", x.Clock.Now().Sub(c.Arrived).Milliseconds(), "error", e)
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
@@ -196,8 +213,11 @@
 	default:
 		t.Succeeded(now, now.Sub(start))
 	}
-	x.Log.Debug("sent", "request", p.call.ID, "route", p.route.Name, "service", p.service, "runner", d.Runner.ID,
-		"leftMillis", d.Left.Milliseconds(), "tookMillis", now.Sub(start).Milliseconds(), "status", statusOf(a), "error", err)
+	x.Meter.Sent(p.service, statusOf(a), now.Sub(start))
+	x.Log.Info("sent", "request", p.call.ID, "route", p.route.Name, "service", p.service, "team", p.team, "runner", d.Runner.ID,
+		"zone", d.Runner.Zone, "runnerRevision", d.Runner.Revision, "configuration", x.Current.Load().Table.Version(),
+		"leftMillis", d.Left.Milliseconds(), "resumeAfter", d.ResumeAfter, "inputs", len(d.Inputs),
+		"tookMillis", now.Sub(start).Milliseconds(), "status", statusOf(a), "error", err)
 	return a, err
 }
 
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -16,6 +16,7 @@
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/property"
 	"cicadawell.dev/fleet/random"
+	"cicadawell.dev/router/gauge"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/relay"
 	"cicadawell.dev/router/retry"
@@ -188,7 +189,7 @@
 	current.Confirm(clock.System().Now())
 	r := relay.New(relay.Parts{
 		Clock: clock.System(), Timers: clock.SystemTimers(), Current: current, Refresh: func(context.Context) error { return errors.New("away") },
-		Targets: set, Pieces: p, Runners: f, Repeats: retry.New(nil), Log: hclog.NewNullLogger(), Zone: "z", KnownFor: 4 * time.Second,
+		Targets: set, Pieces: p, Runners: f, Meter: gauge.NewRelay(), Repeats: retry.New(nil), Log: hclog.NewNullLogger(), Zone: "z", KnownFor: 4 * time.Second,
 		Random: random.NewSeeded(1),
 	})
 	c := &relay.Call{ID: "id", Method: http.MethodPost, Target: path, Path: path, Host: host, Header: http.Header{}, Arrived: clock.System().Now(), Pieces: []int{2, 3}, PieceKey: "k"}
--- a/router/relay/stages.go
+++ b/router/relay/stages.go
@@ -146,13 +146,12 @@
 			Until: p.until, Due: p.call.Arrived.Add(p.route.Objective), Rank: p.priority, After: x.restOf(p, i),
 		})
 		res.set(i, made)
-		x.Log.Debug("stage made", "request", p.call.ID, "route", p.route.Name, "stage", i, "service", spec.Service, "pieces", len(pieces),
+		x.Meter.Staged(spec.Service, string(failureIn(made)), x.Clock.Now().Sub(start))
+		x.Log.Info("stage made", "request", p.call.ID, "route", p.route.Name, "stage", i, "service", spec.Service, "pieces", len(pieces),
 			"tookMillis", x.Clock.Now().Sub(start).Milliseconds(), "sinceMillis", x.Clock.Now().Sub(p.call.Arrived).Milliseconds())
-		for _, r := range made {
-			if r.Failure != "" {
-				x.Log.Debug("stage failed", "request", p.call.ID, "stage", i, "service", spec.Service, "failure", r.Failure)
-				return failureOf(r.Failure, i)
-			}
+		if f := failureIn(made); f != "" {
+			x.Log.Warn("stage failed", "request", p.call.ID, "stage", i, "service", spec.Service, "failure", f)
+			return failureOf(f, i)
 		}
 	}
 	for _, a := range spec.After {
@@ -161,6 +160,16 @@
 	return nil
 }
 
+// failureIn returns the first failure, or "".
+func failureIn(made []stage.Result) stage.Failure {
+	for _, r := range made {
+		if r.Failure != "" {
+			return r.Failure
+		}
+	}
+	return ""
+}
+
 // restOf returns the least time that a call needs after a stage.
 func (x *relay) restOf(p *plan, i int) time.Duration {
 	longest := target.FirstEvent(p.call.Prompt)
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -5,7 +5,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"time"
 
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/router/target"
@@ -142,7 +141,7 @@
 			if n == 0 && !s.begun {
 				return fault.New(fault.RunnerFailed, "the stream has no event")
 			}
-			x.Log.Debug("stream complete", "request", p.call.ID, "runner", t.Runner().ID, "events", s.events,
+			x.Log.Info("stream complete", "request", p.call.ID, "runner", t.Runner().ID, "events", s.events,
 				"tookMillis", x.Clock.Now().Sub(start).Milliseconds())
 			return nil
 		}
@@ -183,8 +182,8 @@
 // broken ends a stream that can't be completed.
 func (x *relay) broken(p *plan, s *streamState, run fault.Outcome, last error) error {
 	if s.begun {
-		x.Log.Info("stream broken off", "request", p.call.ID, "route", p.route.Name, "events", s.events,
-			"afterMillis", x.Clock.Now().Sub(p.call.Arrived)/time.Millisecond, "error", last)
+		x.Log.Warn("stream broken off", "request", p.call.ID, "route", p.route.Name, "events", s.events,
+			"afterMillis", x.Clock.Now().Sub(p.call.Arrived).Milliseconds(), "error", last)
 		panic(http.ErrAbortHandler)
 	}
 	switch {
--- a/router/stage/pool.go
+++ b/router/stage/pool.go
@@ -209,7 +209,7 @@
 	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(1+limits.Queue)*expected+callSlack)
 	defer cancel()
 	results, refused, err := p.runners.Run(ctx, t.Runner(), timed)
-	p.log.Debug("batch", "service", p.service, "runner", t.Runner().ID, "zone", t.Runner().Zone, "pieces", len(batch),
+	p.log.Info("batch", "service", p.service, "runner", t.Runner().ID, "zone", t.Runner().Zone, "pieces", len(batch),
 		"waitedMillis", now.Sub(batch[0].since).Milliseconds(), "tookMillis", p.clk.Now().Sub(now).Milliseconds(), "refused", refused, "error", err)
 	p.settle(t, limits, batch, results, refused, err)
 	p.Dispatch()
