Place prompts at one instance a service, by what engines have read and have to read

Ruled out: stages (wait 80 to 160 ms); reports of engines, which lag and are priced, and which all instances read alike.

Change: package placement with a book of what was sent, what is read and kept; its owner places for all, with the own book as last resort; homes by rendezvous stand in where a book knows nothing. Owners are found by package owner, which stages use too.

--- a/router/journal/lines_test.go
+++ b/router/journal/lines_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -36,7 +37,7 @@
 	is.True(l.LeftOut() > 0)
 	cancel()
 	is.NoErr(r.Close())
-	<-done
+	is.True(errors.Is(<-done, io.ErrClosedPipe))
 }
 
 func TestLinesKeepFailuresBesideManyOthers(t *testing.T) {
--- /dev/null
+++ b/router/placement/placer.go
@@ -0,0 +1,196 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/target"
+)
+
+// Request asks for an engine.
+type Request struct {
+	// ID is that of the call; it is unique in the fleet.
+	ID      string
+	Service string
+	Prompt  target.Prompt
+	// Zone is where the inputs of the call are, and InputBytes how long they
+	// are.
+	Zone       string
+	InputBytes int64
+	// Avoid are engines that were tried already.
+	Avoid []*target.Target
+	// Until is when the call is given up.
+	Until time.Time
+}
+
+// Place is an engine for a call.
+type Place interface {
+	// Target is the engine.
+	Target() *target.Target
+	// Answered notes the first event.
+	Answered()
+	// Ended notes the end of the call at this engine.
+	Ended()
+}
+
+// Placer chooses engines.
+type Placer interface {
+	// Place chooses an engine for a call, or returns nil if there is none.
+	Place(ctx context.Context, r Request) Place
+	// Home returns the zone of the engine that would be chosen now, or "".
+	Home(ctx context.Context, r Request) string
+}
+
+// Local is a placer by what this instance has placed itself.
+type Local interface {
+	Placer
+	// Begin, Answer and End are the steps of a call that another instance has
+	// placed here. Begin returns the runner's identifier, or "".
+	Begin(r Request) string
+	Answer(id string)
+	End(id string)
+}
+
+// NewLocal returns a placer that knows of its own calls only.
+func NewLocal(clk clock.Clock, current *inventory.Current, targets target.Set) Local {
+	return &local{clk: clk, current: current, targets: targets, books: make(map[string]*book), calls: make(map[string]*entry)}
+}
+
+type local struct {
+	clk     clock.Clock
+	current *inventory.Current
+	targets target.Set
+
+	mu    sync.Mutex
+	books map[string]*book
+	// calls has those that run at an engine.
+	calls map[string]*entry
+	swept time.Time
+}
+
+// entry is a call in a book.
+type entry struct {
+	book   *book
+	target *target.Target
+	// tokens are still to be read.
+	tokens int
+	// until is when the entry is dropped if nobody told of the end.
+	until time.Time
+}
+
+// sweepEvery is how often calls are looked for whose end wasn't told.
+const sweepEvery = time.Second
+
+func (l *local) Place(_ context.Context, r Request) Place {
+	t := l.begin(r)
+	if t == nil {
+		return nil
+	}
+	return &localPlace{local: l, target: t, id: r.ID}
+}
+
+func (l *local) Home(_ context.Context, r Request) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.choose(r, false); t != nil {
+		return t.Runner().Zone
+	}
+	return ""
+}
+
+func (l *local) Begin(r Request) string {
+	if t := l.begin(r); t != nil {
+		return t.Runner().ID
+	}
+	return ""
+}
+
+func (l *local) begin(r Request) *target.Target {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sweep()
+	t := l.choose(r, true)
+	if t == nil {
+		return nil
+	}
+	b := l.books[r.Service]
+	l.calls[r.ID] = &entry{book: b, target: t, tokens: b.begin(t, r.Prompt, l.clk.Now()), until: r.Until}
+	return t
+}
+
+// choose returns the cheapest engine. The caller holds mu.
+func (l *local) choose(r Request, permit bool) *target.Target {
+	b := l.books[r.Service]
+	if b == nil {
+		b = newBook()
+		l.books[r.Service] = b
+	}
+	if table := l.current.Load().Table; table != nil {
+		if svc := table.Service(r.Service); svc != nil && svc.Engine != nil && svc.Engine.MemoryTokens > 0 {
+			b.memory = int(svc.Engine.MemoryTokens)
+		}
+	}
+	a := ask{prompt: r.Prompt, zone: r.Zone, bytes: r.InputBytes, home: b.home(r.Prompt, l.targets.Usable(r.Service))}
+	return l.targets.Choose(r.Service, r.Avoid, permit, func(t *target.Target) time.Duration { return b.cost(t, a) })
+}
+
+// sweep drops the calls whose end wasn't told, and engines that are gone. The
+// caller holds mu.
+func (l *local) sweep() {
+	now := l.clk.Now()
+	if now.Sub(l.swept) < sweepEvery {
+		return
+	}
+	l.swept = now
+	for id, e := range l.calls {
+		if now.After(e.until) {
+			l.end(id)
+		}
+	}
+	for service, b := range l.books {
+		b.retain(l.targets.Usable(service))
+	}
+}
+
+func (l *local) Answer(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answer(id)
+}
+
+func (l *local) answer(id string) {
+	if e := l.calls[id]; e != nil {
+		e.book.of(e.target).pending -= e.tokens
+		e.tokens = 0
+	}
+}
+
+func (l *local) End(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.end(id)
+}
+
+func (l *local) end(id string) {
+	if e := l.calls[id]; e != nil {
+		l.answer(id)
+		e.book.of(e.target).running--
+		delete(l.calls, id)
+	}
+}
+
+// localPlace is a place of this instance's own book.
+type localPlace struct {
+	local  *local
+	target *target.Target
+	id     string
+}
+
+func (p *localPlace) Target() *target.Target { return p.target }
+
+func (p *localPlace) Answered() { p.local.Answer(p.id) }
+
+func (p *localPlace) Ended() { p.local.End(p.id) }
--- /dev/null
+++ b/router/placement/placer_test.go
@@ -0,0 +1,210 @@
+package placement_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/owner"
+	"cicadawell.dev/router/placement"
+	"cicadawell.dev/router/routing"
+	"cicadawell.dev/router/target"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+)
+
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// world is what one instance knows: some engines in zones x and y by turns.
+type world struct {
+	clk     *clock.Manual
+	current *inventory.Current
+	set     target.Set
+	local   placement.Local
+}
+
+func newWorld(t testing.TB, engines int, instances ...string) *world {
+	t.Helper()
+	table, err := routing.NewTable(routing.Config{Version: 1, Services: []routing.Service{{Name: "s", Engine: &routing.Engine{MemoryTokens: 100_000}}}})
+	is.New(t).NoErr(err)
+	w := &world{clk: clock.NewManual(origin)}
+	w.current = inventory.NewCurrent(w.clk)
+	w.set = target.NewSet(w.clk, func(string, float64) float64 { return 1 }, time.Second)
+	w.current.Subscribe(w.set.Update)
+	s := &inventory.Snapshot{Table: table, Revision: 1, Runners: map[string]*inventory.Runner{}, Instances: map[string]inventory.Instance{}}
+	for i := range engines {
+		id := fmt.Sprint("e", i)
+		s.Runners[id] = &inventory.Runner{ID: id, Service: "s", Zone: []string{"x", "y"}[i%2], Slots: 64}
+	}
+	for _, name := range instances {
+		s.Instances[name] = inventory.Instance{Name: name}
+	}
+	w.current.Advance(s)
+	w.local = placement.NewLocal(w.clk, w.current, w.set)
+	return w
+}
+
+func request(id, subject string, tokens int) placement.Request {
+	return placement.Request{ID: id, Service: "s", Until: origin.Add(10 * time.Second), Prompt: target.Prompt{
+		Parts: []target.Part{{ID: subject, Tokens: tokens}, {ID: id, Tokens: 100}}, Tokens: tokens + 100,
+	}}
+}
+
+func TestPromptsStayWhereTheirPartsAreKept(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 6)
+	first := w.local.Place(t.Context(), request("a", "subject", 10_000))
+	first.Answered()
+	for i := range 5 {
+		next := w.local.Place(t.Context(), request(fmt.Sprint("b", i), "subject", 10_000))
+		is.Equal(next.Target(), first.Target())
+		next.Answered()
+	}
+}
+
+func TestBusyEnginesLoseTheirPrompts(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	first := w.local.Place(t.Context(), request("a", "subject", 10_000))
+	second := w.local.Place(t.Context(), request("b", "subject", 10_000))
+	is.True(second.Target() != first.Target()) // waiting behind the first costs as much as reading
+	first.Ended()
+	first.Ended() // twice makes no difference
+}
+
+// TestInstancesAgreeOnHomes lets books that know nothing choose.
+func TestInstancesAgreeOnHomes(t *testing.T) {
+	is := is.New(t)
+	homes := map[string]bool{}
+	for i := range 20 {
+		r := request("a", fmt.Sprint("subject", i), 10_000)
+		one, two := newWorld(t, 6).local.Place(t.Context(), r), newWorld(t, 6).local.Place(t.Context(), r)
+		is.Equal(one.Target().Runner().ID, two.Target().Runner().ID)
+		homes[one.Target().Runner().ID] = true
+	}
+	is.True(len(homes) > 3) // and they are spread
+}
+
+func TestLongPromptsAreSpread(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 4)
+	used := map[*target.Target]int{}
+	for i := range 8 {
+		used[w.local.Place(t.Context(), request(fmt.Sprint("a", i), fmt.Sprint("subject", i), 40_000)).Target()]++
+	}
+	for _, n := range used {
+		is.Equal(n, 2)
+	}
+	is.Equal(len(used), 4)
+}
+
+func TestInputsDrawTheCallIntoTheirZone(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 4)
+	for i, zone := range []string{"x", "y"} {
+		r := request(fmt.Sprint("a", i), "", 10)
+		r.Zone, r.InputBytes = zone, 9_000_000
+		is.Equal(w.local.Place(t.Context(), r).Target().Runner().Zone, zone)
+	}
+}
+
+func TestCallsWhoseEndIsNotToldAreDropped(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	first := w.local.Begin(request("a", "subject", 10_000))
+	w.clk.Advance(11 * time.Second)
+	r := request("b", "subject", 10_000)
+	r.Until = w.clk.Now().Add(time.Second)
+	is.Equal(w.local.Begin(r), first) // nothing waits there any more
+}
+
+// fakeMesh answers calls by another world's handlers, or not at all.
+type fakeMesh struct {
+	handlers map[string]instance.Handler
+	peer     *fakeMesh
+	calls    []string
+}
+
+func (m *fakeMesh) Handle(method string, h instance.Handler) { m.handlers[method] = h }
+
+func (m *fakeMesh) Learn(map[string]string) {}
+
+func (m *fakeMesh) Call(ctx context.Context, to, method string, params, result any) error {
+	m.calls = append(m.calls, to+" "+method)
+	if m.peer == nil {
+		return errors.New("away")
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	answer, err := m.peer.handlers[method](ctx, "a", raw)
+	if err != nil || result == nil {
+		return err
+	}
+	raw, err = json.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, result)
+}
+
+func sharedPlacer(w *world, self string, m *fakeMesh) placement.Placer {
+	return placement.NewShared(w.clk, self, owner.NewFinder(w.clk, w.current), m, w.local, w.set, hclog.NewNullLogger())
+}
+
+func TestTheOwnerPlacesForAll(t *testing.T) {
+	is := is.New(t)
+	names := []string{"a", "b"}
+	one, two := newWorld(t, 2, names...), newWorld(t, 2, names...)
+	place := func(w *world, self string, r placement.Request) string {
+		m, peer := &fakeMesh{handlers: map[string]instance.Handler{}}, &fakeMesh{handlers: map[string]instance.Handler{}}
+		other := two
+		if w == two {
+			other = one
+		}
+		_ = sharedPlacer(other, "other", peer)
+		m.peer = peer
+		return sharedPlacer(w, self, m).Place(t.Context(), r).Target().Runner().ID
+	}
+	// Each prompt adds a load that the next choice, of either instance, sees.
+	first := place(one, "a", request("1", "s1", 40_000))
+	second := place(two, "b", request("2", "s1", 40_000))
+	is.True(first != second)
+}
+
+func TestWithoutItsOwnerAnInstancePlacesByItself(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, "other")
+	m := &fakeMesh{handlers: map[string]instance.Handler{}}
+	p := sharedPlacer(w, "self", m)
+	is.True(p.Place(t.Context(), request("1", "s", 10)) != nil)
+	is.True(p.Place(t.Context(), request("2", "s", 10)) != nil)
+	is.Equal(len(m.calls), 1) // it isn't asked again for a while
+	w.clk.Advance(4 * time.Second)
+	is.True(p.Place(t.Context(), request("3", "s", 10)) != nil)
+	is.Equal(len(m.calls), 2)
+}
+
+// TestPlaceBound holds the choice among many engines to a bounded number of
+// allocations, and to a cost that grows no faster than the engines.
+func TestPlaceBound(t *testing.T) {
+	is := is.New(t)
+	allocations := func(engines int) float64 {
+		w := newWorld(t, engines)
+		n := 0
+		return testing.AllocsPerRun(200, func() {
+			n++
+			w.local.Place(t.Context(), request(fmt.Sprint(n), fmt.Sprint("s", n%50), 1000)).Ended()
+		})
+	}
+	few, many := allocations(9), allocations(90)
+	t.Logf("allocations a placement: %.0f with 9 engines, %.0f with 90", few, many)
+	is.True(many <= 10*few)
+}
--- a/router/relay/plain.go
+++ b/router/relay/plain.go
@@ -51,7 +51,7 @@
 			break
 		}
 		avoid = append(avoid, t)
-		_, ended := t.Begin(0)
+		ended := t.Begin()
 		last = x.try(p, t, n+1 < p.route.MaxAttempts)
 		ended()
 		if last.err == nil && !last.answer.NotRun {
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -11,6 +11,7 @@
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/random"
 	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/placement"
 	"cicadawell.dev/router/routing"
 	"cicadawell.dev/router/stage"
 	"cicadawell.dev/router/target"
@@ -32,6 +33,8 @@
 	// Refresh reads at once whether the configuration has changed.
 	Refresh func(ctx context.Context) error
 	Targets target.Set
+	// Engines places calls that are answered by events.
+	Engines placement.Placer
 	Pieces  stage.Maker
 	Runners Runners
 	Repeats Repeats
--- a/router/relay/stages.go
+++ b/router/relay/stages.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/placement"
 	"cicadawell.dev/router/routing"
 	"cicadawell.dev/router/stage"
-	"cicadawell.dev/router/target"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -51,7 +51,7 @@
 	if len(p.call.Pieces) != n {
 		return res, fault.New(fault.BadRequest, "found %d counts of pieces, the route has %d stages", len(p.call.Pieces), n).WithField("pieces")
 	}
-	home := x.Targets.Home(p.service, p.call.Prompt)
+	home := x.Engines.Home(p.ctx, x.placing(p))
 	if home == "" {
 		home = x.Zone
 	}
@@ -172,7 +172,7 @@
 
 // restOf returns the least time that a call needs after a stage.
 func (x *relay) restOf(p *plan, i int) time.Duration {
-	longest := target.FirstEvent(p.call.Prompt)
+	longest := placement.FirstEvent(p.call.Prompt)
 	for j := i + 1; j < len(p.route.Stages); j++ {
 		if !slices.Contains(p.route.Stages[j].After, i) || p.call.Pieces[j] == 0 {
 			continue
@@ -226,6 +226,17 @@
 	return out
 }
 
+// bytes returns about how long the results are that the call's runner fetches.
+func (r *results) bytes() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var sum int64
+	for _, i := range r.route.Final() {
+		sum += int64(len(r.byStage[i])) * r.route.Stages[i].ResultBytes
+	}
+	return sum
+}
+
 // used notes that one user of a stage's results has taken them, and gives them
 // up after the last one.
 func (r *results) used(i int) {
--- a/router/relay/stall.go
+++ b/router/relay/stall.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"cicadawell.dev/fleet/clock"
-	"cicadawell.dev/router/target"
+	"cicadawell.dev/router/placement"
 )
 
 const (
@@ -35,7 +35,7 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	w := &stallWatch{timers: x.Timers, cancel: cancel, gap: max(stallShare*p.route.GapObjective, shortestStall)}
 	if p.route.Resumable && p.route.MaxAttempts > 1 {
-		first := max(firstStallShare*p.route.Objective, 2*target.FirstEvent(p.call.Prompt), shortestStall)
+		first := max(firstStallShare*p.route.Objective, 2*placement.FirstEvent(p.call.Prompt), shortestStall)
 		w.stopTimer = w.timers.AfterFunc(first, cancel)
 	}
 	return ctx, w
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/placement"
 	"cicadawell.dev/router/target"
 )
 
@@ -38,12 +39,14 @@
 		if n > 0 && !x.Repeats.Allow(p.service) {
 			break
 		}
-		t := x.Targets.Engine(p.service, zone, p.call.Prompt, avoid)
-		if t == nil {
+		where := x.placing(p)
+		where.Zone, where.InputBytes, where.Avoid = zone, res.bytes(), avoid
+		place := x.Engines.Place(p.ctx, where)
+		if place == nil {
 			break
 		}
-		avoid = append(avoid, t)
-		outcome, err := x.streamFrom(p, t, state, res, inputs)
+		avoid = append(avoid, place.Target())
+		outcome, err := x.streamFrom(p, place, state, res, inputs)
 		if err == nil {
 			return nil
 		}
@@ -58,6 +61,11 @@
 	return x.broken(p, state, run, last)
 }
 
+// placing returns the request for an engine.
+func (x *relay) placing(p *plan) placement.Request {
+	return placement.Request{ID: p.call.ID, Service: p.service, Prompt: p.call.Prompt, Until: p.until}
+}
+
 // resultZone returns the zone that has most results for the call's runner, or
 // that of this instance.
 func (x *relay) resultZone(p *plan, res *results) string {
@@ -77,9 +85,11 @@
 
 // streamFrom sends the call to one engine and passes its events on. Without an
 // error the answer is complete.
-func (x *relay) streamFrom(p *plan, t *target.Target, s *streamState, res *results, inputs []string) (fault.Outcome, error) {
-	answered, ended := t.Begin(p.call.Prompt.Tokens)
+func (x *relay) streamFrom(p *plan, place placement.Place, s *streamState, res *results, inputs []string) (fault.Outcome, error) {
+	t := place.Target()
+	ended := t.Begin()
 	defer ended()
+	defer place.Ended()
 	ctx, stall := x.watchStream(p)
 	defer stall.stop()
 	a, err := x.send(ctx, p, t, Dispatch{Inputs: inputs, ResumeAfter: s.last})
@@ -101,7 +111,7 @@
 		return fault.Unknown, errUnsealed
 	}
 	return fault.Run, x.pass(p, t, s, a, stall, func() {
-		answered()
+		place.Answered()
 		for _, f := range p.route.Final() {
 			res.used(f)
 		}
--- a/router/stage/shared.go
+++ b/router/stage/shared.go
@@ -10,8 +10,7 @@
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/router/instance"
-	"cicadawell.dev/router/inventory"
-	"github.com/cespare/xxhash/v2"
+	"cicadawell.dev/router/owner"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -25,9 +24,6 @@
 )
 
 const (
-	// awayFor is how long an instance that didn't answer isn't asked: long
-	// enough that its registration ends if it is lost.
-	awayFor = 3 * time.Second
 	// announceTimeout bounds the question whether an order can be made: a
 	// fraction of what a stage takes.
 	announceTimeout = 100 * time.Millisecond
@@ -39,10 +35,10 @@
 // instance of the fleet, which is the same for all as long as they know the same
 // instances. If it doesn't answer, its successor is asked; the last resort is
 // this instance's own maker. Pieces may be made twice then, which does no harm.
-func NewShared(clk clock.Clock, self string, current *inventory.Current, mesh instance.Mesh, own Maker, log hclog.Logger) Maker {
+func NewShared(clk clock.Clock, self string, owners owner.Finder, mesh instance.Mesh, own Maker, log hclog.Logger) Maker {
 	s := &shared{
-		clk: clk, self: self, current: current, mesh: mesh, own: own, log: log,
-		away: make(map[string]time.Time), orders: make(map[string]context.CancelFunc),
+		clk: clk, self: self, owners: owners, mesh: mesh, own: own, log: log,
+		orders: make(map[string]context.CancelFunc),
 	}
 	mesh.Handle(methodMake, s.serveMake)
 	mesh.Handle(methodAbandon, s.serveAbandon)
@@ -53,18 +49,16 @@
 }
 
 type shared struct {
-	clk     clock.Clock
-	self    string
-	current *inventory.Current
-	mesh    instance.Mesh
-	own     Maker
-	log     hclog.Logger
+	clk    clock.Clock
+	self   string
+	owners owner.Finder
+	mesh   instance.Mesh
+	own    Maker
+	log    hclog.Logger
 	// group has the notices on their way.
 	group sync.WaitGroup
 
 	mu sync.Mutex
-	// away has the instances that didn't answer, with the end of their rest.
-	away map[string]time.Time
 	// orders has those of other instances that are being made here.
 	orders map[string]context.CancelFunc
 }
@@ -94,24 +88,25 @@
 
 func (s *shared) Make(ctx context.Context, o Order) []Result {
 	for {
-		owner := s.owner(o.Service)
-		if owner == "" || owner == s.self {
+		to := s.owners.Of(matter(o.Service))
+		if to == "" || to == s.self {
 			return s.own.Make(ctx, o)
 		}
-		results, err := s.ask(ctx, owner, o)
+		results, err := s.ask(ctx, to, o)
 		if err == nil {
 			return results
 		}
 		if ctx.Err() != nil {
 			return failed(o, Abandoned)
 		}
-		s.log.Warn("owner of a stage doesn't answer", "owner", owner, "service", o.Service, "order", o.ID, "error", err)
-		s.mu.Lock()
-		s.away[owner] = s.clk.Now().Add(awayFor)
-		s.mu.Unlock()
+		s.log.Warn("owner of a stage doesn't answer", "owner", to, "service", o.Service, "order", o.ID, "error", err)
+		s.owners.Away(to)
 	}
 }
 
+// matter names what is owned.
+func matter(service string) string { return "stage/" + service }
+
 func failed(o Order, f Failure) []Result {
 	out := make([]Result, len(o.Pieces))
 	for i := range out {
@@ -120,36 +115,17 @@
 	return out
 }
 
-// owner returns the instance that gathers the pieces of a service, by
-// rendezvous hashing over the known instances that answer.
-func (s *shared) owner(service string) string {
-	known := s.current.Load().Instances
-	now := s.clk.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	best, top := "", uint64(0)
-	for name := range known {
-		if now.Before(s.away[name]) {
-			continue
-		}
-		if h := xxhash.Sum64String(service + "/" + name); best == "" || h > top {
-			best, top = name, h
-		}
-	}
-	return best
-}
-
 // ask has an order made by another instance.
-func (s *shared) ask(ctx context.Context, owner string, o Order) ([]Result, error) {
+func (s *shared) ask(ctx context.Context, to string, o Order) ([]Result, error) {
 	now := s.clk.Now()
 	body := orderBody{
 		ID: o.ID, Service: o.Service, Pieces: o.Pieces, Rank: o.Rank, Zone: o.Zone, ResultBytes: o.ResultBytes,
 		UntilMicros: o.Until.Sub(now).Microseconds(), DueMicros: o.Due.Sub(now).Microseconds(), AfterMicros: o.After.Microseconds(),
 	}
 	var results []Result
-	err := s.mesh.Call(instance.Repeatable(ctx), owner, methodMake, body, &results)
+	err := s.mesh.Call(instance.Repeatable(ctx), to, methodMake, body, &results)
 	if err != nil && ctx.Err() != nil {
-		s.abandon(owner, o.ID)
+		s.abandon(to, o.ID)
 	}
 	if err == nil && len(results) != len(o.Pieces) {
 		err = fault.New(fault.Internal, "found %d results for %d pieces", len(results), len(o.Pieces))
@@ -158,11 +134,11 @@
 }
 
 // abandon tells the owner that an order is of no use any more.
-func (s *shared) abandon(owner, order string) {
+func (s *shared) abandon(to, order string) {
 	ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
 	defer cancel()
-	if err := s.mesh.Call(instance.Repeatable(ctx), owner, methodAbandon, abandonBody{ID: order}, nil); err != nil {
-		s.log.Debug("order not abandoned, it is made in vain", "owner", owner, "order", order, "error", err)
+	if err := s.mesh.Call(instance.Repeatable(ctx), to, methodAbandon, abandonBody{ID: order}, nil); err != nil {
+		s.log.Debug("order not abandoned, it is made in vain", "owner", to, "order", order, "error", err)
 	}
 }
 
@@ -226,16 +202,16 @@
 	if len(results) == 0 {
 		return
 	}
-	owner := s.owner(service)
-	if owner == "" || owner == s.self {
+	to := s.owners.Of(matter(service))
+	if to == "" || to == s.self {
 		s.own.Free(service, results)
 		return
 	}
 	s.group.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
 		defer cancel()
-		if err := s.mesh.Call(instance.Repeatable(ctx), owner, methodFree, freeBody{Service: service, Results: results}, nil); err != nil {
-			s.log.Debug("results given up by this instance itself", "owner", owner, "service", service, "error", err)
+		if err := s.mesh.Call(instance.Repeatable(ctx), to, methodFree, freeBody{Service: service, Results: results}, nil); err != nil {
+			s.log.Debug("results given up by this instance itself", "owner", to, "service", service, "error", err)
 			s.own.Free(service, results)
 		}
 	})
@@ -270,8 +246,8 @@
 // Announce asks the owner of the service. Without an answer nothing is known
 // against the order.
 func (s *shared) Announce(ctx context.Context, a Announcement) Forecast {
-	owner := s.owner(a.Service)
-	if owner == "" || owner == s.self {
+	to := s.owners.Of(matter(a.Service))
+	if to == "" || to == s.self {
 		return s.own.Announce(ctx, a)
 	}
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
@@ -282,8 +258,8 @@
 		UntilMicros: a.Until.Sub(now).Microseconds(), DueMicros: a.Due.Sub(now).Microseconds(), AfterMicros: a.After.Microseconds(),
 	}
 	var f Forecast
-	if err := s.mesh.Call(instance.Repeatable(ctx), owner, methodAnnounce, body, &f); err != nil {
-		s.log.Debug("order not announced", "owner", owner, "order", a.ID, "error", err)
+	if err := s.mesh.Call(instance.Repeatable(ctx), to, methodAnnounce, body, &f); err != nil {
+		s.log.Debug("order not announced", "owner", to, "order", a.ID, "error", err)
 		return Forecast{}
 	}
 	return f
@@ -304,16 +280,16 @@
 // Withdraw tells the owner of the service. If it doesn't hear, the place is kept
 // for a while in vain.
 func (s *shared) Withdraw(service, order string) {
-	owner := s.owner(service)
-	if owner == "" || owner == s.self {
+	to := s.owners.Of(matter(service))
+	if to == "" || to == s.self {
 		s.own.Withdraw(service, order)
 		return
 	}
 	s.group.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
 		defer cancel()
-		if err := s.mesh.Call(instance.Repeatable(ctx), owner, methodWithdraw, withdrawBody{Service: service, ID: order}, nil); err != nil {
-			s.log.Debug("order not withdrawn", "owner", owner, "order", order, "error", err)
+		if err := s.mesh.Call(instance.Repeatable(ctx), to, methodWithdraw, withdrawBody{Service: service, ID: order}, nil); err != nil {
+			s.log.Debug("order not withdrawn", "owner", to, "order", order, "error", err)
 		}
 	})
 }
--- a/router/target/set.go
+++ b/router/target/set.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,16 +18,17 @@
 	Usable(service string) []*Target
 	// Find returns the target of a runner, or nil.
 	Find(id string) *Target
-	// Home returns the zone of the engine that is preferred for a prompt, or "".
-	Home(service string, p Prompt) string
 	// Permit reports whether a target may get one more call now. For a cold one
 	// it takes the permit.
 	Permit(t *Target) bool
 	// Plain chooses a target for one more call of a service, or nil. Those in
 	// avoid were tried already.
 	Plain(service, zone string, avoid []*Target) *Target
-	// Engine chooses a model engine for a prompt, or nil.
-	Engine(service, zone string, p Prompt, avoid []*Target) *Target
+	// Choose returns the target of a service that costs least, those that failed
+	// last, or nil. Of a cold one the permit is taken if permit is set.
+	Choose(service string, avoid []*Target, permit bool, cost func(*Target) time.Duration) *Target
+	// MayUse reports whether the target still takes new calls.
+	MayUse(t *Target) bool
 }
 
 // ColdRate returns how many calls a second this instance may send to a cold
@@ -86,6 +88,8 @@
 
 func (s *set) Usable(service string) []*Target { return s.view.Load().usable[service] }
 
+func (s *set) MayUse(t *Target) bool { return slices.Contains(s.Usable(t.Runner().Service), t) }
+
 func (s *set) Find(id string) *Target { return s.view.Load().all[id] }
 
 // mayCall reports whether a cold target may get one more call, and takes the
--- a/router/target/set_test.go
+++ b/router/target/set_test.go
@@ -53,10 +53,10 @@
 	is := is.New(t)
 	w := newWorld(t, 0, half, inventory.Runner{ID: "a", Zone: "z"}, inventory.Runner{ID: "b", Zone: "z"})
 	first := w.set.Plain("s", "z", nil)
-	_, ended := first.Begin(0)
+	ended := first.Begin()
 	second := w.set.Plain("s", "z", nil)
 	is.True(second != first)
-	_, _ = second.Begin(0)
+	_ = second.Begin()
 	ended()
 	ended() // twice makes no difference
 	is.Equal(w.set.Plain("s", "z", nil), first)
@@ -89,7 +89,7 @@
 	is := is.New(t)
 	w := newWorld(t, 0, half, inventory.Runner{ID: "a", Zone: "z", Born: 1})
 	old := w.set.Find("a")
-	_, _ = old.Begin(0)
+	_ = old.Begin()
 	w.snapshot.Runners = map[string]*inventory.Runner{"a": {ID: "a", Service: "s", Zone: "z", Born: 2}}
 	w.update()
 	is.True(w.set.Find("a") != old)
@@ -163,16 +163,3 @@
 		}
 	})
 }
-
-func TestEngineKeepsToThePromptsHomeUntilItIsBusy(t *testing.T) {
-	is := is.New(t)
-	w := newWorld(t, 0, half, inventory.Runner{ID: "a", Zone: "z"}, inventory.Runner{ID: "b", Zone: "z"}, inventory.Runner{ID: "c", Zone: "z"})
-	p := target.Prompt{Parts: []target.Part{{ID: "shared", Tokens: 10000}, {ID: "own", Tokens: 100}}, Tokens: 10100}
-	home := w.set.Engine("s", "z", p, nil)
-	for range 3 {
-		is.Equal(w.set.Engine("s", "z", p, nil), home)
-	}
-	is.Equal(w.set.Home("s", p), "z")
-	_, _ = home.Begin(30000)
-	is.True(w.set.Engine("s", "z", p, nil) != home) // waiting costs more than reading
-}
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -17,11 +17,8 @@
 
 	// running counts the calls of this instance that the runner has.
 	running int
-	// tokens is the sum of the prompt tokens of those calls that the runner
-	// hasn't answered yet.
-	tokens int
-	health health
-	cold   bucket
+	health  health
+	cold    bucket
 	// doubted is the revision of the description under which a connection
 	// broke, and doubtedAt when. The runner may have started again, so that it
 	// counts as cold until it had time to describe itself anew.
@@ -43,30 +40,33 @@
 	return t.running
 }
 
-// Begin notes a call with this many prompt tokens, and returns what notes the
-// answer to it, and its end.
-func (t *Target) Begin(tokens int) (answered, ended func()) {
+// Begin notes a call and returns what notes its end.
+func (t *Target) Begin() (ended func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.running++
-	t.tokens += tokens
-	var once, last sync.Once
-	answered = func() {
+	var once sync.Once
+	return func() {
 		once.Do(func() {
-			t.mu.Lock()
-			defer t.mu.Unlock()
-			t.tokens -= tokens
-		})
-	}
-	ended = func() {
-		answered()
-		last.Do(func() {
 			t.mu.Lock()
 			defer t.mu.Unlock()
 			t.running--
 		})
 	}
-	return answered, ended
+}
+
+// busyTime returns about how long one more call would take.
+func (t *Target) busyTime() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Duration(1+t.running) * t.health.typical()
+}
+
+// rests reports whether the target is left alone after failures.
+func (t *Target) rests(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.health.restUntil)
 }
 
 // Succeeded notes an answer of the runner after d.
