--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -16,7 +16,7 @@
 	Run(ctx context.Context) error
 	// Adopt takes over what another instance knows, if it is newer, and notes
 	// that it was the newest at a time.
-	Adopt(s *Snapshot, at time.Time)
+	Adopt(from string, s *Snapshot, at time.Time)
 	// Refresh asks the source at once whether there are changes.
 	Refresh(ctx context.Context) error
 	// Failing returns for how long the source hasn't answered; zero if its last
@@ -272,12 +272,13 @@
 	}
 }
 
-func (f *follower) Adopt(s *Snapshot, at time.Time) {
+func (f *follower) Adopt(from string, s *Snapshot, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.current.Load()
 	if s.Revision > old.Revision && f.current.Advance(s) {
-		f.log.Info("taken over from another instance", "revision", s.Revision, "was", old.Revision)
+		f.log.Info("taken over from another instance", "instance", from, "revision", s.Revision, "was", old.Revision,
+			"ageMillis", f.clk.Now().Sub(at).Milliseconds())
 	}
 	if s.Revision >= old.Revision {
 		f.current.Confirm(at)
--- a/router/inventory/follower_test.go
+++ b/router/inventory/follower_test.go
@@ -91,9 +91,9 @@
 		}
 		current, f := follow(t, s, 100*time.Millisecond)
 		is.New(t).Equal(current.Load().Table.Version(), int64(7))
-		f.Adopt(&inventory.Snapshot{Table: config(t, 4), Revision: 9}, clock.System().Now())
+		f.Adopt("other", &inventory.Snapshot{Table: config(t, 4), Revision: 9}, clock.System().Now())
 		is.New(t).Equal(current.Load().Table.Version(), int64(7))
-		f.Adopt(&inventory.Snapshot{Table: config(t, 9), Revision: 2}, clock.System().Now())
+		f.Adopt("other", &inventory.Snapshot{Table: config(t, 9), Revision: 2}, clock.System().Now())
 		is.New(t).Equal(current.Load().Table.Version(), int64(7)) // an older snapshot says nothing
 	})
 }
--- a/router/inventory/peers.go
+++ b/router/inventory/peers.go
@@ -121,7 +121,7 @@
 		e.log.Warn("what another instance knows was not understood", "instance", name, "error", err)
 		return
 	}
-	e.follower.Adopt(s, start.Add(-time.Duration(k.AgeMicros)*time.Microsecond))
+	e.follower.Adopt(name, s, start.Add(-time.Duration(k.AgeMicros)*time.Microsecond))
 }
 
 func (e *exchange) serve(_ context.Context, _ string, params json.RawMessage) (any, error) {
