Make the product's composition a package, gather changes for half a second

Cause: the root package of router couldn't be imported; churn on the grown deployments costs three calls a second and instance at the store.

Change: router/entry composes, the root reads the command line; the pause after changes is 500 ms, a quarter of the smallest bound on applying them.

--- a/router/entry.go
+++ b/router/entry/entry.go
@@ -1,4 +1,6 @@
-package main
+// Package entry composes an entry instance of the product: its parts, the order
+// in which they start, and the order in which they stop.
+package entry
 
 import (
 	"context"
@@ -144,9 +146,9 @@
 	}
 }
 
-// serve runs an instance until a signal ends it. It returns an error when the
+// Serve runs an instance until a signal ends it. It returns an error when the
 // instance could not start or cut off a request.
-func serve(cfg settings.Settings) error {
+func Serve(cfg settings.Settings) error {
 	app := fx.New(
 		parts,
 		fx.Supply(cfg),
--- a/router/topology.go
+++ b/router/entry/topology.go
@@ -1,4 +1,4 @@
-package main
+package entry
 
 import (
 	"context"
--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -30,7 +30,7 @@
 const (
 	// defaultPause is how long changes are gathered before the next call: a
 	// fraction of the bounds on applying a configuration and on draining.
-	defaultPause = 350 * time.Millisecond
+	defaultPause = 500 * time.Millisecond
 	// defaultWait is how long a call waits for changes: a fraction of the bound
 	// on keys that were taken away, since only an answer shows that nothing has
 	// changed.
--- a/router/main.go
+++ b/router/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 
+	"cicadawell.dev/router/entry"
 	"cicadawell.dev/router/settings"
 	"github.com/alecthomas/kingpin/v2"
 )
@@ -52,7 +53,7 @@
 		fmt.Fprintln(os.Stderr, "router:", err)
 		return exitSettings
 	}
-	if err := serve(cfg); err != nil {
+	if err := entry.Serve(cfg); err != nil {
 		fmt.Fprintln(os.Stderr, "router:", err)
 		return exitFailed
 	}
