Move on at once when an owner falls silent, ask again when only its connection broke

Instances that started before their peers held them for away for seconds.

Ruled out: engines and rooms in that window.

Change: an announcement without an answer notes its owner as away, and orders that wait for it move on; a lost connection is asked over once more; a new registration ends the rest.

--- a/router/inventory/snapshot.go
+++ b/router/inventory/snapshot.go
@@ -36,6 +36,9 @@
 	Name    string
 	Zone    string
 	Address string
+	// Revision is that of the registration at the store; a new one tells that
+	// the instance has started again or lost its lease.
+	Revision int64
 }
 
 // Return is the end of a zone's evacuation. Descriptions of runners that are
--- a/router/owner/owner.go
+++ b/router/owner/owner.go
@@ -13,22 +13,25 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// awayFor is how long an instance that didn't answer isn't asked: long enough
-// that its registration ends if it is lost.
-const awayFor = 3 * time.Second
+// awayFor is how long an instance that didn't answer isn't asked: longer than
+// its registration lasts if it is lost.
+const awayFor = 5 * time.Second
 
 // Finder finds owners.
 type Finder interface {
 	// Of returns the owner of a matter, or "" if no instance is known that
 	// answers.
 	Of(matter string) string
-	// Away notes that an instance didn't answer. Its successors stand in.
+	// Away notes that an instance didn't answer. Its successors stand in, and
+	// what waits for it is told.
 	Away(name string)
+	// Watch calls lost once when an instance is noted as away, until stop.
+	Watch(name string, lost func()) (stop func())
 }
 
 // NewFinder returns a finder over the instances that are registered.
 func NewFinder(clk clock.Clock, current *inventory.Current) Finder {
-	return &finder{clk: clk, current: current, away: make(map[string]time.Time)}
+	return &finder{clk: clk, current: current, away: make(map[string]absence), watches: make(map[string]map[*func()]struct{})}
 }
 
 type finder struct {
@@ -36,8 +39,17 @@
 	current *inventory.Current
 
 	mu sync.Mutex
-	// away has the instances that didn't answer, with the end of their rest.
-	away map[string]time.Time
+	// away has the instances that didn't answer.
+	away map[string]absence
+	// watches has those that wait for each instance.
+	watches map[string]map[*func()]struct{}
+}
+
+// absence is the rest of an instance that didn't answer. It ends early when the
+// instance registers anew.
+type absence struct {
+	until    time.Time
+	revision int64
 }
 
 func (f *finder) Of(matter string) string {
@@ -46,8 +58,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	best, top := "", uint64(0)
-	for name := range known {
-		if now.Before(f.away[name]) {
+	for name, i := range known {
+		if a, ok := f.away[name]; ok && now.Before(a.until) && a.revision == i.Revision {
 			continue
 		}
 		if h := xxhash.Sum64String(matter + "/" + name); best == "" || h > top {
@@ -58,7 +70,30 @@
 }
 
 func (f *finder) Away(name string) {
+	revision := f.current.Load().Instances[name].Revision
+	f.mu.Lock()
+	f.away[name] = absence{until: f.clk.Now().Add(awayFor), revision: revision}
+	waiting := f.watches[name]
+	delete(f.watches, name)
+	f.mu.Unlock()
+	for lost := range waiting {
+		(*lost)()
+	}
+}
+
+func (f *finder) Watch(name string, lost func()) (stop func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.away[name] = f.clk.Now().Add(awayFor)
+	if f.watches[name] == nil {
+		f.watches[name] = make(map[*func()]struct{})
+	}
+	f.watches[name][&lost] = struct{}{}
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.watches[name], &lost)
+		if len(f.watches[name]) == 0 {
+			delete(f.watches, name)
+		}
+	}
 }
--- a/router/placement/shared.go
+++ b/router/placement/shared.go
@@ -99,6 +99,10 @@
 		return s.own.Place(ctx, r)
 	}
 	placed, err := s.ask(ctx, to, methodPlace, r)
+	if err != nil && ctx.Err() == nil {
+		// A connection may have been lost without its instance: ask once more.
+		placed, err = s.ask(ctx, to, methodPlace, r)
+	}
 	if err != nil {
 		if ctx.Err() == nil {
 			s.log.Warn("owner of a placement doesn't answer", "owner", to, "service", r.Service, "request", r.ID, "error", err)
--- a/router/stage/shared.go
+++ b/router/stage/shared.go
@@ -87,6 +87,7 @@
 }
 
 func (s *shared) Make(ctx context.Context, o Order) []Result {
+	last := ""
 	for {
 		to := s.owners.Of(matter(o.Service))
 		if to == "" || to == s.self {
@@ -100,7 +101,11 @@
 			return failed(o, Abandoned)
 		}
 		s.log.Warn("owner of a stage doesn't answer", "owner", to, "service", o.Service, "order", o.ID, "error", err)
-		s.owners.Away(to)
+		// A connection may have been lost without its instance: ask once more.
+		if last == to {
+			s.owners.Away(to)
+		}
+		last = to
 	}
 }
 
@@ -123,9 +128,13 @@
 		UntilMicros: o.Until.Sub(now).Microseconds(), DueMicros: o.Due.Sub(now).Microseconds(), AfterMicros: o.After.Microseconds(),
 	}
 	var results []Result
-	err := s.mesh.Call(instance.Repeatable(ctx), to, methodMake, body, &results)
+	// Others may notice sooner that the owner is away.
+	asking, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer s.owners.Watch(to, cancel)()
+	err := s.mesh.Call(instance.Repeatable(asking), to, methodMake, body, &results)
 	if err != nil && ctx.Err() != nil {
-		s.abandon(to, o.ID)
+		s.group.Go(func() { s.abandon(to, o.ID) })
 	}
 	if err == nil && len(results) != len(o.Pieces) {
 		err = fault.New(fault.Internal, "found %d results for %d pieces", len(results), len(o.Pieces))
@@ -250,6 +259,7 @@
 	if to == "" || to == s.self {
 		return s.own.Announce(ctx, a)
 	}
+	outer := ctx
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	now := s.clk.Now()
@@ -259,7 +269,10 @@
 	}
 	var f Forecast
 	if err := s.mesh.Call(instance.Repeatable(ctx), to, methodAnnounce, body, &f); err != nil {
-		s.log.Debug("order not announced", "owner", to, "order", a.ID, "error", err)
+		if outer.Err() == nil {
+			s.log.Warn("owner of a stage doesn't answer", "owner", to, "service", a.Service, "order", a.ID, "error", err)
+			s.owners.Away(to)
+		}
 		return Forecast{}
 	}
 	return f
--- /dev/null
+++ b/router/stage/shared_test.go
@@ -0,0 +1,148 @@
+package stage
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/owner"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+)
+
+// pipeMesh calls the handlers of the other side. A silent one answers nothing.
+type pipeMesh struct {
+	handlers map[string]instance.Handler
+	peer     *pipeMesh
+	silent   bool
+	mu       sync.Mutex
+	calls    []string
+}
+
+func newPipeMesh() *pipeMesh { return &pipeMesh{handlers: make(map[string]instance.Handler)} }
+
+func (m *pipeMesh) Handle(method string, h instance.Handler) { m.handlers[method] = h }
+
+func (m *pipeMesh) Learn(map[string]string) {}
+
+func (m *pipeMesh) Call(ctx context.Context, _, method string, params, result any) error {
+	m.mu.Lock()
+	m.calls = append(m.calls, method)
+	m.mu.Unlock()
+	if m.silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	type outcome struct {
+		answer any
+		err    error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		answer, err := m.peer.handlers[method](context.Background(), "caller", raw)
+		done <- outcome{answer, err}
+	}()
+	select {
+	case out := <-done:
+		if out.err != nil || result == nil {
+			return out.err
+		}
+		raw, err := json.Marshal(out.answer)
+		return errors.Join(err, json.Unmarshal(raw, result))
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// pair is an instance whose orders another one owns.
+type pair struct {
+	self, other       Maker
+	mesh              *pipeMesh
+	ownWork, peerWork *benches
+	close             func()
+}
+
+func newPair(t *testing.T) *pair {
+	t.Helper()
+	p := &pair{ownWork: &benches{}, peerWork: &benches{}, mesh: newPipeMesh()}
+	peer := newPipeMesh()
+	p.mesh.peer = peer
+	current := inventory.NewCurrent(clock.System())
+	current.Advance(&inventory.Snapshot{Revision: 1, Instances: map[string]inventory.Instance{"other": {Name: "other"}}})
+	own, theirs := testWorkshop(t, p.ownWork, 2), testWorkshop(t, p.peerWork, 2)
+	find := func() owner.Finder { return owner.NewFinder(clock.System(), current) }
+	p.self = NewShared(clock.System(), "self", find(), p.mesh, own, hclog.NewNullLogger())
+	p.other = NewShared(clock.System(), "other", find(), peer, theirs, hclog.NewNullLogger())
+	p.close = func() {
+		own.Close(t.Context())
+		theirs.Close(t.Context())
+	}
+	return p
+}
+
+func TestOrdersAreMadeByTheirOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPair(t)
+		is.Equal(made(p.self.Make(t.Context(), testOrder("c", 3, time.Second, 2*time.Second))), 3)
+		is.Equal(p.peerWork.results, 3)
+		is.Equal(p.ownWork.results, 0)
+		p.close()
+	})
+}
+
+// TestOrdersMoveOnWhenTheirOwnerFallsSilent has an announcement notice the
+// silence for an order that waits already.
+func TestOrdersMoveOnWhenTheirOwnerFallsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPair(t)
+		p.mesh.silent = true
+		begin := clock.System().Now()
+		var group sync.WaitGroup
+		group.Go(func() {
+			is.Equal(made(p.self.Make(t.Context(), testOrder("c", 3, time.Second, 2*time.Second))), 3)
+		})
+		synctest.Wait()
+		is.Equal(p.self.Announce(t.Context(), Announcement{ID: "d", Service: testService, Pieces: 1}), Forecast{})
+		group.Wait()
+		is.Equal(p.ownWork.results, 3)
+		is.True(clock.System().Now().Sub(begin) < time.Second) // one announcement and one batch
+		p.close()
+	})
+}
+
+func TestAbandonedOrdersAreDroppedAtTheirOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPair(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		for _, id := range []string{"1", "2"} {
+			group.Go(func() { p.self.Make(t.Context(), testOrder(id, 8, time.Second, 4*time.Second)) })
+		}
+		synctest.Wait()
+		group.Go(func() {
+			for _, r := range p.self.Make(ctx, testOrder("gone", 4, time.Second, 4*time.Second)) {
+				is.Equal(r.Failure, Abandoned)
+			}
+		})
+		synctest.Wait()
+		cancel()
+		group.Wait()
+		synctest.Wait()
+		p.close()
+		is.Equal(p.peerWork.results, 16)
+	})
+}
