Pass long answers on as they come, and use the field's terms

Cause: reading the change found that plain answers over 1 MB were failed although a comment said that they are passed on; and names such as workshop, bench, book and announcement, which stand for pools, idle runners, trackers and reservations.

Change: what is longer goes on from the same exchange, and is broken off if the runner breaks off; names changed. The body of an answer isn't bound by the time of its attempt any more, only by the call's.

--- a/router/placement/placer.go
+++ b/router/placement/placer.go
@@ -56,7 +56,7 @@
 
 // NewLocal returns a placer that knows of its own calls only.
 func NewLocal(clk clock.Clock, current *inventory.Current, targets target.Set) Local {
-	return &local{clk: clk, current: current, targets: targets, books: make(map[string]*book), calls: make(map[string]*entry)}
+	return &local{clk: clk, current: current, targets: targets, trackers: make(map[string]*tracker), calls: make(map[string]*entry)}
 }
 
 type local struct {
@@ -64,17 +64,17 @@
 	current *inventory.Current
 	targets target.Set
 
-	mu    sync.Mutex
-	books map[string]*book
+	mu       sync.Mutex
+	trackers map[string]*tracker
 	// calls has those that run at an engine.
 	calls map[string]*entry
 	swept time.Time
 }
 
-// entry is a call in a book.
+// entry is a call in a tracker.
 type entry struct {
-	book   *book
-	target *target.Target
+	tracker *tracker
+	target  *target.Target
 	// tokens are still to be read.
 	tokens int
 	// until is when the entry is dropped if nobody told of the end.
@@ -116,17 +116,17 @@
 	if t == nil {
 		return nil
 	}
-	b := l.books[r.Service]
-	l.calls[r.ID] = &entry{book: b, target: t, tokens: b.begin(t, r.Prompt, l.clk.Now()), until: r.Until}
+	b := l.trackers[r.Service]
+	l.calls[r.ID] = &entry{tracker: b, target: t, tokens: b.begin(t, r.Prompt, l.clk.Now()), until: r.Until}
 	return t
 }
 
 // choose returns the cheapest engine. The caller holds mu.
 func (l *local) choose(r Request, permit bool) *target.Target {
-	b := l.books[r.Service]
+	b := l.trackers[r.Service]
 	if b == nil {
-		b = newBook()
-		l.books[r.Service] = b
+		b = newTracker()
+		l.trackers[r.Service] = b
 	}
 	if table := l.current.Load().Table; table != nil {
 		if svc := table.Service(r.Service); svc != nil && svc.Engine != nil && svc.Engine.MemoryTokens > 0 {
@@ -150,7 +150,7 @@
 			l.end(id)
 		}
 	}
-	for service, b := range l.books {
+	for service, b := range l.trackers {
 		b.retain(l.targets.Usable(service))
 	}
 }
@@ -163,7 +163,7 @@
 
 func (l *local) answer(id string) {
 	if e := l.calls[id]; e != nil {
-		e.book.of(e.target).pending -= e.tokens
+		e.tracker.of(e.target).pending -= e.tokens
 		e.tokens = 0
 	}
 }
@@ -177,12 +177,12 @@
 func (l *local) end(id string) {
 	if e := l.calls[id]; e != nil {
 		l.answer(id)
-		e.book.of(e.target).running--
+		e.tracker.of(e.target).running--
 		delete(l.calls, id)
 	}
 }
 
-// localPlace is a place of this instance's own book.
+// localPlace is a place of this instance's own tracker.
 type localPlace struct {
 	local  *local
 	target *target.Target
--- a/router/placement/placer_test.go
+++ b/router/placement/placer_test.go
@@ -78,7 +78,7 @@
 	first.Ended() // twice makes no difference
 }
 
-// TestInstancesAgreeOnHomes lets books that know nothing choose.
+// TestInstancesAgreeOnHomes lets trackers that know nothing choose.
 func TestInstancesAgreeOnHomes(t *testing.T) {
 	is := is.New(t)
 	homes := map[string]bool{}
--- a/router/placement/shared.go
+++ b/router/placement/shared.go
@@ -192,7 +192,7 @@
 	return nil, nil
 }
 
-// remotePlace is a place in another instance's book.
+// remotePlace is a place in another instance's tracker.
 type remotePlace struct {
 	shared *shared
 	owner  string
--- a/router/placement/book.go
+++ b/router/placement/tracker.go
@@ -40,12 +40,12 @@
 	// zone is where the inputs of the call are, and bytes how long they are.
 	zone  string
 	bytes int64
-	// home is the engine that is taken to keep the shared parts if the book
+	// home is the engine that is taken to keep the shared parts if the tracker
 	// knows of none; nil if it does.
 	home *target.Target
 }
 
-// engine is what the book holds of one engine.
+// engine is what the tracker holds of one engine.
 type engine struct {
 	// pending are the tokens that it has to read for calls without an event.
 	pending int
@@ -61,19 +61,19 @@
 	used   time.Time
 }
 
-// book tells what was sent to engines and hasn't ended. It is not safe for
+// tracker tells what was sent to engines and hasn't ended. It is not safe for
 // concurrent use.
-type book struct {
+type tracker struct {
 	engines map[*target.Target]*engine
 	// memory is an engine's memory in tokens.
 	memory int
 }
 
-func newBook() *book {
-	return &book{engines: make(map[*target.Target]*engine), memory: defaultMemory}
+func newTracker() *tracker {
+	return &tracker{engines: make(map[*target.Target]*engine), memory: defaultMemory}
 }
 
-func (b *book) of(t *target.Target) *engine {
+func (b *tracker) of(t *target.Target) *engine {
 	e := b.engines[t]
 	if e == nil {
 		e = &engine{kept: make(map[string]part)}
@@ -83,7 +83,7 @@
 }
 
 // retain forgets all engines but these.
-func (b *book) retain(all []*target.Target) {
+func (b *tracker) retain(all []*target.Target) {
 	next := make(map[*target.Target]*engine, len(all))
 	for _, t := range all {
 		if e := b.engines[t]; e != nil {
@@ -118,7 +118,7 @@
 // home returns the engine that all instances take to keep the shared parts of a
 // prompt as long as they know of none, by rendezvous hashing. Books are lost
 // with their instance.
-func (b *book) home(p target.Prompt, all []*target.Target) *target.Target {
+func (b *tracker) home(p target.Prompt, all []*target.Target) *target.Target {
 	if len(p.Parts) < 2 {
 		return nil
 	}
@@ -139,7 +139,7 @@
 
 // cost is about how long the first event would take at an engine, together with
 // what the way of the inputs is worth.
-func (b *book) cost(t *target.Target, a ask) time.Duration {
+func (b *tracker) cost(t *target.Target, a ask) time.Duration {
 	e := b.of(t)
 	unread := e.unread(a.prompt)
 	if t == a.home {
@@ -153,7 +153,7 @@
 }
 
 // begin notes a call and returns how many tokens it adds.
-func (b *book) begin(t *target.Target, p target.Prompt, now time.Time) int {
+func (b *tracker) begin(t *target.Target, p target.Prompt, now time.Time) int {
 	e := b.of(t)
 	tokens := e.unread(p)
 	e.pending += tokens
--- a/router/relay/plain.go
+++ b/router/relay/plain.go
@@ -29,10 +29,22 @@
 // attempt is what became of a call at one runner.
 type attempt struct {
 	answer *Answer
-	body   []byte
+	// body is the answer's whole body, or its beginning if long is set.
+	body []byte
+	// long answers are passed back as they come. Their exchange is still open.
+	long   bool
+	cancel context.CancelFunc
 	err    error
 }
 
+// close ends the exchange of a long answer.
+func (a attempt) close() {
+	if a.long {
+		a.answer.Close()
+		a.cancel()
+	}
+}
+
 // plain serves a call with a single answer.
 func (x *relay) plain(w http.ResponseWriter, p *plan) error {
 	x.Repeats.Success(p.service)
@@ -52,6 +64,7 @@
 		}
 		avoid = append(avoid, t)
 		ended := t.Begin()
+		last.close()
 		last = x.try(p, t, n+1 < p.route.MaxAttempts)
 		ended()
 		if last.err == nil && !last.answer.NotRun {
@@ -68,6 +81,7 @@
 			break
 		}
 	}
+	defer last.close()
 	return x.reply(w, p, last, run)
 }
 
@@ -78,20 +92,23 @@
 
 // try sends the call to one runner and reads the answer whole.
 func (x *relay) try(p *plan, t *target.Target, more bool) attempt {
-	ctx, cancel := p.ctx, context.CancelFunc(func() {})
+	ctx, cancel := context.WithCancel(p.ctx)
+	stop := func() bool { return true }
 	if more && !p.once() {
-		ctx, cancel = context.WithTimeout(p.ctx, max(attemptShare*p.route.Objective, shortestAttempt))
+		stop = x.Timers.AfterFunc(max(attemptShare*p.route.Objective, shortestAttempt), cancel)
 	}
-	defer cancel()
 	a, err := x.send(ctx, p, t, Dispatch{ResumeAfter: p.call.ResumeAfter})
+	stop()
 	if err != nil {
+		cancel()
 		return attempt{err: err}
 	}
-	defer a.Close()
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
-	if err == nil && len(body) > maxWhole {
-		err = errors.New("the answer is too long")
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole))
+	if err == nil && len(body) == maxWhole && usable(a) {
+		return attempt{answer: a, body: body, long: true, cancel: cancel}
 	}
+	a.Close()
+	cancel()
 	if err != nil {
 		t.Failed(x.Clock.Now())
 		return attempt{err: &Unanswered{Sent: true, Err: err}}
@@ -104,10 +121,7 @@
 	if last.err == nil && last.answer != nil && !last.answer.NotRun && (last.answer.Sealed || last.answer.Status >= 300) {
 		maps.Copy(w.Header(), last.answer.Header)
 		w.WriteHeader(last.answer.Status)
-		_, err := w.Write(last.body)
-		if err != nil {
-			x.Log.Info("answer not delivered", "request", p.call.ID, "error", err)
-		}
+		x.deliver(w, p, last)
 		return nil
 	}
 	switch {
@@ -116,11 +130,26 @@
 	case run == fault.NotRun && last.answer == nil && last.err == nil:
 		return fault.New(fault.NoRunner, "no runner of %q takes calls", p.service)
 	case run == fault.NotRun:
-		return fault.New(fault.Overloaded, "the runners of %q took the call from nobody", p.service)
+		return fault.New(fault.Overloaded, "no runner of %q accepted the call", p.service)
 	}
 	return fault.Wrap(fault.OutcomeUnknown, errOr(last.err), "no usable answer of %q", p.service).WithOutcome(run)
 }
 
+// deliver passes the body back. A long one that breaks off must not look
+// complete.
+func (x *relay) deliver(w http.ResponseWriter, p *plan, last attempt) {
+	_, err := w.Write(last.body)
+	if err == nil && last.long {
+		if _, err = io.Copy(w, last.answer.Body); err != nil {
+			x.Log.Warn("answer broken off", "request", p.call.ID, "error", err)
+			panic(http.ErrAbortHandler)
+		}
+	}
+	if err != nil {
+		x.Log.Info("answer not delivered", "request", p.call.ID, "error", err)
+	}
+}
+
 var errUnsealed = errors.New("the answer doesn't prove its origin")
 
 func errOr(err error) error {
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -145,9 +145,9 @@
 	}
 }
 
-func (f *fakePieces) Announce(context.Context, stage.Announcement) stage.Forecast { return f.forecast }
+func (f *fakePieces) Reserve(context.Context, stage.Reservation) stage.Forecast { return f.forecast }
 
-func (f *fakePieces) Withdraw(string, string) {}
+func (f *fakePieces) Cancel(string, string) {}
 
 const host = "h"
 
@@ -234,6 +234,21 @@
 	})
 }
 
+// TestLongAnswersArePassedOnAsTheyCome plays answers beyond what is read whole.
+func TestLongAnswersArePassedOnAsTheyCome(t *testing.T) {
+	text := strings.Repeat("0123456789", 200_000)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		long := act{"long", true, reply(http.StatusOK, text, nil)}
+		w := play(t, "/once/1", &fakeRunners{acts: []act{long}}, &fakePieces{}, nil)
+		is.Equal(w.Code, 200)
+		is.True(w.Body.String() == text)
+		cut := act{"cut", true, reply(http.StatusOK, "", func(a *relay.Answer) { a.Body = cutBody{strings.NewReader(text)} })}
+		w = play(t, "/once/1", &fakeRunners{acts: []act{cut}}, &fakePieces{}, nil)
+		is.Equal(w.Code, -200) // broken off
+	})
+}
+
 func TestPlainCalls(t *testing.T) {
 	for _, c := range []struct {
 		path   string
@@ -350,7 +365,7 @@
 func TestCallsWhoseStagesFailDontRun(t *testing.T) {
 	for name, p := range map[string]*fakePieces{
 		"a piece failed":      {fail: stage.Failed},
-		"announced in vain":   {forecast: stage.Forecast{Refused: true, Wait: 700 * time.Millisecond}},
+		"reserved in vain":    {forecast: stage.Forecast{Refused: true, Wait: 700 * time.Millisecond}},
 		"a piece came late":   {fail: stage.Late},
 		"an input isn't kept": {fail: stage.InputGone},
 	} {
--- a/router/relay/announce.go
+++ b/router/relay/reserve.go
@@ -12,10 +12,10 @@
 // orderID names the order for one stage of a call.
 func orderID(p *plan, i int) string { return p.call.ID + "/" + strconv.Itoa(i) }
 
-// announce asks the makers of all stages whether the call can be answered in
+// reserve asks the makers of all stages whether the call can be answered in
 // time, before any work is done for it. If one refuses, the call is refused with
 // the time after which it would have been taken.
-func (x *relay) announce(p *plan) error {
+func (x *relay) reserve(p *plan) error {
 	ready := x.earliest(p)
 	forecasts := make([]stage.Forecast, len(ready))
 	var group errgroup.Group
@@ -24,7 +24,7 @@
 			continue
 		}
 		group.Go(func() error {
-			forecasts[i] = x.Pieces.Announce(p.ctx, stage.Announcement{
+			forecasts[i] = x.Pieces.Reserve(p.ctx, stage.Reservation{
 				ID: orderID(p, i), Service: s.Service, Pieces: p.call.Pieces[i], Ready: ready[i], Rank: p.priority,
 				Until: p.until, Due: p.call.Arrived.Add(p.route.Objective), After: x.restOf(p, i),
 			})
@@ -36,18 +36,18 @@
 		if f.Refused {
 			x.Log.Warn("stage refused", "request", p.call.ID, "stage", i, "service", p.route.Stages[i].Service, "rank", p.priority,
 				"waitMillis", f.Wait.Milliseconds(), "objectiveMillis", p.route.Objective.Milliseconds())
-			x.withdraw(p)
+			x.cancelReservations(p)
 			return fault.New(fault.Overloaded, "stage %d would wait %v", i, f.Wait).WithRetryAfter(f.Wait)
 		}
 	}
 	return nil
 }
 
-// withdraw gives up the places of all stages whose orders didn't come.
-func (x *relay) withdraw(p *plan) {
+// cancelReservations gives up the places of all stages whose orders didn't come.
+func (x *relay) cancelReservations(p *plan) {
 	for i, s := range p.route.Stages {
 		if p.call.Pieces[i] > 0 {
-			x.Pieces.Withdraw(s.Service, orderID(p, i))
+			x.Pieces.Cancel(s.Service, orderID(p, i))
 		}
 	}
 }
--- a/router/relay/stages.go
+++ b/router/relay/stages.go
@@ -55,7 +55,7 @@
 	if home == "" {
 		home = x.Zone
 	}
-	if err := x.announce(p); err != nil {
+	if err := x.reserve(p); err != nil {
 		return res, err
 	}
 	group, ctx := errgroup.WithContext(p.ctx)
@@ -77,7 +77,7 @@
 	}
 	err := group.Wait()
 	if err != nil {
-		x.withdraw(p)
+		x.cancelReservations(p)
 	}
 	if err != nil && p.ctx.Err() != nil {
 		err = x.ended(p, fault.NotRun)
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -202,7 +202,7 @@
 	case last == nil:
 		return fault.New(fault.NoRunner, "no runner of %q takes calls", p.service)
 	case run == fault.NotRun:
-		return fault.Wrap(fault.Overloaded, last, "no runner of %q took the call", p.service)
+		return fault.Wrap(fault.Overloaded, last, "no runner of %q accepted the call", p.service)
 	}
 	return fault.Wrap(fault.OutcomeUnknown, last, "no usable answer of %q", p.service).WithOutcome(run)
 }
--- a/router/stage/assembly.go
+++ b/router/stage/assembly.go
@@ -23,8 +23,8 @@
 // result is wanted: a fraction of a call.
 const zoneWait = 140 * time.Millisecond
 
-// bench is a runner that may get a batch now.
-type bench struct {
+// idleRunner is a runner that may get a batch now.
+type idleRunner struct {
 	zone string
 	// room is how many bytes of results fit.
 	room int64
@@ -34,7 +34,7 @@
 
 // takes reports whether the result of a piece fits beside a batch. A result
 // that is larger than any room is tried where there is nothing else.
-func (b bench) takes(batch []*waiting, w *waiting) bool {
+func (b idleRunner) takes(batch []*waiting, w *waiting) bool {
 	sum := w.order.ResultBytes
 	for _, o := range batch {
 		sum += o.order.ResultBytes
@@ -104,7 +104,7 @@
 
 // batches takes pieces out of a queue for the idle runners. It returns the
 // batch of each runner, which may be empty, and the rest of the queue.
-func (a assembly) batches(queue []*waiting, idle []bench) (taken [][]*waiting, rest []*waiting) {
+func (a assembly) batches(queue []*waiting, idle []idleRunner) (taken [][]*waiting, rest []*waiting) {
 	queue = slices.Clone(queue)
 	slices.SortStableFunc(queue, a.compare)
 	taken = make([][]*waiting, len(idle))
@@ -119,7 +119,7 @@
 
 // local takes the pieces that are wanted in the runner's zone, unless more
 // pressing ones would fill the batch.
-func (a assembly) local(queue []*waiting, b bench) (batch, rest []*waiting) {
+func (a assembly) local(queue []*waiting, b idleRunner) (batch, rest []*waiting) {
 	ahead := 0
 	var first *waiting
 	for _, w := range queue {
@@ -141,7 +141,7 @@
 
 // fill adds pieces that are wanted elsewhere. A piece is left to a runner of its
 // own zone if that one comes soon enough.
-func (a assembly) fill(batch, queue []*waiting, b bench, idle []bench) (filled, rest []*waiting) {
+func (a assembly) fill(batch, queue []*waiting, b idleRunner, idle []idleRunner) (filled, rest []*waiting) {
 	wanted := make(map[string]int)
 	for _, w := range queue {
 		wanted[w.order.Zone]++
@@ -157,11 +157,11 @@
 }
 
 // leave reports whether a piece is better left for a runner of its zone.
-func (a assembly) leave(w *waiting, b bench, wanted map[string]int, idle []bench) bool {
+func (a assembly) leave(w *waiting, b idleRunner, wanted map[string]int, idle []idleRunner) bool {
 	if w.order.Zone == "" || w.order.Zone == b.zone || wanted[w.order.Zone] > a.limits.MaxPieces {
 		return false
 	}
-	if slices.ContainsFunc(idle, func(o bench) bool { return o.zone == w.order.Zone }) {
+	if slices.ContainsFunc(idle, func(o idleRunner) bool { return o.zone == w.order.Zone }) {
 		// That runner's batch was full.
 		return false
 	}
--- a/router/stage/assembly_test.go
+++ b/router/stage/assembly_test.go
@@ -44,7 +44,7 @@
 	queue = append(queue, pieces("b", 2, func(o *Order) { o.Due = start.Add(100 * time.Millisecond) })...) // late
 	queue = append(queue, pieces("c", 2, func(o *Order) { o.Rank = 1 })...)
 	queue = append(queue, pieces("d", 2, func(o *Order) { o.Rank, o.begun = 3, true })...)
-	taken, rest := testAssembly(6).batches(queue, []bench{{room: 100}})
+	taken, rest := testAssembly(6).batches(queue, []idleRunner{{room: 100}})
 	is.Equal(calls(taken[0]), "ddccaa")
 	is.Equal(calls(rest), "bb")
 }
@@ -53,7 +53,7 @@
 	is := is.New(t)
 	queue := pieces("a", 2, func(o *Order) { o.Zone = "x" })
 	queue = append(queue, pieces("b", 2, func(o *Order) { o.Zone = "y" })...)
-	taken, rest := testAssembly(4).batches(queue, []bench{{zone: "y", room: 100}, {zone: "x", room: 100}})
+	taken, rest := testAssembly(4).batches(queue, []idleRunner{{zone: "y", room: 100}, {zone: "x", room: 100}})
 	is.Equal(calls(taken[0]), "bb")
 	is.Equal(calls(taken[1]), "aa")
 	is.Equal(len(rest), 0)
@@ -63,24 +63,24 @@
 	is := is.New(t)
 	queue := pieces("a", 2, func(o *Order) { o.Zone = "x" })
 	a := testAssembly(4)
-	taken, rest := a.batches(queue, []bench{{zone: "y", room: 100}})
+	taken, rest := a.batches(queue, []idleRunner{{zone: "y", room: 100}})
 	is.Equal(calls(taken[0]), "")
 	is.Equal(calls(rest), "aa")
 	a.now = start.Add(zoneWait)
-	taken, _ = a.batches(queue, []bench{{zone: "y", room: 100}})
+	taken, _ = a.batches(queue, []idleRunner{{zone: "y", room: 100}})
 	is.Equal(calls(taken[0]), "aa")
 }
 
 func TestBatchesFitTheRoom(t *testing.T) {
 	is := is.New(t)
 	big := func(o *Order) { o.ResultBytes = 40 }
-	taken, rest := testAssembly(8).batches(pieces("a", 5, big), []bench{{room: 100}})
+	taken, rest := testAssembly(8).batches(pieces("a", 5, big), []idleRunner{{room: 100}})
 	is.Equal(len(taken[0]), 2)
 	is.Equal(len(rest), 3)
 	huge := func(o *Order) { o.ResultBytes = 400 }
-	taken, _ = testAssembly(8).batches(pieces("a", 2, huge), []bench{{room: 100, vacant: true}})
+	taken, _ = testAssembly(8).batches(pieces("a", 2, huge), []idleRunner{{room: 100, vacant: true}})
 	is.Equal(len(taken[0]), 1) // larger than any room: tried alone
-	taken, _ = testAssembly(8).batches(pieces("a", 2, huge), []bench{{room: 100}})
+	taken, _ = testAssembly(8).batches(pieces("a", 2, huge), []idleRunner{{room: 100}})
 	is.Equal(len(taken[0]), 0)
 }
 
--- a/router/stage/forecast.go
+++ b/router/stage/forecast.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// announced is an order that was announced and has not come yet.
-type announced struct {
+// reserved is the place of an order that has not come yet.
+type reserved struct {
 	pieces int
 	rank   int
 	due    time.Time
@@ -15,18 +15,18 @@
 	// fill is the part of the pieces that batches have room for which they
 	// carry under load.
 	fill = 0.9
-	// patienceForOrder is how long after its earliest time an announced order
+	// patienceForOrder is how long after its earliest time a reserved order
 	// is waited for.
 	patienceForOrder = 2 * time.Second
 )
 
-// forecast says when an announced order would be made. Under overload each
+// forecast says when a reserved order would be made. Under overload each
 // order that is taken on beyond what the runners make costs others their time,
 // so that it is refused before any work is done for it.
-func (p *Pool) forecast(a Announcement) Forecast {
+func (p *Pool) forecast(a Reservation) Forecast {
 	limits, targets := p.batches(), p.targets()
 	if limits == nil || len(targets) == 0 {
-		return Forecast{Refused: true, Wait: failedRest}
+		return Forecast{Refused: true, Wait: failedBackoff}
 	}
 	now := p.clk.Now()
 	asm := assembly{now: now, limits: limits}
@@ -38,9 +38,9 @@
 			oldest = max(oldest, now.Sub(w.since))
 		}
 	}
-	for id, o := range p.announced {
+	for id, o := range p.reserved {
 		if now.After(o.until) {
-			delete(p.announced, id)
+			delete(p.reserved, id)
 			continue
 		}
 		if o.rank <= a.Rank {
@@ -62,20 +62,20 @@
 	return Forecast{Refused: tooLate && wait > batch, Wait: wait}
 }
 
-// Announce keeps a place for an order unless it would come too late.
-func (p *Pool) Announce(a Announcement) Forecast {
+// Reserve keeps a place for an order unless it would come too late.
+func (p *Pool) Reserve(a Reservation) Forecast {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f := p.forecast(a)
 	if !f.Refused {
-		p.announced[a.ID] = announced{pieces: a.Pieces, rank: a.Rank, due: a.Due, until: a.Ready.Add(patienceForOrder)}
+		p.reserved[a.ID] = reserved{pieces: a.Pieces, rank: a.Rank, due: a.Due, until: a.Ready.Add(patienceForOrder)}
 	}
 	return f
 }
 
-// Withdraw gives a place up.
-func (p *Pool) Withdraw(order string) {
+// Cancel gives a place up.
+func (p *Pool) Cancel(order string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.announced, order)
+	delete(p.reserved, order)
 }
--- a/router/stage/piece.go
+++ b/router/stage/piece.go
@@ -80,15 +80,15 @@
 	Make(ctx context.Context, o Order) []Result
 	// Free gives results of a service up. It returns at once.
 	Free(service string, results []Result)
-	// Announce asks whether an order that will follow can be made in time. If
-	// it can, its place is kept until the order, or Withdraw.
-	Announce(ctx context.Context, a Announcement) Forecast
-	// Withdraw gives the place of an announced order up. It returns at once.
-	Withdraw(service, order string)
+	// Reserve asks whether an order that will follow can be made in time. If
+	// it can, its place is kept until the order, or Cancel.
+	Reserve(ctx context.Context, a Reservation) Forecast
+	// Cancel gives the place of an reserved order up. It returns at once.
+	Cancel(service, order string)
 }
 
-// Announcement tells of an order that will follow.
-type Announcement struct {
+// Reservation tells of an order that will follow.
+type Reservation struct {
 	// ID and Service are those of the order.
 	ID      string
 	Service string
--- a/router/stage/pool.go
+++ b/router/stage/pool.go
@@ -36,20 +36,20 @@
 	busy map[*target.Target]int
 	// rooms has what the results at each runner take.
 	rooms map[*target.Target]*room
-	// announced has the orders that are expected, by identifier.
-	announced map[string]announced
-	// rest has, for runners that refused or failed, when they are tried again.
-	rest map[*target.Target]time.Time
+	// reserved has the orders that are expected, by identifier.
+	reserved map[string]reserved
+	// backoff has, for runners that refused or failed, when they are tried again.
+	backoff map[*target.Target]time.Time
 }
 
 const (
 	// maxTries bounds the batches that a piece is put in.
 	maxTries = 3
-	// refusedRest is how long a runner that refused a batch, or had no room for
+	// refusedBackoff is how long a runner that refused a batch, or had no room for
 	// a result, isn't tried: a part of the time that a call takes.
-	refusedRest = 60 * time.Millisecond
-	// failedRest is how long a runner that failed isn't tried.
-	failedRest = 500 * time.Millisecond
+	refusedBackoff = 60 * time.Millisecond
+	// failedBackoff is how long a runner that failed isn't tried.
+	failedBackoff = 500 * time.Millisecond
 	// askEvery is how often a runner is asked for its room at most: about once
 	// a call.
 	askEvery = 200 * time.Millisecond
@@ -71,7 +71,7 @@
 	}
 	p.mu.Lock()
 	p.queue = append(p.queue, list...)
-	delete(p.announced, o.ID)
+	delete(p.reserved, o.ID)
 	p.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { p.abandon(list) })
 	defer stop()
@@ -121,12 +121,12 @@
 	a := assembly{now: now, limits: limits}
 	p.drop(Late, a.hopeless)
 	idle := slices.DeleteFunc(slices.Clone(targets), func(t *target.Target) bool {
-		return p.busy[t] >= limits.Slots || now.Before(p.rest[t])
+		return p.busy[t] >= limits.Slots || now.Before(p.backoff[t])
 	})
-	benches := make([]bench, len(idle))
+	benches := make([]idleRunner, len(idle))
 	for i, t := range idle {
 		r := p.room(t)
-		benches[i] = bench{zone: t.Runner().Zone, room: r.left(limits.ResultRoom, now), vacant: r.empty()}
+		benches[i] = idleRunner{zone: t.Runner().Zone, room: r.left(limits.ResultRoom, now), vacant: r.empty()}
 		if r.foreign > 0 && len(p.queue) > 0 {
 			p.askRoom(t, limits)
 		}
@@ -226,7 +226,7 @@
 	if p.busy[t] == 0 {
 		delete(p.busy, t)
 	}
-	delete(p.rest, t)
+	delete(p.backoff, t)
 	if err != nil {
 		p.setAside(t, refused)
 		p.log.Debug("batch not made", "service", p.service, "runner", t.Runner().ID, "pieces", len(batch), "refused", refused, "error", err)
@@ -285,13 +285,13 @@
 
 // setAside leaves a runner alone for a while. The caller holds mu.
 func (p *Pool) setAside(t *target.Target, refused bool) {
-	rest := failedRest
+	backoff := failedBackoff
 	if refused {
-		rest = refusedRest
+		backoff = refusedBackoff
 	}
-	p.rest[t] = p.clk.Now().Add(rest)
+	p.backoff[t] = p.clk.Now().Add(backoff)
 	p.group.Go(func() {
-		if p.clk.Sleep(p.ctx, rest) == nil {
+		if p.clk.Sleep(p.ctx, backoff) == nil {
 			p.Dispatch()
 		}
 	})
--- a/router/stage/pool_test.go
+++ b/router/stage/pool_test.go
@@ -64,7 +64,7 @@
 
 const testService = "encode"
 
-func testWorkshop(t *testing.T, b *benches, runners int) Workshop {
+func testPools(t *testing.T, b *benches, runners int) Pools {
 	t.Helper()
 	table, err := routing.NewTable(routing.Config{Version: 1, Services: []routing.Service{{Name: testService, Batches: &routing.Batches{
 		Slots: 1, Queue: 2, MaxPieces: 8, CallTime: 150 * time.Millisecond, PieceTime: 10 * time.Millisecond, ResultRoom: 1 << 30, KeepFor: 4 * time.Second,
@@ -79,7 +79,7 @@
 	set := target.NewSet(clock.System(), func(string, float64) float64 { return 1 }, time.Second)
 	current.Subscribe(set.Update)
 	current.Advance(s)
-	return NewWorkshop(clock.System(), current, set, b, hclog.NewNullLogger())
+	return NewPools(clock.System(), current, set, b, hclog.NewNullLogger())
 }
 
 func testOrder(id string, n int, due, until time.Duration) Order {
@@ -102,12 +102,12 @@
 }
 
 // TestOverloadFillsBatches plays 1.5 times what two runners make for 6 s: 90%
-// of what full batches give is made, and the rest is refused when announced.
+// of what full batches give is made, and the rest is refused when reserved.
 func TestOverloadFillsBatches(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := &benches{}
-		w := testWorkshop(t, b, 2)
+		w := testPools(t, b, 2)
 		const bound = 2 * 8 / 0.230 // pieces a second
 		const load = 6 * time.Second
 		begin := clock.System().Now()
@@ -119,7 +119,7 @@
 			id := fmt.Sprint("c", at)
 			group.Go(func() {
 				o := testOrder(id, 2, time.Second, 2*time.Second)
-				f := w.Announce(t.Context(), Announcement{ID: id, Service: testService, Pieces: 2, Ready: clock.System().Now(), Due: o.Due, Until: o.Until})
+				f := w.Reserve(t.Context(), Reservation{ID: id, Service: testService, Pieces: 2, Ready: clock.System().Now(), Due: o.Due, Until: o.Until})
 				if f.Refused {
 					mu.Lock()
 					refused++
@@ -151,7 +151,7 @@
 func TestHalfLoadAddsLittleWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &benches{}
-		w := testWorkshop(t, b, 5)
+		w := testPools(t, b, 5)
 		const idle = 170 * time.Millisecond
 		var group sync.WaitGroup
 		var mu sync.Mutex
@@ -187,7 +187,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := &benches{fail: map[string]bool{"r0": true}, refuse: map[string]bool{"r1": true}}
-		w := testWorkshop(t, b, 3)
+		w := testPools(t, b, 3)
 		is.Equal(made(w.Make(t.Context(), testOrder("c", 6, 3*time.Second, 4*time.Second))), 6)
 		w.Close(t.Context())
 	})
@@ -197,7 +197,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		b := &benches{}
-		w := testWorkshop(t, b, 1)
+		w := testPools(t, b, 1)
 		ctx, cancel := context.WithCancel(t.Context())
 		var group sync.WaitGroup
 		group.Go(func() { w.Make(t.Context(), testOrder("first", 8, time.Second, 4*time.Second)) })
@@ -218,7 +218,7 @@
 func TestLateOrdersLeaveWhileOthersWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w := testWorkshop(t, &benches{}, 1)
+		w := testPools(t, &benches{}, 1)
 		var group sync.WaitGroup
 		begin := clock.System().Now()
 		group.Go(func() { w.Make(t.Context(), testOrder("running", 8, time.Second, 9*time.Second)) })
@@ -237,9 +237,9 @@
 	})
 }
 
-func TestClosedWorkshopRefuses(t *testing.T) {
+func TestClosedPoolsRefuse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := testWorkshop(t, &benches{}, 1)
+		w := testPools(t, &benches{}, 1)
 		w.Close(t.Context())
 		is.New(t).Equal(w.Make(t.Context(), testOrder("c", 1, time.Second, time.Second))[0].Failure, Refused)
 	})
--- a/router/stage/workshop.go
+++ b/router/stage/pools.go
@@ -12,8 +12,8 @@
 	"github.com/hashicorp/go-hclog"
 )
 
-// Workshop has a pool for each service that makes pieces.
-type Workshop interface {
+// Pools has a pool for each service that makes pieces.
+type Pools interface {
 	Maker
 	// Run gives results up until ctx ends.
 	Run(ctx context.Context) error
@@ -29,16 +29,16 @@
 // freeTimeout bounds one such call.
 const freeTimeout = time.Second
 
-// NewWorkshop returns a workshop over the runners of this instance's snapshot.
-func NewWorkshop(clk clock.Clock, current *inventory.Current, targets target.Set, runners Runners, log hclog.Logger) Workshop {
+// NewPools returns a pools over the runners of this instance's snapshot.
+func NewPools(clk clock.Clock, current *inventory.Current, targets target.Set, runners Runners, log hclog.Logger) Pools {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &workshop{
+	return &poolSet{
 		clk: clk, current: current, targets: targets, runners: runners, log: log, ctx: ctx, cancel: cancel,
 		pools: make(map[string]*Pool), freed: make(map[string][]string),
 	}
 }
 
-type workshop struct {
+type poolSet struct {
 	clk     clock.Clock
 	current *inventory.Current
 	targets target.Set
@@ -58,7 +58,7 @@
 	freed map[string][]string
 }
 
-func (s *workshop) Make(ctx context.Context, o Order) []Result {
+func (s *poolSet) Make(ctx context.Context, o Order) []Result {
 	s.mu.Lock()
 	if s.closed {
 		s.mu.Unlock()
@@ -70,13 +70,13 @@
 	return s.pool(o.Service).Make(ctx, o)
 }
 
-func (s *workshop) Announce(_ context.Context, a Announcement) Forecast {
-	return s.pool(a.Service).Announce(a)
+func (s *poolSet) Reserve(_ context.Context, a Reservation) Forecast {
+	return s.pool(a.Service).Reserve(a)
 }
 
-func (s *workshop) Withdraw(service, order string) { s.pool(service).Withdraw(order) }
+func (s *poolSet) Cancel(service, order string) { s.pool(service).Cancel(order) }
 
-func (s *workshop) pool(service string) *Pool {
+func (s *poolSet) pool(service string) *Pool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pools[service]
@@ -93,14 +93,14 @@
 			},
 			permit: s.targets.Permit,
 			busy:   make(map[*target.Target]int), rooms: make(map[*target.Target]*room),
-			announced: make(map[string]announced), rest: make(map[*target.Target]time.Time),
+			reserved: make(map[string]reserved), backoff: make(map[*target.Target]time.Time),
 		}
 		s.pools[service] = p
 	}
 	return p
 }
 
-func (s *workshop) Free(_ string, results []Result) {
+func (s *poolSet) Free(_ string, results []Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range results {
@@ -110,7 +110,7 @@
 	}
 }
 
-func (s *workshop) Run(ctx context.Context) error {
+func (s *poolSet) Run(ctx context.Context) error {
 	for s.clk.Sleep(ctx, freeEvery) == nil {
 		s.free(ctx)
 	}
@@ -119,7 +119,7 @@
 
 // free tells the runners of this instance's results what to give up. What a
 // runner doesn't hear it gives up by itself after a while.
-func (s *workshop) free(ctx context.Context) {
+func (s *poolSet) free(ctx context.Context) {
 	s.mu.Lock()
 	freed := s.freed
 	s.freed = make(map[string][]string)
@@ -135,7 +135,7 @@
 	group.Wait()
 }
 
-func (s *workshop) freeAt(ctx context.Context, t *target.Target, handles []string) {
+func (s *poolSet) freeAt(ctx context.Context, t *target.Target, handles []string) {
 	ctx, cancel := context.WithTimeout(ctx, freeTimeout)
 	defer cancel()
 	r := t.Runner()
@@ -146,7 +146,7 @@
 	s.pool(r.Service).Freed(t, handles)
 }
 
-func (s *workshop) Close(ctx context.Context) {
+func (s *poolSet) Close(ctx context.Context) {
 	s.mu.Lock()
 	s.closed = true
 	pools := s.pools
@@ -161,7 +161,7 @@
 }
 
 // abort drops all that waits and ends the calls to runners.
-func (s *workshop) abort(pools map[string]*Pool) {
+func (s *poolSet) abort(pools map[string]*Pool) {
 	s.cancel()
 	for _, p := range pools {
 		p.Dispatch()
--- a/router/stage/shared.go
+++ b/router/stage/shared.go
@@ -16,17 +16,17 @@
 
 // Methods that other instances answer.
 const (
-	methodMake     = "stage.make"
-	methodAbandon  = "stage.abandon"
-	methodFree     = "stage.free"
-	methodAnnounce = "stage.announce"
-	methodWithdraw = "stage.withdraw"
+	methodMake    = "stage.make"
+	methodAbandon = "stage.abandon"
+	methodFree    = "stage.free"
+	methodReserve = "stage.reserve"
+	methodCancel  = "stage.cancel"
 )
 
 const (
-	// announceTimeout bounds the question whether an order can be made: a
+	// reserveTimeout bounds the question whether an order can be made: a
 	// fraction of what a stage takes.
-	announceTimeout = 100 * time.Millisecond
+	reserveTimeout = 100 * time.Millisecond
 	// abandonTimeout bounds the notice that an order is of no use any more.
 	abandonTimeout = 300 * time.Millisecond
 )
@@ -43,8 +43,8 @@
 	mesh.Handle(methodMake, s.serveMake)
 	mesh.Handle(methodAbandon, s.serveAbandon)
 	mesh.Handle(methodFree, s.serveFree)
-	mesh.Handle(methodAnnounce, s.serveAnnounce)
-	mesh.Handle(methodWithdraw, s.serveWithdraw)
+	mesh.Handle(methodReserve, s.serveReserve)
+	mesh.Handle(methodCancel, s.serveCancel)
 	return s
 }
 
@@ -235,8 +235,8 @@
 	return nil, nil
 }
 
-// announcementBody is an announcement on its way to another instance.
-type announcementBody struct {
+// reservationBody is an reservation on its way to another instance.
+type reservationBody struct {
 	ID          string `json:"id"`
 	Service     string `json:"service"`
 	Pieces      int    `json:"pieces"`
@@ -247,28 +247,28 @@
 	AfterMicros int64  `json:"afterMicros"`
 }
 
-type withdrawBody struct {
+type cancelBody struct {
 	Service string `json:"service"`
 	ID      string `json:"id"`
 }
 
-// Announce asks the owner of the service. Without an answer nothing is known
+// Reserve asks the owner of the service. Without an answer nothing is known
 // against the order.
-func (s *shared) Announce(ctx context.Context, a Announcement) Forecast {
+func (s *shared) Reserve(ctx context.Context, a Reservation) Forecast {
 	to := s.owners.Of(matter(a.Service))
 	if to == "" || to == s.self {
-		return s.own.Announce(ctx, a)
+		return s.own.Reserve(ctx, a)
 	}
 	outer := ctx
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
 	now := s.clk.Now()
-	body := announcementBody{
+	body := reservationBody{
 		ID: a.ID, Service: a.Service, Pieces: a.Pieces, Rank: a.Rank, ReadyMicros: a.Ready.Sub(now).Microseconds(),
 		UntilMicros: a.Until.Sub(now).Microseconds(), DueMicros: a.Due.Sub(now).Microseconds(), AfterMicros: a.After.Microseconds(),
 	}
 	var f Forecast
-	if err := s.mesh.Call(instance.Repeatable(ctx), to, methodAnnounce, body, &f); err != nil {
+	if err := s.mesh.Call(instance.Repeatable(ctx), to, methodReserve, body, &f); err != nil {
 		if outer.Err() == nil {
 			s.log.Warn("owner of a stage doesn't answer", "owner", to, "service", a.Service, "order", a.ID, "error", err)
 			s.owners.Away(to)
@@ -278,40 +278,40 @@
 	return f
 }
 
-func (s *shared) serveAnnounce(ctx context.Context, _ string, params json.RawMessage) (any, error) {
-	var b announcementBody
+func (s *shared) serveReserve(ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	var b reservationBody
 	if err := json.Unmarshal(params, &b); err != nil {
-		return nil, fault.Wrap(fault.BadRequest, err, "decode an announcement").WithField(methodAnnounce)
+		return nil, fault.Wrap(fault.BadRequest, err, "decode an reservation").WithField(methodReserve)
 	}
 	now := s.clk.Now()
-	return s.own.Announce(ctx, Announcement{
+	return s.own.Reserve(ctx, Reservation{
 		ID: b.ID, Service: b.Service, Pieces: b.Pieces, Rank: b.Rank, Ready: now.Add(micros(b.ReadyMicros)),
 		Until: now.Add(micros(b.UntilMicros)), Due: now.Add(micros(b.DueMicros)), After: micros(b.AfterMicros),
 	}), nil
 }
 
-// Withdraw tells the owner of the service. If it doesn't hear, the place is kept
+// Cancel tells the owner of the service. If it doesn't hear, the place is kept
 // for a while in vain.
-func (s *shared) Withdraw(service, order string) {
+func (s *shared) Cancel(service, order string) {
 	to := s.owners.Of(matter(service))
 	if to == "" || to == s.self {
-		s.own.Withdraw(service, order)
+		s.own.Cancel(service, order)
 		return
 	}
 	s.group.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
 		defer cancel()
-		if err := s.mesh.Call(instance.Repeatable(ctx), to, methodWithdraw, withdrawBody{Service: service, ID: order}, nil); err != nil {
-			s.log.Debug("order not withdrawn", "owner", to, "order", order, "error", err)
+		if err := s.mesh.Call(instance.Repeatable(ctx), to, methodCancel, cancelBody{Service: service, ID: order}, nil); err != nil {
+			s.log.Debug("order not cancelled", "owner", to, "order", order, "error", err)
 		}
 	})
 }
 
-func (s *shared) serveWithdraw(_ context.Context, _ string, params json.RawMessage) (any, error) {
-	var b withdrawBody
+func (s *shared) serveCancel(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var b cancelBody
 	if err := json.Unmarshal(params, &b); err != nil {
-		return nil, fault.Wrap(fault.BadRequest, err, "decode a withdrawal").WithField(methodWithdraw)
+		return nil, fault.Wrap(fault.BadRequest, err, "decode a cancellation").WithField(methodCancel)
 	}
-	s.own.Withdraw(b.Service, b.ID)
+	s.own.Cancel(b.Service, b.ID)
 	return nil, nil
 }
--- a/router/stage/shared_test.go
+++ b/router/stage/shared_test.go
@@ -80,7 +80,7 @@
 	p.mesh.peer = peer
 	current := inventory.NewCurrent(clock.System())
 	current.Advance(&inventory.Snapshot{Revision: 1, Instances: map[string]inventory.Instance{"other": {Name: "other"}}})
-	own, theirs := testWorkshop(t, p.ownWork, 2), testWorkshop(t, p.peerWork, 2)
+	own, theirs := testPools(t, p.ownWork, 2), testPools(t, p.peerWork, 2)
 	find := func() owner.Finder { return owner.NewFinder(clock.System(), current) }
 	p.self = NewShared(clock.System(), "self", find(), p.mesh, own, hclog.NewNullLogger())
 	p.other = NewShared(clock.System(), "other", find(), peer, theirs, hclog.NewNullLogger())
@@ -102,7 +102,7 @@
 	})
 }
 
-// TestOrdersMoveOnWhenTheirOwnerFallsSilent has an announcement notice the
+// TestOrdersMoveOnWhenTheirOwnerFallsSilent has an reservation notice the
 // silence for an order that waits already.
 func TestOrdersMoveOnWhenTheirOwnerFallsSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -115,10 +115,10 @@
 			is.Equal(made(p.self.Make(t.Context(), testOrder("c", 3, time.Second, 2*time.Second))), 3)
 		})
 		synctest.Wait()
-		is.Equal(p.self.Announce(t.Context(), Announcement{ID: "d", Service: testService, Pieces: 1}), Forecast{})
+		is.Equal(p.self.Reserve(t.Context(), Reservation{ID: "d", Service: testService, Pieces: 1}), Forecast{})
 		group.Wait()
 		is.Equal(p.ownWork.results, 3)
-		is.True(clock.System().Now().Sub(begin) < time.Second) // one announcement and one batch
+		is.True(clock.System().Now().Sub(begin) < time.Second) // one reservation and one batch
 		p.close()
 	})
 }
--- a/router/target/health.go
+++ b/router/target/health.go
@@ -3,10 +3,10 @@
 import "time"
 
 const (
-	// firstRest is for how long a runner is left alone after it failed, and
-	// lastRest the longest such time; each further failure doubles it.
-	firstRest = 500 * time.Millisecond
-	lastRest  = 4 * time.Second
+	// firstBackoff is for how long a runner is left alone after it failed, and
+	// lastBackoff the longest such time; each further failure doubles it.
+	firstBackoff = 500 * time.Millisecond
+	lastBackoff  = 4 * time.Second
 	// failuresInRow is how many failures without a success between them set a
 	// runner aside.
 	failuresInRow = 3
@@ -28,15 +28,15 @@
 	// latency is the moving mean of the time to an answer; zero before the
 	// first one.
 	latency time.Duration
-	// restUntil is when the runner is tried again.
-	restUntil time.Time
-	rest      time.Duration
+	// backoffUntil is when the runner is tried again.
+	backoffUntil time.Time
+	backoff      time.Duration
 }
 
 func (h *health) success(d time.Duration) {
 	h.inRow = 0
 	h.share -= smoothing * h.share
-	h.rest = 0
+	h.backoff = 0
 	if h.latency == 0 {
 		h.latency = d
 		return
@@ -60,8 +60,8 @@
 }
 
 func (h *health) setAside(now time.Time) {
-	h.rest = min(max(2*h.rest, firstRest), lastRest)
-	h.restUntil = now.Add(h.rest)
+	h.backoff = min(max(2*h.backoff, firstBackoff), lastBackoff)
+	h.backoffUntil = now.Add(h.backoff)
 }
 
 func (h *health) typical() time.Duration {
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -19,11 +19,11 @@
 	running int
 	health  health
 	cold    bucket
-	// doubted is the revision of the description under which a connection
-	// broke, and doubtedAt when. The runner may have started again, so that it
+	// suspectRevision is the revision of the description under which a connection
+	// broke, and suspectSince when. The runner may have started again, so that it
 	// counts as cold until it had time to describe itself anew.
-	doubted   int64
-	doubtedAt time.Time
+	suspectRevision int64
+	suspectSince    time.Time
 }
 
 // Runner returns the newest description of the runner.
@@ -63,10 +63,10 @@
 }
 
 // rests reports whether the target is left alone after failures.
-func (t *Target) rests(now time.Time) bool {
+func (t *Target) backsOff(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return now.Before(t.health.restUntil)
+	return now.Before(t.health.backoffUntil)
 }
 
 // Succeeded notes an answer of the runner after d.
@@ -88,7 +88,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.health.broke(now)
-	t.doubted, t.doubtedAt = t.runner.Revision, now
+	t.suspectRevision, t.suspectSince = t.runner.Revision, now
 }
 
 // coldAt reports whether the runner has to be taken for cold. Runners describe
@@ -96,6 +96,6 @@
 func (t *Target) coldAt(now time.Time, back inventory.Return, lag time.Duration) bool {
 	r := t.runner
 	return r.ColdAt(now) ||
-		(t.doubted >= r.Revision && now.Before(t.doubtedAt.Add(lag))) ||
+		(t.suspectRevision >= r.Revision && now.Before(t.suspectSince.Add(lag))) ||
 		(back.Revision > r.Revision && now.Before(back.SeenAt.Add(lag)))
 }
