Wait for the writer of a request before its connection is given up

Ruled out: the server's side (both answers came); the check for bytes left.

Change: the end of an exchange waits 20 ms for the writer; answers that come before a long body is read still end their connection, with a test of its own.

--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -62,7 +62,11 @@
 
 // Close ends the exchange. The connection is kept only if the body was read to
 // its end.
-func (a *Answer) Close() { a.ex.finish(a) }
+func (a *Answer) Close() { a.ex.finish() }
+
+// writerGrace is how long after the end of an answer the writing of its request
+// may end: the goroutine that wrote it may not have run since.
+const writerGrace = 20 * time.Millisecond
 
 // maxSurplus bounds the answers to other requests that are dropped before the
 // connection is given up.
@@ -195,7 +199,7 @@
 
 // finish keeps the connection if the request was written whole, the answer was
 // read whole, and nothing else waits on it.
-func (ex *exchange) finish(_ *Answer) {
+func (ex *exchange) finish() {
 	ex.once.Do(func() {
 		if !ex.stop() || !ex.body.done || ex.conn.idleLimit <= 0 {
 			ex.abort()
@@ -208,7 +212,7 @@
 				ex.conn.close()
 				return
 			}
-		default:
+		case <-ex.pool.clk.After(writerGrace):
 			// The runner answered before it read the whole body; other bytes
 			// where the rest is due would be taken for it.
 			ex.abort()
--- a/router/link/exchange_test.go
+++ b/router/link/exchange_test.go
@@ -213,3 +213,49 @@
 	is.True(<-closed != nil)
 	group.Wait()
 }
+
+// TestEarlyAnswersEndTheirConnection has a server answer before it reads a long
+// body. Another request on that connection would be taken for the body's rest.
+func TestEarlyAnswersEndTheirConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var conns []net.Conn
+	group.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, c)
+			mu.Unlock()
+			group.Go(func() {
+				if _, err := bufio.NewReader(c).ReadString('\n'); err == nil {
+					_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+				}
+			})
+		}
+	})
+	pool := link.NewPool()
+	for range 2 {
+		req := request()
+		req.Body = make([]byte, 16<<20)
+		a, err := pool.Exchange(t.Context(), l.Addr().String(), req)
+		is.NoErr(err)
+		is.Equal(a.Status, 503)
+		_, err = io.ReadAll(a.Body)
+		is.NoErr(err)
+		a.Close()
+	}
+	is.NoErr(l.Close())
+	mu.Lock()
+	is.Equal(len(conns), 2)
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	mu.Unlock()
+	group.Wait()
+}
