--- /dev/null
+++ b/router/membership/membership_test.go
@@ -0,0 +1,185 @@
+package membership_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/membership"
+	"cicadawell.dev/router/routing"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+)
+
+// registry keeps leases that the test may end.
+type registry struct {
+	mu       sync.Mutex
+	granted  int64
+	ended    map[int64]bool
+	register []int64
+	renewed  int
+	away     bool
+}
+
+var errAway = errors.New("away")
+
+func (r *registry) Grant(context.Context, time.Duration) (int64, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.away {
+		return 0, errAway
+	}
+	r.granted++
+	return r.granted, nil
+}
+
+func (r *registry) Renew(_ context.Context, lease int64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.away:
+		return errAway
+	case r.ended[lease]:
+		return fault.New(fault.NotFound, "the lease has ended")
+	}
+	r.renewed++
+	return nil
+}
+
+func (r *registry) Register(_ context.Context, _ inventory.Instance, lease int64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.register = append(r.register, lease)
+	return nil
+}
+
+func (r *registry) End(_ context.Context, lease int64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended[lease] = true
+	return nil
+}
+
+func (r *registry) set(change func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change()
+}
+
+func (r *registry) registered() []int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.register)
+}
+
+func (r *registry) renewals() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.renewed
+}
+
+// world is a member that runs.
+type world struct {
+	registry *registry
+	current  *inventory.Current
+	member   membership.Member
+	revision int64
+}
+
+func run(t *testing.T, f func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{registry: &registry{ended: make(map[int64]bool)}, current: inventory.NewCurrent(clock.System())}
+		w.member = membership.New(clock.System(), w.registry, inventory.Instance{Name: "self"}, w.current, hclog.NewNullLogger())
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { _ = w.member.Run(ctx) })
+		f(w)
+		cancel()
+		group.Wait()
+	})
+}
+
+func sleep(d time.Duration) { _ = clock.System().Sleep(context.Background(), d) }
+
+// see stores a snapshot with a configuration and these instances.
+func (w *world) see(t *testing.T, names ...string) {
+	t.Helper()
+	table, err := routing.NewTable(routing.Config{Version: 1})
+	is.New(t).NoErr(err)
+	w.revision++
+	s := &inventory.Snapshot{Table: table, Revision: w.revision, Instances: map[string]inventory.Instance{}}
+	for _, name := range names {
+		s.Instances[name] = inventory.Instance{Name: name}
+	}
+	w.current.Advance(s)
+	w.current.Confirm(clock.System().Now())
+}
+
+func TestInstancesRegisterOnceTheyCanWork(t *testing.T) {
+	run(t, func(w *world) {
+		is := is.New(t)
+		sleep(5 * time.Second)
+		is.Equal(len(w.registry.registered()), 0)
+		w.see(t)
+		sleep(5 * time.Second)
+		is.Equal(w.registry.registered(), []int64{1})
+		is.True(w.registry.renewals() >= 3)
+	})
+}
+
+func TestEndedLeasesAreReplaced(t *testing.T) {
+	run(t, func(w *world) {
+		is := is.New(t)
+		w.see(t)
+		sleep(time.Second)
+		w.registry.set(func() { w.registry.ended[1] = true })
+		sleep(2 * time.Second)
+		is.Equal(w.registry.registered(), []int64{1, 2})
+	})
+}
+
+func TestLeftInstancesStayAway(t *testing.T) {
+	run(t, func(w *world) {
+		is := is.New(t)
+		w.see(t)
+		sleep(time.Second)
+		is.NoErr(w.member.Leave(t.Context()))
+		w.registry.set(func() { is.True(w.registry.ended[1]) })
+		sleep(10 * time.Second)
+		is.Equal(w.registry.registered(), []int64{1})
+	})
+}
+
+func TestSharesCountOnlyOnASettledView(t *testing.T) {
+	run(t, func(w *world) {
+		is := is.New(t)
+		settled := func(names ...string) (int, bool) {
+			w.see(t, names...)
+			return w.member.Count()
+		}
+		n, ok := settled("other")
+		is.Equal(n, 1)
+		is.True(!ok) // its own registration isn't seen
+		_, ok = settled("self", "other")
+		is.True(!ok) // others may not have seen it
+		sleep(4 * time.Second)
+		n, ok = settled("self", "other")
+		is.Equal(n, 2)
+		is.True(ok)
+		sleep(4 * time.Second)
+		_, ok = w.member.Count()
+		is.True(!ok) // the view is old
+		_, ok = settled("other")
+		is.True(!ok)
+		_, ok = settled("self", "other")
+		is.True(!ok) // it has to settle anew
+	})
+}
