Send repeatable attempts over the same connection pool as relayed calls

Profiles showed no single place in the handler, but each call on a pooled connection of net/http's transport wakes two further goroutines, and its body passes through four channels.

Change: the runner client uses the link package for attempts that may be repeated; a short request is written by the goroutine that reads its answer, from a buffer that the connection keeps. One pool of connections is left in the router, and nothing in it sends again by itself.

--- a/router/link/conn.go
+++ b/router/link/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"net"
 	"syscall"
 	"time"
@@ -17,6 +18,9 @@
 	net.Conn
 	r       *bufio.Reader
 	address string
+	// out has the request that is being written. Only the writer of the
+	// exchange in progress uses it.
+	out bytes.Buffer
 	// used is set once an exchange ended on it.
 	used      bool
 	idleSince time.Time
--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -52,6 +52,8 @@
 	// Body ends with io.EOF only if the body is complete by its framing, or
 	// if the answer had no length and the connection ended in order.
 	Body io.Reader
+	// Length is the announced length of the body, negative if there is none.
+	Length int64
 	// Framed is false if the body ends with its connection.
 	Framed bool
 	// Reused is true if the connection had served before.
@@ -64,6 +66,14 @@
 // its end.
 func (a *Answer) Close() { a.ex.finish() }
 
+// Cut closes the connection at once, also while the body is being read. The
+// answer is closed as well afterwards.
+func (a *Answer) Cut() { a.ex.conn.close() }
+
+// directWrite is the size up to which a request is written without a goroutine
+// of its own: the buffer of an idle socket takes that much at once.
+const directWrite = 8 << 10
+
 // writerGrace is how long after the end of an answer the writing of its request
 // may end: the goroutine that wrote it may not have run since.
 const writerGrace = 20 * time.Millisecond
@@ -110,7 +120,7 @@
 	// Closing is the only way to end a read at once, and the runner drops the
 	// request with its connection.
 	ex.stop = context.AfterFunc(ctx, c.close)
-	ex.group.Go(func() { ex.written <- write(c, req) })
+	ex.send(req)
 	a, err := ex.head(req)
 	if err != nil {
 		ex.abort()
@@ -122,6 +132,16 @@
 	return a, nil
 }
 
+// send writes the request. A long body is written while the answer is read,
+// since a runner may answer before it has read everything.
+func (ex *exchange) send(req *Request) {
+	if len(req.Body) <= directWrite {
+		ex.written <- write(ex.conn, req)
+		return
+	}
+	ex.group.Go(func() { ex.written <- write(ex.conn, req) })
+}
+
 // abort closes the connection and waits for the writer.
 func (ex *exchange) abort() {
 	ex.stop()
@@ -132,10 +152,10 @@
 // write sends the whole request with one call, so that most requests leave in
 // one segment.
 func write(c *conn, req *Request) error {
-	var b bytes.Buffer
-	b.Grow(512 + len(req.Body))
+	b := &c.out
+	b.Reset()
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
-	if err := req.Header.Write(&b); err != nil {
+	if err := req.Header.Write(b); err != nil {
 		return err
 	}
 	if len(req.Body) > 0 || (req.Method != http.MethodGet && req.Method != http.MethodHead) {
@@ -144,6 +164,9 @@
 	b.WriteString("\r\n")
 	b.Write(req.Body)
 	_, err := c.Write(b.Bytes())
+	if b.Cap() > directWrite {
+		*b = bytes.Buffer{}
+	}
 	return err
 }
 
@@ -181,7 +204,8 @@
 		ex.conn.idleLimit = 0
 	}
 	return &Answer{
-		Status: resp.StatusCode, Header: resp.Header, Body: ex.body, Framed: framed, Reused: ex.conn.used, ex: ex,
+		Status: resp.StatusCode, Header: resp.Header, Body: ex.body, Length: resp.ContentLength,
+		Framed: framed, Reused: ex.conn.used, ex: ex,
 	}
 }
 
--- a/router/link/pool.go
+++ b/router/link/pool.go
@@ -22,6 +22,8 @@
 	Forget(address string)
 	// Sweep closes the connections that were idle for too long.
 	Sweep()
+	// Close closes all idle connections.
+	Close()
 	// Dialled returns how many connections were opened.
 	Dialled() int64
 }
@@ -31,7 +33,7 @@
 
 type config struct {
 	clk       clock.Clock
-	dial      func(ctx context.Context, address string) (net.Conn, error)
+	dialLimit time.Duration
 	idleLimit time.Duration
 	idlePer   int
 }
@@ -53,12 +55,12 @@
 )
 
 func defaults() config {
-	return config{clk: clock.System(), dial: dialTCP, idleLimit: defaultIdleLimit, idlePer: defaultIdlePer}
+	return config{clk: clock.System(), dialLimit: dialTimeout, idleLimit: defaultIdleLimit, idlePer: defaultIdlePer}
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+func (c *config) dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
-		Timeout:         dialTimeout,
+		Timeout:         c.dialLimit,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveEvery, Count: keepAliveCount},
 	}
 	return d.DialContext(ctx, "tcp", address)
@@ -70,6 +72,12 @@
 // WithIdleLimit sets for how long an idle connection is kept at most.
 func WithIdleLimit(d time.Duration) Option { return func(c *config) { c.idleLimit = d } }
 
+// WithIdlePer sets how many idle connections to one address are kept at most.
+func WithIdlePer(n int) Option { return func(c *config) { c.idlePer = n } }
+
+// WithDialTimeout bounds the opening of a connection.
+func WithDialTimeout(d time.Duration) Option { return func(c *config) { c.dialLimit = d } }
+
 // NewPool returns a pool with the defaults of this package changed by opts.
 func NewPool(opts ...Option) Pool {
 	p := &pool{config: defaults(), idle: make(map[string][]*conn)}
@@ -162,6 +170,17 @@
 	}
 }
 
+func (p *pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		for _, c := range list {
+			c.close()
+		}
+	}
+	clear(p.idle)
+}
+
 // open makes a new connection.
 func (p *pool) open(ctx context.Context, address string) (*conn, error) {
 	nc, err := p.dial(ctx, address)
--- a/router/runner/client.go
+++ b/router/runner/client.go
@@ -5,15 +5,16 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/router/link"
 )
 
 // Client sends attempts to runners. The outcome of each error says whether the
@@ -78,6 +79,9 @@
 	for _, o := range options {
 		o(c)
 	}
+	c.pool = link.NewPool(
+		link.WithClock(clk), link.WithDialTimeout(c.dialer.Timeout), link.WithIdleLimit(idleTimeout), link.WithIdlePer(connectionsPerRunner),
+	)
 	return c
 }
 
@@ -85,33 +89,12 @@
 	clk    clock.Clock
 	dialer net.Dialer
 	stall  time.Duration
-	// pools maps an address to its *http.Transport. An entry is never
-	// changed, only added; so a look-up takes no lock.
-	pools sync.Map
-}
-
-// pool returns the connections to an address. They are used without an
-// http.Client, since an attempt follows no redirect.
-func (c *client) pool(address string) *http.Transport {
-	if p, ok := c.pools.Load(address); ok {
-		return p.(*http.Transport)
-	}
-	p, _ := c.pools.LoadOrStore(address, &http.Transport{
-		DialContext:         c.dialer.DialContext,
-		MaxIdleConnsPerHost: connectionsPerRunner,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	})
-	return p.(*http.Transport)
+	// pool has the connections of attempts that may be repeated.
+	pool link.Pool
 }
 
 // Close closes the pooled connections.
-func (c *client) Close() {
-	c.pools.Range(func(_, p any) bool {
-		p.(*http.Transport).CloseIdleConnections()
-		return true
-	})
-}
+func (c *client) Close() { c.pool.Close() }
 
 // Cancel asks the runner to stop an attempt.
 func (c *client) Cancel(ctx context.Context, to bundle.Runner, attempt string) error {
@@ -125,27 +108,32 @@
 	if err != nil {
 		return fault.Wrap(fault.RunnerFailed, err, "cancel attempt at runner %s", to.ID)
 	}
-	return resp.Body.Close()
+	defer resp.Close()
+	if _, err := io.Copy(io.Discard, limited(resp.Body, maxRefusalBytes)); err != nil {
+		return fault.Wrap(fault.RunnerFailed, err, "cancel attempt at runner %s", to.ID)
+	}
+	return nil
 }
 
 // Renew closes the idle connections to a runner.
-func (c *client) Renew(to bundle.Runner) { c.pool(to.Address).CloseIdleConnections() }
+func (c *client) Renew(to bundle.Runner) { c.pool.Forget(to.Address) }
 
 // Load asks the runner for its load report.
 func (c *client) Load(ctx context.Context, to bundle.Runner) (runnerapi.Load, error) {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	var load runnerapi.Load
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+to.Address+runnerapi.PathLoad, http.NoBody)
-	if err != nil {
-		return load, fault.Wrap(fault.Internal, err, "build load request")
-	}
-	resp, err := c.pool(to.Address).RoundTrip(req)
+	req := &link.Request{Method: http.MethodGet, Target: runnerapi.PathLoad, Host: to.Address, MaxIdle: idleTimeout}
+	resp, err := c.pool.Exchange(ctx, to.Address, req)
 	if err != nil {
 		return load, fault.Wrap(fault.RunnerFailed, err, "ask runner %s for its load", to.ID)
 	}
-	defer closeBody(resp)
-	if err := json.NewDecoder(limited(resp.Body, maxRefusalBytes)).Decode(&load); err != nil {
+	defer resp.Close()
+	data, err := readAll(limited(resp.Body, maxRefusalBytes), min(resp.Length, maxRefusalBytes))
+	if err == nil {
+		err = json.Unmarshal(data, &load)
+	}
+	if err != nil {
 		return load, fault.Wrap(fault.RunnerFailed, err, "read the load of runner %s", to.ID)
 	}
 	return load, nil
--- a/router/runner/once.go
+++ b/router/runner/once.go
@@ -42,8 +42,10 @@
 	if err != nil {
 		return none, fault.Wrap(fault.OutcomeUnknown, err, "no answer from runner %s", to.ID)
 	}
-	defer closeBody(resp)
-	result, err := c.read(ctx, resp, to, req, limit, nil)
+	from := answer{
+		status: resp.StatusCode, header: resp.Header, body: resp.Body, length: resp.ContentLength, cut: func() { closeConn(conn) },
+	}
+	result, err := c.read(ctx, from, to, req, limit, nil)
 	return result, once(err)
 }
 
--- a/router/runner/orders.go
+++ b/router/runner/orders.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return none, fault.Wrap(fault.OutcomeUnknown, err, "no answer from runner %s", to.ID)
 	}
-	defer closeBody(resp)
+	defer func() { _ = resp.Body.Close() }()
 	return readState(resp, to)
 }
 
--- a/router/runner/pooled.go
+++ b/router/runner/pooled.go
@@ -1,18 +1,15 @@
 package runner
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
-	"net"
 	"net/http"
-	"net/url"
 
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/runnerapi"
 	"cicadawell.dev/fleet/splice"
+	"cicadawell.dev/router/link"
 )
 
 // Run sends an attempt that may be repeated, over a pooled connection.
@@ -26,8 +23,8 @@
 		c.distrust(ctx, to.Address)
 		return runnerapi.RunResult{}, lost(err, to)
 	}
-	defer closeBody(resp)
-	result, err := c.read(ctx, resp, to, req, limit, sink)
+	defer resp.Close()
+	result, err := c.read(ctx, answerOf(resp), to, req, limit, sink)
 	if err != nil {
 		c.distrust(ctx, to.Address)
 	}
@@ -50,30 +47,25 @@
 // so that the next attempt opens a new one. A caller that left is no such sign.
 func (c *client) distrust(ctx context.Context, address string) {
 	if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		c.pool(address).CloseIdleConnections()
+		c.pool.Forget(address)
 	}
 }
 
-// jsonHeader is shared by all posts; a transport does not change it.
+// jsonHeader is shared by all posts; an exchange does not change it.
 var jsonHeader = http.Header{"Content-Type": {"application/json"}}
 
-func (c *client) post(ctx context.Context, address, path string, body []byte) (*http.Response, error) {
-	req := &http.Request{
-		Method:        http.MethodPost,
-		URL:           &url.URL{Scheme: "http", Host: address, Path: path},
-		Header:        jsonHeader,
-		Body:          io.NopCloser(bytes.NewReader(body)),
-		ContentLength: int64(len(body)),
-	}
-	return c.pool(address).RoundTrip(req.WithContext(ctx))
+func (c *client) post(ctx context.Context, address, path string, body []byte) (*link.Answer, error) {
+	return c.pool.Exchange(ctx, address, &link.Request{
+		Method: http.MethodPost, Target: path, Host: address, Header: jsonHeader, Body: body, MaxIdle: idleTimeout,
+	})
 }
 
 // lost describes an attempt without a response. Without a connection no byte
 // left; otherwise some may have.
 func lost(err error, to bundle.Runner) error {
 	e := fault.Wrap(fault.RunnerFailed, err, "no answer from runner %s", to.ID)
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	var failed *link.Error
+	if errors.As(err, &failed) && !failed.Sent {
 		return e.WithOutcome(fault.NotRun)
 	}
 	return e
--- a/router/runner/read.go
+++ b/router/runner/read.go
@@ -12,6 +12,7 @@
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/router/link"
 	fastjson "github.com/go-json-experiment/json"
 )
 
@@ -23,12 +24,27 @@
 	eventStream   = "text/event-stream"
 )
 
+// answer is what a runner sent, over whichever connection.
+type answer struct {
+	status int
+	header http.Header
+	body   io.Reader
+	// length is the announced length of the body, negative if there is none.
+	length int64
+	// cut closes the connection while the body is being read.
+	cut func()
+}
+
+func answerOf(a *link.Answer) answer {
+	return answer{status: a.Status, header: a.Header, body: a.Body, length: a.Length, cut: a.Cut}
+}
+
 // read reads a response and checks that it belongs to the attempt.
-func (c *client) read(ctx context.Context, resp *http.Response, to bundle.Runner, req runnerapi.RunRequest, limit int64, sink Sink) (runnerapi.RunResult, error) {
-	if resp.StatusCode >= http.StatusBadRequest {
+func (c *client) read(ctx context.Context, resp answer, to bundle.Runner, req runnerapi.RunRequest, limit int64, sink Sink) (runnerapi.RunResult, error) {
+	if resp.status >= http.StatusBadRequest {
 		return runnerapi.RunResult{}, refusal(resp, to, req)
 	}
-	contentType := resp.Header.Get("Content-Type")
+	contentType := resp.header.Get("Content-Type")
 	if contentType == wholeResult {
 		return readWhole(resp, to, req, limit)
 	}
@@ -42,9 +58,9 @@
 	return readWhole(resp, to, req, limit)
 }
 
-func readWhole(resp *http.Response, to bundle.Runner, req runnerapi.RunRequest, limit int64) (runnerapi.RunResult, error) {
+func readWhole(resp answer, to bundle.Runner, req runnerapi.RunRequest, limit int64) (runnerapi.RunResult, error) {
 	var result runnerapi.RunResult
-	data, err := readAll(limited(resp.Body, limit+envelopeBytes+1), min(resp.ContentLength, limit+envelopeBytes+1))
+	data, err := readAll(limited(resp.body, limit+envelopeBytes+1), min(resp.length, limit+envelopeBytes+1))
 	if err != nil {
 		return result, fault.Wrap(fault.RunnerFailed, err, "answer of runner %s is cut", to.ID)
 	}
@@ -88,13 +104,16 @@
 
 // refusal turns an answer with an error status into an error. Only a refusal
 // that names this attempt can say that it was not run.
-func refusal(resp *http.Response, to bundle.Runner, req runnerapi.RunRequest) error {
+func refusal(resp answer, to bundle.Runner, req runnerapi.RunRequest) error {
 	var r runnerapi.Refusal
-	err := json.NewDecoder(limited(resp.Body, maxRefusalBytes)).Decode(&r)
+	data, err := readAll(limited(resp.body, maxRefusalBytes), min(resp.length, maxRefusalBytes))
+	if err == nil {
+		err = json.Unmarshal(data, &r)
+	}
 	if err != nil {
-		return fault.Wrap(fault.RunnerFailed, err, "runner %s answered with status %d", to.ID, resp.StatusCode)
+		return fault.Wrap(fault.RunnerFailed, err, "runner %s answered with status %d", to.ID, resp.status)
 	}
-	e := &RefusedError{Runner: to.ID, Status: resp.StatusCode, Refusal: r}
+	e := &RefusedError{Runner: to.ID, Status: resp.status, Refusal: r}
 	if r.Ran || r.Attempt != req.Attempt {
 		return fault.Wrap(fault.RunnerFailed, e, "stage %s", req.Stage)
 	}
@@ -103,10 +122,10 @@
 
 // readStream reads a streamed result up to its end mark. Silence for longer
 // than the stall timeout cuts it.
-func (c *client) readStream(ctx context.Context, resp *http.Response, to bundle.Runner, req runnerapi.RunRequest, limit int64, sink Sink) (runnerapi.RunResult, error) {
-	watch := newStallWatch(c.clk, c.stall, func() { closeBody(resp) })
+func (c *client) readStream(ctx context.Context, resp answer, to bundle.Runner, req runnerapi.RunRequest, limit int64, sink Sink) (runnerapi.RunResult, error) {
+	watch := newStallWatch(c.clk, c.stall, resp.cut)
 	defer watch.stop()
-	events := newEvents(limited(resp.Body, 16*limit+envelopeBytes))
+	events := newEvents(limited(resp.body, 16*limit+envelopeBytes))
 	next := 0
 	for {
 		name, data, err := events.next()
@@ -162,9 +181,6 @@
 
 func limited(r io.Reader, n int64) io.Reader { return io.LimitReader(r, n) }
 
-// closeBody closes a body whose rest no longer matters.
-func closeBody(resp *http.Response) { _ = resp.Body.Close() }
-
 // TimeLeft returns the whole milliseconds until deadline, at least 1.
 func TimeLeft(now, deadline time.Time) int64 {
 	return max(1, deadline.Sub(now).Milliseconds())
