Let a policy file switch each decision off

Cause: decisions on batches, placing and refusing couldn't be measured one by one, nor done without where they do harm.

Without a file all are taken, as before.

--- a/router/placement/placer.go
+++ b/router/placement/placer.go
@@ -7,6 +7,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/policy"
 	"cicadawell.dev/router/target"
 )
 
@@ -55,12 +56,13 @@
 }
 
 // NewLocal returns a placer that knows of its own calls only.
-func NewLocal(clk clock.Clock, current *inventory.Current, targets target.Set) Local {
-	return &local{clk: clk, current: current, targets: targets, trackers: make(map[string]*tracker), calls: make(map[string]*entry)}
+func NewLocal(clk clock.Clock, rules policy.Policy, current *inventory.Current, targets target.Set) Local {
+	return &local{clk: clk, rules: rules, current: current, targets: targets, trackers: make(map[string]*tracker), calls: make(map[string]*entry)}
 }
 
 type local struct {
 	clk     clock.Clock
+	rules   policy.Policy
 	current *inventory.Current
 	targets target.Set
 
@@ -133,7 +135,10 @@
 			b.memory = int(svc.Engine.MemoryTokens)
 		}
 	}
-	a := ask{prompt: r.Prompt, zone: r.Zone, bytes: r.InputBytes, home: b.home(r.Prompt, l.targets.Usable(r.Service))}
+	a := ask{prompt: r.Prompt, zone: r.Zone, bytes: r.InputBytes, anywhere: !l.rules.KeptPrompts}
+	if l.rules.PromptHomes {
+		a.home = b.home(r.Prompt, l.targets.Usable(r.Service))
+	}
 	return l.targets.Choose(r.Service, r.Avoid, permit, func(t *target.Target) time.Duration { return b.cost(t, a) })
 }
 
--- a/router/placement/placer_test.go
+++ b/router/placement/placer_test.go
@@ -13,6 +13,7 @@
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/owner"
 	"cicadawell.dev/router/placement"
+	"cicadawell.dev/router/policy"
 	"cicadawell.dev/router/routing"
 	"cicadawell.dev/router/target"
 	"github.com/hashicorp/go-hclog"
@@ -46,7 +47,7 @@
 		s.Instances[name] = inventory.Instance{Name: name}
 	}
 	w.current.Advance(s)
-	w.local = placement.NewLocal(w.clk, w.current, w.set)
+	w.local = placement.NewLocal(w.clk, policy.Default(), w.current, w.set)
 	return w
 }
 
--- a/router/placement/tracker.go
+++ b/router/placement/tracker.go
@@ -43,6 +43,8 @@
 	// home is the engine that is taken to keep the shared parts if the tracker
 	// knows of none; nil if it does.
 	home *target.Target
+	// anywhere disregards what engines have read.
+	anywhere bool
 }
 
 // engine is what the tracker holds of one engine.
@@ -145,6 +147,9 @@
 	if t == a.home {
 		unread -= sharedTokens(a.prompt)
 	}
+	if a.anywhere {
+		unread = a.prompt.Tokens
+	}
 	cost := time.Duration(e.pending+unread)*prefillPerToken + time.Duration(e.running)*decodePerCall
 	if a.zone != "" && t.Runner().Zone != a.zone {
 		cost += time.Duration(a.bytes) * crossPerMegabyte / 1_000_000
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -12,6 +12,7 @@
 	"cicadawell.dev/fleet/random"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/placement"
+	"cicadawell.dev/router/policy"
 	"cicadawell.dev/router/routing"
 	"cicadawell.dev/router/stage"
 	"cicadawell.dev/router/target"
@@ -47,6 +48,7 @@
 	KnownFor time.Duration
 	// Random decides between the services of a route.
 	Random random.Source
+	Policy policy.Policy
 }
 
 // Meter measures calls. Its methods are those of gauge.Relay.
--- a/router/relay/reserve.go
+++ b/router/relay/reserve.go
@@ -16,6 +16,9 @@
 // time, before any work is done for it. If one refuses, the call is refused with
 // the time after which it would have been taken.
 func (x *relay) reserve(p *plan) error {
+	if !x.Policy.Reservations {
+		return nil
+	}
 	ready := x.earliest(p)
 	forecasts := make([]stage.Forecast, len(ready))
 	var group errgroup.Group
--- a/router/relay/stages.go
+++ b/router/relay/stages.go
@@ -41,6 +41,17 @@
 	return res
 }
 
+// home returns the zone in which the results of a call are wanted, or "".
+func (x *relay) home(p *plan) string {
+	if !x.Policy.ResultZones {
+		return ""
+	}
+	if zone := x.Engines.Home(p.ctx, x.placing(p)); zone != "" {
+		return zone
+	}
+	return x.Zone
+}
+
 // stages makes all pieces that a call needs. The caller gives the results up.
 func (x *relay) stages(p *plan) (*results, error) {
 	res := x.newResults(p)
@@ -51,10 +62,7 @@
 	if len(p.call.Pieces) != n {
 		return res, fault.New(fault.BadRequest, "found %d counts of pieces, the route has %d stages", len(p.call.Pieces), n).WithField("pieces")
 	}
-	home := x.Engines.Home(p.ctx, x.placing(p))
-	if home == "" {
-		home = x.Zone
-	}
+	home := x.home(p)
 	if err := x.reserve(p); err != nil {
 		return res, err
 	}
--- a/router/relay/stall.go
+++ b/router/relay/stall.go
@@ -34,7 +34,7 @@
 func (x *relay) watchStream(p *plan) (context.Context, *stallWatch) {
 	ctx, cancel := context.WithCancel(p.ctx)
 	w := &stallWatch{timers: x.Timers, cancel: cancel, gap: max(stallShare*p.route.GapObjective, shortestStall)}
-	if p.route.Resumable && p.route.MaxAttempts > 1 {
+	if x.Policy.MoveStalled && p.route.Resumable && p.route.MaxAttempts > 1 {
 		first := max(firstStallShare*p.route.Objective, 2*placement.FirstEvent(p.call.Prompt), shortestStall)
 		w.stopTimer = w.timers.AfterFunc(first, cancel)
 	}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -30,7 +30,10 @@
 		return err
 	}
 	x.Repeats.Success(p.service)
-	inputs, zone := res.handles(p.route.Final()), x.resultZone(p, res)
+	inputs, zone := res.handles(p.route.Final()), ""
+	if x.Policy.ResultZones {
+		zone = x.resultZone(p, res)
+	}
 	state := &streamState{w: w, last: p.call.ResumeAfter}
 	run := fault.NotRun
 	var avoid []*target.Target
--- a/router/stage/pool.go
+++ b/router/stage/pool.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/policy"
 	"cicadawell.dev/router/routing"
 	"cicadawell.dev/router/target"
 	"github.com/hashicorp/go-hclog"
@@ -17,6 +19,7 @@
 // they can still be ordered and dropped, and not at a runner.
 type Pool struct {
 	clk     clock.Clock
+	rules   policy.Policy
 	runners Runners
 	log     hclog.Logger
 	service string
@@ -127,13 +130,19 @@
 	for i, t := range idle {
 		r := p.room(t)
 		benches[i] = idleRunner{zone: t.Runner().Zone, room: r.left(limits.ResultRoom, now), vacant: r.empty()}
+		if !p.rules.Rooms {
+			benches[i].room = math.MaxInt64
+			continue
+		}
 		if r.foreign > 0 && len(p.queue) > 0 {
 			p.askRoom(t, limits)
 		}
 	}
 	var taken [][]*waiting
 	taken, p.queue = a.batches(p.queue, benches)
-	p.dropOvertaken(a)
+	if p.rules.DropOvertaken {
+		p.dropOvertaken(a)
+	}
 	for i, batch := range taken {
 		if len(batch) == 0 {
 			continue
@@ -144,7 +153,7 @@
 			continue
 		}
 		for _, w := range batch {
-			w.order.begun = true
+			w.order.begun = p.rules.BegunFirst
 		}
 		p.busy[idle[i]]++
 		p.room(idle[i]).pending += sizeOf(batch)
--- a/router/stage/pool_test.go
+++ b/router/stage/pool_test.go
@@ -11,6 +11,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/policy"
 	"cicadawell.dev/router/routing"
 	"cicadawell.dev/router/target"
 	"github.com/hashicorp/go-hclog"
@@ -79,7 +80,7 @@
 	set := target.NewSet(clock.System(), func(string, float64) float64 { return 1 }, time.Second)
 	current.Subscribe(set.Update)
 	current.Advance(s)
-	return NewPools(clock.System(), current, set, b, hclog.NewNullLogger())
+	return NewPools(clock.System(), policy.Default(), current, set, b, hclog.NewNullLogger())
 }
 
 func testOrder(id string, n int, due, until time.Duration) Order {
--- a/router/stage/pools.go
+++ b/router/stage/pools.go
@@ -7,6 +7,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/policy"
 	"cicadawell.dev/router/routing"
 	"cicadawell.dev/router/target"
 	"github.com/hashicorp/go-hclog"
@@ -30,16 +31,17 @@
 const freeTimeout = time.Second
 
 // NewPools returns a pools over the runners of this instance's snapshot.
-func NewPools(clk clock.Clock, current *inventory.Current, targets target.Set, runners Runners, log hclog.Logger) Pools {
+func NewPools(clk clock.Clock, rules policy.Policy, current *inventory.Current, targets target.Set, runners Runners, log hclog.Logger) Pools {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &poolSet{
-		clk: clk, current: current, targets: targets, runners: runners, log: log, ctx: ctx, cancel: cancel,
+		clk: clk, rules: rules, current: current, targets: targets, runners: runners, log: log, ctx: ctx, cancel: cancel,
 		pools: make(map[string]*Pool), freed: make(map[string][]string),
 	}
 }
 
 type poolSet struct {
 	clk     clock.Clock
+	rules   policy.Policy
 	current *inventory.Current
 	targets target.Set
 	runners Runners
@@ -82,7 +84,7 @@
 	p := s.pools[service]
 	if p == nil {
 		p = &Pool{
-			clk: s.clk, runners: s.runners, log: s.log, service: service, ctx: s.ctx,
+			clk: s.clk, rules: s.rules, runners: s.runners, log: s.log, service: service, ctx: s.ctx,
 			targets: func() []*target.Target { return s.targets.Usable(service) },
 			batches: func() *routing.Batches {
 				table := s.current.Load().Table
--- a/router/stage/shared_test.go
+++ b/router/stage/shared_test.go
@@ -13,6 +13,7 @@
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/owner"
+	"cicadawell.dev/router/policy"
 	"cicadawell.dev/router/target"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
@@ -156,7 +157,7 @@
 		p := newPair(t)
 		current := inventory.NewCurrent(clock.System())
 		set := target.NewSet(clock.System(), func(string, float64) float64 { return 1 }, time.Second)
-		empty := NewPools(clock.System(), current, set, p.peerWork, hclog.NewNullLogger())
+		empty := NewPools(clock.System(), policy.Default(), current, set, p.peerWork, hclog.NewNullLogger())
 		NewShared(clock.System(), "other", owner.NewFinder(clock.System(), current), p.mesh.peer, empty, hclog.NewNullLogger())
 		is.Equal(made(p.self.Make(t.Context(), testOrder("c", 3, time.Second, 2*time.Second))), 3)
 		is.Equal(p.ownWork.results, 3)
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -48,7 +48,7 @@
 	var list []candidate
 	for _, t := range s.Usable(service) {
 		if !slices.Contains(avoid, t) {
-			list = append(list, candidate{target: t, cost: cost(t), aside: t.backsOff(now)})
+			list = append(list, candidate{target: t, cost: cost(t), aside: s.setAside && t.backsOff(now)})
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
--- a/router/target/set.go
+++ b/router/target/set.go
@@ -41,10 +41,19 @@
 	return s.mayCall(s.view.Load(), t, s.clk.Now())
 }
 
+// Option changes a default of a set.
+type Option func(*set)
+
+// WithSetAside says whether runners that fail are left alone for a while.
+func WithSetAside(on bool) Option { return func(s *set) { s.setAside = on } }
+
 // NewSet returns an empty set. Runners describe themselves anew within lag after
 // something has changed.
-func NewSet(clk clock.Clock, rate ColdRate, lag time.Duration) Set {
-	s := &set{clk: clk, rate: rate, lag: lag}
+func NewSet(clk clock.Clock, rate ColdRate, lag time.Duration, opts ...Option) Set {
+	s := &set{clk: clk, rate: rate, lag: lag, setAside: true}
+	for _, opt := range opts {
+		opt(s)
+	}
 	s.view.Store(&view{snapshot: &inventory.Snapshot{}})
 	return s
 }
@@ -53,6 +62,8 @@
 	clk  clock.Clock
 	rate ColdRate
 	lag  time.Duration
+	// setAside is whether runners that fail are left alone for a while.
+	setAside bool
 	// mu is held by Update; readers use view alone.
 	mu   sync.Mutex
 	view atomic.Pointer[view]
