Look at waiting pieces without an event

Cause: a queue of pieces was looked at when an order came or a batch ended only.

Ruled out: owners that don't answer (none was logged for these requests), runners that hang (their batches had ended).

Change: the queue of each pool is looked at every 40 ms while pieces wait. Lines of batches name the calls whose pieces they hold.

TestPiecesForAZoneWithoutRunnersAreMade never ended before, TestHopelessPiecesLeaveInTime is its neighbour.

--- a/router/stage/pool.go
+++ b/router/stage/pool.go
@@ -111,6 +111,13 @@
 	w.done()
 }
 
+// waits reports whether pieces wait.
+func (p *Pool) waits() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.queue) > 0
+}
+
 // Dispatch gives batches to the runners that are idle.
 func (p *Pool) Dispatch() {
 	p.mu.Lock()
@@ -183,6 +190,17 @@
 	return r
 }
 
+// callsOf returns the identifiers of the calls whose pieces are in a batch.
+func callsOf(batch []*waiting) []string {
+	var out []string
+	for _, w := range batch {
+		if !slices.Contains(out, w.piece.Call) {
+			out = append(out, w.piece.Call)
+		}
+	}
+	return out
+}
+
 func sizeOf(batch []*waiting) int64 {
 	var sum int64
 	for _, w := range batch {
@@ -218,7 +236,7 @@
 	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(1+limits.Queue)*expected+callSlack)
 	defer cancel()
 	results, refused, err := p.runners.Run(ctx, t.Runner(), timed)
-	p.log.Info("batch", "service", p.service, "runner", t.Runner().ID, "zone", t.Runner().Zone, "pieces", len(batch),
+	p.log.Info("batch", "service", p.service, "runner", t.Runner().ID, "zone", t.Runner().Zone, "pieces", len(batch), "requests", callsOf(batch),
 		"waitedMillis", now.Sub(batch[0].since).Milliseconds(), "tookMillis", p.clk.Now().Sub(now).Milliseconds(), "refused", refused, "error", err)
 	p.settle(t, limits, batch, results, refused, err)
 	p.Dispatch()
--- a/router/stage/pool_test.go
+++ b/router/stage/pool_test.go
@@ -25,8 +25,10 @@
 	batches []int
 	freed   []string
 	// fail makes the calls of a runner fail.
-	fail    map[string]bool
-	refuse  map[string]bool
+	fail   map[string]bool
+	refuse map[string]bool
+	// hang lets calls wait until they are given up.
+	hang    bool
 	results int
 }
 
@@ -38,6 +40,10 @@
 	if refuse {
 		return nil, true, errors.New("full")
 	}
+	if b.hang {
+		<-ctx.Done()
+		return nil, false, ctx.Err()
+	}
 	if err := clock.System().Sleep(ctx, 150*time.Millisecond+time.Duration(len(batch))*10*time.Millisecond); err != nil {
 		return nil, false, err
 	}
@@ -238,6 +244,54 @@
 	})
 }
 
+// running starts the regular work of pools until the end of the test's function.
+func running(t *testing.T, w Pools) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = w.Run(ctx) })
+	return func() {
+		w.Close(t.Context())
+		cancel()
+		group.Wait()
+	}
+}
+
+// TestPiecesForAZoneWithoutRunnersAreMade has a single order on an idle pool:
+// nothing else happens that would have the queue looked at again.
+func TestPiecesForAZoneWithoutRunnersAreMade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := testPools(t, &benches{}, 1)
+		defer running(t, w)()
+		o := testOrder("c", 2, 2*time.Second, 4*time.Second)
+		o.Zone = "another"
+		begin := clock.System().Now()
+		is.Equal(made(w.Make(t.Context(), o)), 2)
+		is.True(clock.System().Now().Sub(begin) < time.Second)
+	})
+}
+
+// TestHopelessPiecesLeaveInTime has an order wait behind a runner that doesn't
+// answer: it is told before its time is over that nothing can be made of it.
+func TestHopelessPiecesLeaveInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := testPools(t, &benches{hang: true}, 1)
+		defer running(t, w)()
+		var group sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		group.Go(func() { w.Make(ctx, testOrder("running", 8, time.Second, 9*time.Second)) })
+		synctest.Wait()
+		begin := clock.System().Now()
+		for _, r := range w.Make(t.Context(), testOrder("waiting", 2, 300*time.Millisecond, 700*time.Millisecond)) {
+			is.Equal(r.Failure, Late)
+		}
+		is.True(clock.System().Now().Sub(begin) < 700*time.Millisecond)
+		cancel()
+		group.Wait()
+	})
+}
+
 func TestClosedPoolsRefuse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := testPools(t, &benches{}, 1)
--- a/router/stage/pools.go
+++ b/router/stage/pools.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,7 +18,7 @@
 // Pools has a pool for each service that makes pieces.
 type Pools interface {
 	Maker
-	// Run gives results up until ctx ends.
+	// Run gives results up, and looks at what waits, until ctx ends.
 	Run(ctx context.Context) error
 	// Close waits until ctx ends for the orders that are being made, and drops
 	// the rest.
@@ -27,6 +29,10 @@
 // a fraction of the time that one call of a stage takes.
 const freeEvery = 40 * time.Millisecond
 
+// lookEvery is how often what waits is looked at without an event: a fraction of
+// the time that one call of a stage takes.
+const lookEvery = 40 * time.Millisecond
+
 // freeTimeout bounds one such call.
 const freeTimeout = time.Second
 
@@ -113,12 +119,32 @@
 }
 
 func (s *poolSet) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() {
+		for s.clk.Sleep(ctx, lookEvery) == nil {
+			s.look()
+		}
+	})
 	for s.clk.Sleep(ctx, freeEvery) == nil {
 		s.free(ctx)
 	}
+	group.Wait()
 	return nil
 }
 
+// look has what waits dispatched, or dropped, that no event concerns: zones may
+// have been waited for long enough, room may be free again, time may be over.
+func (s *poolSet) look() {
+	s.mu.Lock()
+	pools := slices.Collect(maps.Values(s.pools))
+	s.mu.Unlock()
+	for _, p := range pools {
+		if p.waits() {
+			p.Dispatch()
+		}
+	}
+}
+
 // free tells the runners of this instance's results what to give up. What a
 // runner doesn't hear it gives up by itself after a while.
 func (s *poolSet) free(ctx context.Context) {
