Tell a request's story and a fleet's beliefs from log files

Cause: on-call engineers have logs only, and had to search them by hand; lines of placements and of ends that went well were missing.

Lines "answered", "first event" and "placed" are new; "stream complete" went.

--- a/ctl/app.go
+++ b/ctl/app.go
@@ -63,6 +63,8 @@
 	*kingpin.Application
 	flags   flags
 	actions map[string]action
+	// local tells, for some commands, whether they do without an instance.
+	local map[string]func() bool
 }
 
 // command is one that can hold others.
@@ -77,7 +79,7 @@
 }
 
 func newApp(env Environment) *app {
-	a := &app{Application: kingpin.New("ctl", help), actions: map[string]action{}}
+	a := &app{Application: kingpin.New("ctl", help), actions: map[string]action{}, local: map[string]func() bool{}}
 	a.Version(version).UsageWriter(env.Out).ErrorWriter(env.Err)
 	a.HelpFlag.Short('h')
 	a.Flag("server", "Address of an instance for operators; the next one is tried when one does not answer.").
@@ -89,6 +91,7 @@
 	addZone(a)
 	addRunner(a)
 	addFleet(a)
+	addSummary(a)
 	return a
 }
 
@@ -121,9 +124,12 @@
 }
 
 func (a *app) run(ctx context.Context, name string, env Environment) error {
-	key, err := a.key(env)
-	if err != nil {
-		return &usageError{cause: err}
+	var key string
+	if local := a.local[name]; local == nil || !local() {
+		var err error
+		if key, err = a.key(env); err != nil {
+			return &usageError{cause: err}
+		}
 	}
 	s := &session{
 		ctx: ctx, client: client.New(a.flags.servers, key), env: env,
--- a/ctl/fleet.go
+++ b/ctl/fleet.go
@@ -14,11 +14,16 @@
 
 // addFleet adds the commands that show instances and explain requests.
 func addFleet(a *app) {
-	request := new(string)
+	request, from := new(string), new(logFiles)
 	explain := a.on(a, "explain", "Tell which runners a request was sent to and why.", func(s *session) error {
+		if paths := from.all(); len(paths) > 0 {
+			return showStory(s, *request, paths)
+		}
 		return showExplanation(s, *request)
 	})
-	explain.Arg("request", "Identifier from the header X-Request-Id.").Required().StringVar(request)
+	explain.Arg("request", "Identifier from the header X-Request-Id, or the caller's own.").Required().StringVar(request)
+	from.on(explain, "Log files to read instead of asking the instances; - is the standard input.")
+	a.local["explain"] = func() bool { return len(from.all()) > 0 }
 	a.on(a, "instances", "Show the instances.", showInstances)
 }
 
--- a/router/placement/placer.go
+++ b/router/placement/placer.go
@@ -9,6 +9,7 @@
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/policy"
 	"cicadawell.dev/router/target"
+	"github.com/hashicorp/go-hclog"
 )
 
 // Request asks for an engine.
@@ -56,8 +57,8 @@
 }
 
 // NewLocal returns a placer that knows of its own calls only.
-func NewLocal(clk clock.Clock, rules policy.Policy, current *inventory.Current, targets target.Set) Local {
-	return &local{clk: clk, rules: rules, current: current, targets: targets, trackers: make(map[string]*tracker), calls: make(map[string]*entry)}
+func NewLocal(clk clock.Clock, rules policy.Policy, current *inventory.Current, targets target.Set, log hclog.Logger) Local {
+	return &local{clk: clk, rules: rules, current: current, targets: targets, log: log, trackers: make(map[string]*tracker), calls: make(map[string]*entry)}
 }
 
 type local struct {
@@ -65,6 +66,7 @@
 	rules   policy.Policy
 	current *inventory.Current
 	targets target.Set
+	log     hclog.Logger
 
 	mu       sync.Mutex
 	trackers map[string]*tracker
@@ -119,6 +121,9 @@
 		return nil
 	}
 	b := l.trackers[r.Service]
+	e := b.of(t)
+	l.log.Info("placed", "request", r.ID, "service", r.Service, "runner", t.Runner().ID, "zone", t.Runner().Zone, "tokens", r.Prompt.Tokens,
+		"unread", e.unread(r.Prompt), "pending", e.pending, "running", e.running, "inputsIn", r.Zone, "tried", len(r.Avoid))
 	l.calls[r.ID] = &entry{tracker: b, target: t, tokens: b.begin(t, r.Prompt, l.clk.Now()), until: r.Until}
 	return t
 }
--- a/router/placement/placer_test.go
+++ b/router/placement/placer_test.go
@@ -47,7 +47,7 @@
 		s.Instances[name] = inventory.Instance{Name: name}
 	}
 	w.current.Advance(s)
-	w.local = placement.NewLocal(w.clk, policy.Default(), w.current, w.set)
+	w.local = placement.NewLocal(w.clk, policy.Default(), w.current, w.set, hclog.NewNullLogger())
 	return w
 }
 
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -110,6 +110,8 @@
 	service  string
 	team     string
 	priority int
+	// status and events are those of the answer that was passed back.
+	status, events int
 	// until is when the caller or the operator gives up.
 	until time.Time
 	// deadline ends with until.
--- a/router/relay/plain.go
+++ b/router/relay/plain.go
@@ -121,6 +121,7 @@
 	if last.err == nil && last.answer != nil && !last.answer.NotRun && (last.answer.Sealed || last.answer.Status >= 300) {
 		maps.Copy(w.Header(), last.answer.Header)
 		w.WriteHeader(last.answer.Status)
+		p.status = last.answer.Status
 		x.deliver(w, p, last)
 		return nil
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -75,7 +75,7 @@
 	}
 	if err != nil {
 		x.Meter.Answered("", string(fault.Of(err).Kind()), x.Clock.Now().Sub(c.Arrived))
-		x.refuse(w, c, err)
+		x.refuse(w, c, "", err)
 		return
 	}
 	kind := fault.RunnerFailed // stands if the answer is broken off
@@ -91,8 +91,11 @@
 	kind = ""
 	if err != nil {
 		kind = fault.Of(err).Kind()
-		x.refuse(w, c, err)
+		x.refuse(w, c, p.route.Name, err)
+		return
 	}
+	x.Log.Info("answered", "request", c.ID, "route", p.route.Name, "team", p.team, "rank", p.priority, "status", p.status,
+		"events", p.events, "objectiveMillis", p.route.Objective.Milliseconds(), "afterMillis", x.Clock.Now().Sub(c.Arrived).Milliseconds())
 }
 
 // plan finds out what the configuration says of a call.
@@ -176,8 +179,8 @@
 	return r.Shares[0].Service
 }
 
-// refuse answers a call by the table of kinds.
-func (x *relay) refuse(w http.ResponseWriter, c *Call, err error) {
+// refuse answers a call by the table of kinds. The route is "" if none is known.
+func (x *relay) refuse(w http.ResponseWriter, c *Call, route string, err error) {
 	e := fault.Of(err)
 	status := fault.AnswerOf(e.Kind()).Status
 	outcome := e.Outcome()
@@ -191,7 +194,7 @@
 	if status < http.StatusInternalServerError {
 		level = hclog.Info
 	}
-	x.Log.Log(level, "refused", "request", c.ID, "kind", e.Kind(), "outcome", outcome, "status", status,
+	x.Log.Log(level, "refused", "request", c.ID, "route", route, "kind", e.Kind(), "outcome", outcome, "status", status,
 		"afterMillis", x.Clock.Now().Sub(c.Arrived).Milliseconds(), "error", e)
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -191,7 +191,7 @@
 	current.Confirm(clock.System().Now())
 	r := relay.New(relay.Parts{
 		Clock: clock.System(), Timers: clock.SystemTimers(), Current: current, Refresh: func(context.Context) error { return errors.New("away") },
-		Targets: set, Engines: placement.NewLocal(clock.System(), policy.Default(), current, set), Pieces: p, Runners: f, Meter: gauge.NewRelay(), Repeats: retry.New(nil), Log: hclog.NewNullLogger(), Zone: "z", KnownFor: 4 * time.Second, Policy: policy.Default(),
+		Targets: set, Engines: placement.NewLocal(clock.System(), policy.Default(), current, set, hclog.NewNullLogger()), Pieces: p, Runners: f, Meter: gauge.NewRelay(), Repeats: retry.New(nil), Log: hclog.NewNullLogger(), Zone: "z", KnownFor: 4 * time.Second, Policy: policy.Default(),
 		Random: random.NewSeeded(1),
 	})
 	c := &relay.Call{ID: "id", Method: http.MethodPost, Target: path, Path: path, Host: host, Header: http.Header{}, Arrived: clock.System().Now(), Pieces: []int{2, 3}, PieceKey: "k"}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -138,6 +138,7 @@
 	}
 	maps.Copy(s.w.Header(), a.Header)
 	s.w.WriteHeader(a.Status)
+	p.status = a.Status
 	if _, err := s.w.Write(body); err != nil {
 		x.Log.Info("answer not delivered", "request", p.call.ID, "error", err)
 	}
@@ -147,15 +148,13 @@
 // pass passes events on as they come. It calls first at the first one.
 func (x *relay) pass(p *plan, t *target.Target, s *streamState, a *Answer, stall *stallWatch, first func()) error {
 	events := newEventReader(a.Body)
-	start := x.Clock.Now()
 	for n := 0; ; n++ {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
 			if n == 0 && !s.begun {
 				return fault.New(fault.RunnerFailed, "the stream has no event")
 			}
-			x.Log.Info("stream complete", "request", p.call.ID, "runner", t.Runner().ID, "events", s.events,
-				"tookMillis", x.Clock.Now().Sub(start).Milliseconds())
+			p.status, p.events = http.StatusOK, s.events
 			return nil
 		}
 		if err != nil {
@@ -166,6 +165,8 @@
 		}
 		if n == 0 {
 			first()
+			x.Log.Info("first event", "request", p.call.ID, "runner", t.Runner().ID, "resumed", s.begun,
+				"afterMillis", x.Clock.Now().Sub(p.call.Arrived).Milliseconds())
 		}
 		stall.event()
 		if err := s.write(a, event); err != nil {
