Have one instance of each zone read the store for its neighbours

Ruled out: longer pauses between watches, which cost the bounds on draining and on applying a configuration.

Change: by rendezvous, one instance of each zone reads; the others ask it every 400 ms for what it took over since, and let the store alone as long as its answers are young. Ages are passed on from the start of the read. One that doesn't answer, or whose view is older than 1.6 s, is passed over; beyond 2 s an instance reads the store itself, at once. The policy's storeLeads switches it off.

Tests freeze the reader and have the store refuse it: views of the others stay under 2.5 s old, changes arrive within 2 s.

--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +18,15 @@
 	// Adopt takes over what another instance knows, if it is newer, and notes
 	// that it was the newest at a time.
 	Adopt(from string, s *Snapshot, at time.Time)
+	// AdoptChanges does the same with the changes that another instance took
+	// over up to a revision.
+	AdoptChanges(from string, changes []Change, revision int64, at time.Time)
+	// Tell returns what this instance took over after a mark, as a snapshot or,
+	// if all is known, as changes.
+	Tell(after mark) told
+	// Rest leaves the source alone until a time, as long as another instance
+	// tells what it reads there.
+	Rest(until time.Time)
 	// Refresh asks the source at once whether there are changes.
 	Refresh(ctx context.Context) error
 	// Failing returns for how long the source hasn't answered; zero if its last
@@ -35,6 +45,15 @@
 	// on keys that were taken away, since only an answer shows that nothing has
 	// changed.
 	defaultWait = 1200 * time.Millisecond
+	// sharedWait is the same while other instances rely on this one's answers,
+	// which they get a little later.
+	sharedWait = 700 * time.Millisecond
+	// sharedFor is how long after a question other instances are taken to rely on
+	// this one.
+	sharedFor = 2 * time.Second
+	// staleAge is when the store is asked for an answer at once: less than the age
+	// up to which a view counts for limits that all share, by one call.
+	staleAge = 2 * time.Second
 	// answerSlack is how long a call may take beyond its wait.
 	answerSlack = 700 * time.Millisecond
 	// listTimeout bounds the reading of all items.
@@ -55,6 +74,8 @@
 // machine was suspended.
 func NewFollower(clk clock.Clock, source Source, current *Current, log hclog.Logger, opts ...FollowerOption) Follower {
 	f := &follower{clk: clk, source: source, current: current, log: log, pause: defaultPause, lapsed: make(map[string]Change)}
+	// Marks of an earlier process are of another epoch.
+	f.history.epoch = clk.Now().UnixNano()
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -77,15 +98,67 @@
 	lapsed map[string]Change
 	// relist is set when the history after the snapshot is lost.
 	relist bool
+	// history has what was taken over last.
+	history history
+	// rest is until when the source is left alone.
+	rest time.Time
+	// asked is when another instance asked for changes.
+	asked time.Time
+}
+
+func (f *follower) Rest(until time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rest = until
+}
+
+// resting returns for how long the source is left alone.
+func (f *follower) resting() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rest.Sub(f.clk.Now())
+}
+
+// wait returns how long a call may wait for changes.
+func (f *follower) wait() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wait := defaultWait
+	if f.clk.Now().Sub(f.asked) < sharedFor {
+		wait = sharedWait
+	}
+	return max(0, min(wait, staleAge-f.current.Age()))
+}
+
+// told is what one instance tells another.
+type told struct {
+	snapshot *Snapshot
+	// age is that of the last confirmation.
+	age  time.Duration
+	mark mark
+	// changes are those after the mark that was asked for; they stand for the
+	// whole if complete is set.
+	changes  []Change
+	complete bool
+}
+
+func (f *follower) Tell(after mark) told {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked = f.clk.Now()
+	t := told{snapshot: f.current.Load(), age: f.current.Age(), mark: f.history.mark()}
+	t.changes, t.complete = f.history.since(after)
+	return t
 }
 
 func (f *follower) Failing() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.failingSince.IsZero() {
+	now := f.clk.Now()
+	if f.failingSince.IsZero() || now.Before(f.rest) {
 		return 0
 	}
-	return f.clk.Now().Sub(f.failingSince)
+	return now.Sub(f.failingSince)
 }
 
 func (f *follower) Run(ctx context.Context) error {
@@ -94,6 +167,10 @@
 	f.mu.Unlock()
 	retry := firstRetry
 	for ctx.Err() == nil {
+		if d := f.resting(); d > 0 {
+			_ = f.clk.Sleep(ctx, d)
+			continue
+		}
 		changed, err := f.step(ctx)
 		pause := time.Duration(0)
 		switch {
@@ -125,9 +202,10 @@
 		defer cancel()
 		changes, revision, err = f.source.List(listing)
 	} else {
-		watching, cancel := context.WithTimeout(ctx, defaultWait+answerSlack)
+		wait := f.wait()
+		watching, cancel := context.WithTimeout(ctx, wait+answerSlack)
 		defer cancel()
-		changes, revision, err = f.source.Changes(watching, after, defaultWait)
+		changes, revision, err = f.source.Changes(watching, after, wait)
 	}
 	if ctx.Err() != nil {
 		return false, ctx.Err()
@@ -181,9 +259,15 @@
 		f.relist = false
 	}
 	changes = f.believe(now, changes)
+	f.advance(old, changes, revision)
+	f.current.Confirm(start)
+}
+
+// advance takes changes over. The caller holds mu.
+func (f *follower) advance(old *Snapshot, changes []Change, revision int64) {
 	f.report(old, changes)
+	f.history.add(changes)
 	f.current.Advance(old.with(changes, revision))
-	f.current.Confirm(start)
 }
 
 // missing returns removals of what a complete list doesn't have any more.
@@ -277,6 +361,7 @@
 	defer f.mu.Unlock()
 	old := f.current.Load()
 	if s.Revision > old.Revision && f.current.Advance(s) {
+		f.history.restart()
 		f.log.Info("taken over from another instance", "instance", from, "revision", s.Revision, "was", old.Revision,
 			"ageMillis", f.clk.Now().Sub(at).Milliseconds())
 	}
@@ -284,3 +369,21 @@
 		f.current.Confirm(at)
 	}
 }
+
+func (f *follower) AdoptChanges(from string, changes []Change, revision int64, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.current.Load()
+	changes = slices.DeleteFunc(changes, func(c Change) bool {
+		// The removal of a runner may have been held back elsewhere until after
+		// newer changes.
+		return c.Revision <= old.Revision && c.RunnerGone == ""
+	})
+	if len(changes) > 0 || revision > old.Revision {
+		f.log.Debug("changes taken over from another instance", "instance", from, "changes", len(changes), "revision", revision, "was", old.Revision)
+		f.advance(old, changes, revision)
+	}
+	if revision >= old.Revision {
+		f.current.Confirm(at)
+	}
+}
--- /dev/null
+++ b/router/inventory/history.go
@@ -0,0 +1,49 @@
+package inventory
+
+import "slices"
+
+// maxHistory bounds the changes that are kept for other instances. Those that
+// need older ones get everything.
+const maxHistory = 1024
+
+// mark is a place in an instance's history. Marks of different epochs can't be
+// compared.
+type mark struct {
+	Epoch int64 `json:"epoch"`
+	Count int64 `json:"count"`
+}
+
+// history keeps the newest changes in the order in which an instance took them
+// over. It is not safe for concurrent use.
+type history struct {
+	epoch int64
+	// count is how many changes were added in this epoch.
+	count   int64
+	changes []Change
+}
+
+// add appends changes.
+func (h *history) add(changes []Change) {
+	h.count += int64(len(changes))
+	h.changes = append(h.changes, changes...)
+	if surplus := len(h.changes) - maxHistory; surplus > 0 {
+		h.changes = slices.Delete(h.changes, 0, surplus)
+	}
+}
+
+// restart begins a new epoch, after which no older mark is known.
+func (h *history) restart() {
+	h.epoch++
+	h.count, h.changes = 0, nil
+}
+
+func (h *history) mark() mark { return mark{Epoch: h.epoch, Count: h.count} }
+
+// since returns the changes after a mark, or false if they aren't all known.
+func (h *history) since(m mark) ([]Change, bool) {
+	missing := h.count - m.Count
+	if m.Epoch != h.epoch || missing < 0 || missing > int64(len(h.changes)) {
+		return nil, false
+	}
+	return slices.Clone(h.changes[len(h.changes)-int(missing):]), true
+}
--- /dev/null
+++ b/router/inventory/lead_test.go
@@ -0,0 +1,238 @@
+package inventory_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/random"
+	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/owner"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+)
+
+// sharedLog is a source that all instances of a fleet read.
+type sharedLog struct {
+	mu      sync.Mutex
+	changes []inventory.Change
+	changed chan struct{}
+}
+
+func (l *sharedLog) add(c inventory.Change) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.Revision = int64(len(l.changes) + 1)
+	if c.Runner != nil {
+		c.Runner.Revision = c.Revision
+	}
+	if c.Instance != nil {
+		c.Instance.Revision = c.Revision
+	}
+	l.changes = append(l.changes, c)
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func (l *sharedLog) after(revision int64) ([]inventory.Change, int64, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]inventory.Change(nil), l.changes[revision:]...), int64(len(l.changes)), l.changed
+}
+
+// node is an instance of a fleet. It is the source and the mesh of its parts.
+type node struct {
+	fleet    *fleet
+	name     string
+	current  *inventory.Current
+	handlers map[string]instance.Handler
+	// reads counts the calls of the source.
+	reads atomic.Int64
+	// refused lets the source fail, frozen lets others wait in vain.
+	refused, frozen atomic.Bool
+}
+
+type fleet struct {
+	log   *sharedLog
+	nodes map[string]*node
+}
+
+func (n *node) List(ctx context.Context) ([]inventory.Change, int64, error) {
+	return n.Changes(ctx, 0, 0)
+}
+
+func (n *node) Changes(ctx context.Context, after int64, wait time.Duration) ([]inventory.Change, int64, error) {
+	n.reads.Add(1)
+	if n.frozen.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	if n.refused.Load() {
+		return nil, 0, errors.New("refused")
+	}
+	changes, revision, more := n.fleet.log.after(after)
+	if len(changes) == 0 && wait > 0 {
+		timer, cancel := context.WithTimeout(ctx, wait)
+		defer cancel()
+		select {
+		case <-more:
+		case <-timer.Done():
+		}
+		changes, revision, _ = n.fleet.log.after(after)
+	}
+	return changes, revision, ctx.Err()
+}
+
+func (n *node) Handle(method string, h instance.Handler) { n.handlers[method] = h }
+
+func (n *node) Learn(map[string]string) {}
+
+func (n *node) Call(ctx context.Context, to, method string, params, result any) error {
+	peer := n.fleet.nodes[to]
+	if peer == nil || peer.frozen.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	raw, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	answer, err := peer.handlers[method](ctx, n.name, raw)
+	if err != nil {
+		return err
+	}
+	raw, err = json.Marshal(answer)
+	return errors.Join(err, json.Unmarshal(raw, result))
+}
+
+// newFleet starts some instances of one zone. They end with the test's context.
+func newFleet(t *testing.T, n int) (f *fleet, stop func()) {
+	t.Helper()
+	f = &fleet{log: &sharedLog{changed: make(chan struct{})}, nodes: make(map[string]*node)}
+	f.log.add(inventory.Change{Table: config(t, 1)})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	clk := clock.System()
+	for i := range n {
+		x := &node{fleet: f, name: fmt.Sprint("n", i), handlers: make(map[string]instance.Handler), current: inventory.NewCurrent(clk)}
+		f.nodes[x.name] = x
+		f.log.add(inventory.Change{Instance: &inventory.Instance{Name: x.name, Zone: "z"}})
+		follower := inventory.NewFollower(clk, x, x.current, hclog.NewNullLogger())
+		leads := owner.NewFinder(clk, x.current, owner.Within("z"))
+		exchange := inventory.NewExchange(clk, x.name, x.current, follower, leads, x, random.NewSource(), hclog.NewNullLogger())
+		group.Go(func() { _ = follower.Run(ctx) })
+		group.Go(func() { _ = exchange.Run(ctx) })
+	}
+	return f, func() {
+		cancel()
+		group.Wait()
+	}
+}
+
+// lead returns the instance that reads for the others.
+func (f *fleet) lead() *node {
+	n := f.nodes["n0"]
+	return f.nodes[owner.NewFinder(clock.System(), n.current, owner.Within("z")).Of("inventory")]
+}
+
+func rest(t *testing.T, d time.Duration) {
+	t.Helper()
+	is.New(t).NoErr(clock.System().Sleep(t.Context(), d))
+}
+
+const (
+	// inForce is how soon all know of a change: the shortest bound on draining.
+	inForce = 2 * time.Second
+	// viewAge is how old a view may be that shared limits rest on.
+	viewAge = 2500 * time.Millisecond
+)
+
+func TestOneInstanceReadsForItsZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, stop := newFleet(t, 6)
+		defer stop()
+		rest(t, 5*time.Second)
+		lead := f.lead()
+		for _, n := range f.nodes {
+			n.reads.Store(0)
+		}
+		for i := range 20 {
+			f.log.add(runner(fmt.Sprint("r", i), 0))
+			rest(t, 500*time.Millisecond)
+		}
+		for _, n := range f.nodes {
+			if n != lead {
+				is.Equal(n.reads.Load(), int64(0))
+			}
+			is.True(n.current.Age() < viewAge)
+		}
+		rest(t, inForce)
+		for _, n := range f.nodes {
+			is.Equal(len(n.current.Load().Runners), 20)
+		}
+		f.log.add(inventory.Change{RunnerGone: "r3"})
+		f.log.add(inventory.Change{ZoneOut: "y"})
+		f.log.add(inventory.Change{Table: config(t, 2)})
+		rest(t, inForce)
+		for _, n := range f.nodes {
+			s := n.current.Load()
+			is.Equal(len(s.Runners), 19)
+			is.True(s.ZonesOut["y"])
+			is.Equal(s.Table.Version(), int64(2))
+		}
+		f.log.add(inventory.Change{ZoneBack: "y"})
+		rest(t, inForce)
+		for _, n := range f.nodes {
+			is.True(!n.current.Load().ZonesOut["y"])
+			is.True(n.current.Load().ZonesBack["y"].Revision > 0)
+		}
+	})
+}
+
+// TestZoneWithoutItsLead has the instance that reads for the others freeze, or
+// lose the store.
+func TestZoneWithoutItsLead(t *testing.T) {
+	for name, fail := range map[string]func(n *node){
+		"frozen":  func(n *node) { n.frozen.Store(true) },
+		"refused": func(n *node) { n.refused.Store(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f, stop := newFleet(t, 4)
+				defer stop()
+				rest(t, 5*time.Second)
+				lead := f.lead()
+				fail(lead)
+				for range 50 {
+					rest(t, 100*time.Millisecond)
+					for _, n := range f.nodes {
+						is.True(n == lead || n.current.Age() < viewAge)
+					}
+				}
+				f.log.add(runner("r", 0))
+				rest(t, inForce)
+				for _, n := range f.nodes {
+					is.True((n == lead && lead.frozen.Load()) || len(n.current.Load().Runners) == 1)
+				}
+				lead.frozen.Store(false)
+				lead.refused.Store(false)
+				rest(t, 7*time.Second)
+				f.log.add(runner("s", 0))
+				rest(t, inForce)
+				for _, n := range f.nodes {
+					is.Equal(len(n.current.Load().Runners), 2)
+				}
+			})
+		})
+	}
+}
--- a/router/inventory/peers.go
+++ b/router/inventory/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"cicadawell.dev/fleet/clock"
@@ -27,18 +28,40 @@
 	askEvery = 300 * time.Millisecond
 	// askTimeout bounds a question.
 	askTimeout = 500 * time.Millisecond
+	// followEvery is the pause between two questions to the instance that reads
+	// the store for others: a fraction of the bound on draining.
+	followEvery = 400 * time.Millisecond
+	// followTimeout bounds such a question: several round trips.
+	followTimeout = 250 * time.Millisecond
+	// followAge is how old what it tells may be; beyond, its successor is asked.
+	followAge = 1600 * time.Millisecond
+	// restFor is how long an answer lets the store alone: until the next answer
+	// is due, or its successor's.
+	restFor = followEvery + 2*followTimeout
 )
 
-// Exchange lets instances that the store doesn't answer learn from those that it
-// does.
+// Exchange lets instances learn from each other what the store holds: those that
+// the store doesn't answer from any other, and all from the one that reads the
+// store for its neighbours.
 type Exchange interface {
-	// Run asks other instances, while the source fails, until ctx ends.
+	// Run asks other instances until ctx ends.
 	Run(ctx context.Context) error
 }
 
-// NewExchange returns the exchange of an instance.
-func NewExchange(clk clock.Clock, self string, current *Current, f Follower, mesh instance.Mesh, numbers random.Source, log hclog.Logger) Exchange {
-	e := &exchange{clk: clk, self: self, current: current, follower: f, mesh: mesh, random: numbers, log: log}
+// Leads finds the instance that reads the store for its neighbours. Its methods
+// are those of owner.Finder.
+type Leads interface {
+	Of(matter string) string
+	Away(name string)
+}
+
+// matter names what a lead is for.
+const matter = "inventory"
+
+// NewExchange returns the exchange of an instance. Without leads each instance
+// reads the store itself.
+func NewExchange(clk clock.Clock, self string, current *Current, f Follower, leads Leads, mesh instance.Mesh, numbers random.Source, log hclog.Logger) Exchange {
+	e := &exchange{clk: clk, self: self, current: current, follower: f, leads: leads, mesh: mesh, random: numbers, log: log}
 	mesh.Handle(methodInventory, e.serve)
 	return e
 }
@@ -48,14 +71,23 @@
 	self     string
 	current  *Current
 	follower Follower
+	leads    Leads
 	mesh     instance.Mesh
 	random   random.Source
 	log      hclog.Logger
+
+	// lead is the instance that mark is of.
+	lead string
+	mark mark
 }
 
 // question tells what the asking instance has.
 type question struct {
 	Version int64 `json:"version"`
+	// Changes is set by instances that follow this one, After what they have of
+	// its changes.
+	Changes bool `json:"changes,omitempty"`
+	After   mark `json:"after,omitzero"`
 }
 
 // knowledge is a snapshot on its way to another instance.
@@ -63,12 +95,17 @@
 	// AgeMicros is how old the answering instance's confirmation is.
 	AgeMicros int64 `json:"ageMicros"`
 	Revision  int64 `json:"revision"`
+	// Mark is where the next changes begin.
+	Mark mark `json:"mark,omitzero"`
+	// Complete is set if Changes stand for all that follows.
+	Complete bool          `json:"complete,omitempty"`
+	Changes  []knownChange `json:"changes,omitempty"`
 	// Config is left out where the asking instance has it.
 	Config    *routing.Config `json:"config,omitempty"`
-	Runners   []knownRunner   `json:"runners"`
-	ZonesOut  []string        `json:"zonesOut"`
-	ZonesBack []knownReturn   `json:"zonesBack"`
-	Instances []Instance      `json:"instances"`
+	Runners   []knownRunner   `json:"runners,omitempty"`
+	ZonesOut  []string        `json:"zonesOut,omitempty"`
+	ZonesBack []knownReturn   `json:"zonesBack,omitempty"`
+	Instances []Instance      `json:"instances,omitempty"`
 }
 
 // knownRunner is a runner's description. What it says of its cold time counts
@@ -86,6 +123,11 @@
 }
 
 func (e *exchange) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	if e.leads != nil {
+		group.Go(func() { e.follow(ctx) })
+	}
+	defer group.Wait()
 	for e.clk.Sleep(ctx, askEvery) == nil {
 		if e.follower.Failing() < askAfter {
 			continue
@@ -102,26 +144,48 @@
 	return nil
 }
 
+// ask takes over all that another instance knows.
 func (e *exchange) ask(ctx context.Context, name string) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	start := e.clk.Now()
-	own := e.current.Load()
-	var q question
-	if own.Table != nil {
-		q.Version = own.Table.Version()
-	}
-	var k knowledge
-	if err := e.mesh.Call(instance.Repeatable(ctx), name, methodInventory, q, &k); err != nil {
+	k, err := e.question(ctx, name, question{})
+	if err != nil {
 		e.log.Debug("another instance didn't tell what it knows", "instance", name, "error", err)
 		return
 	}
-	s, err := k.snapshot(own.Table, e.clk.Now())
-	if err != nil {
+	if err := e.adopt(name, k, start); err != nil {
 		e.log.Warn("what another instance knows was not understood", "instance", name, "error", err)
-		return
 	}
-	e.follower.Adopt(name, s, start.Add(-time.Duration(k.AgeMicros)*time.Microsecond))
+}
+
+func (e *exchange) question(ctx context.Context, name string, q question) (knowledge, error) {
+	if own := e.current.Load().Table; own != nil {
+		q.Version = own.Version()
+	}
+	var k knowledge
+	err := e.mesh.Call(instance.Repeatable(ctx), name, methodInventory, q, &k)
+	return k, err
+}
+
+// adopt takes over what another instance told in answer to a question that was
+// asked at start.
+func (e *exchange) adopt(name string, k knowledge, start time.Time) error {
+	now, at := e.clk.Now(), start.Add(-time.Duration(k.AgeMicros)*time.Microsecond)
+	if k.Complete {
+		changes, err := k.changes(now)
+		if err != nil {
+			return err
+		}
+		e.follower.AdoptChanges(name, changes, k.Revision, at)
+		return nil
+	}
+	s, err := k.snapshot(e.current.Load().Table, now)
+	if err != nil {
+		return err
+	}
+	e.follower.Adopt(name, s, at)
+	return nil
 }
 
 func (e *exchange) serve(_ context.Context, _ string, params json.RawMessage) (any, error) {
@@ -129,26 +193,55 @@
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "decode a question").WithField(methodInventory)
 	}
-	s := e.current.Load()
-	if s.Table == nil {
+	if e.current.Load().Table == nil {
 		return nil, fault.New(fault.NotReady, "nothing is known here")
 	}
+	now := e.clk.Now()
+	if !q.Changes {
+		return e.all(e.current.Load(), e.current.Age(), q.Version, now), nil
+	}
+	t := e.follower.Tell(q.After)
+	if !t.complete {
+		k := e.all(t.snapshot, t.age, q.Version, now)
+		k.Mark = t.mark
+		return k, nil
+	}
+	k := knowledge{AgeMicros: t.age.Microseconds(), Revision: t.snapshot.Revision, Mark: t.mark, Complete: true}
+	for _, c := range t.changes {
+		k.Changes = append(k.Changes, knownChangeOf(c, now))
+	}
+	return k, nil
+}
+
+// all returns a snapshot on its way to an instance that has a version of the
+// configuration.
+func (e *exchange) all(s *Snapshot, age time.Duration, version int64, now time.Time) knowledge {
 	k := knowledge{
-		AgeMicros: e.current.Age().Microseconds(), Revision: s.Revision,
+		AgeMicros: age.Microseconds(), Revision: s.Revision,
 		ZonesOut: slices.Sorted(maps.Keys(s.ZonesOut)), Instances: slices.Collect(maps.Values(s.Instances)),
 	}
-	if s.Table.Version() != q.Version {
+	if s.Table.Version() != version {
 		cfg := s.Table.Config()
 		k.Config = &cfg
 	}
-	now := e.clk.Now()
 	for zone, back := range s.ZonesBack {
 		k.ZonesBack = append(k.ZonesBack, knownReturn{Zone: zone, Revision: back.Revision, AgoMicros: now.Sub(back.SeenAt).Microseconds()})
 	}
 	for _, r := range s.Runners {
-		k.Runners = append(k.Runners, knownRunner{Runner: *r, ColdMicros: (r.Cold - now.Sub(r.SeenAt)).Microseconds()})
+		k.Runners = append(k.Runners, knownRunnerOf(r, now))
 	}
-	return k, nil
+	return k
+}
+
+func knownRunnerOf(r *Runner, now time.Time) knownRunner {
+	return knownRunner{Runner: *r, ColdMicros: (r.Cold - now.Sub(r.SeenAt)).Microseconds()}
+}
+
+// runner returns the runner as this instance would have read it now.
+func (r knownRunner) runner(now time.Time) *Runner {
+	out := r.Runner
+	out.Cold, out.SeenAt = time.Duration(r.ColdMicros)*time.Microsecond, now
+	return &out
 }
 
 // snapshot returns the knowledge with a known configuration where it is left
@@ -166,9 +259,7 @@
 		s.Table = t
 	}
 	for _, r := range k.Runners {
-		runner := r.Runner
-		runner.Cold, runner.SeenAt = time.Duration(r.ColdMicros)*time.Microsecond, now
-		s.Runners[runner.ID] = &runner
+		s.Runners[r.ID] = r.runner(now)
 	}
 	for _, b := range k.ZonesBack {
 		s.ZonesBack[b.Zone] = Return{Revision: b.Revision, SeenAt: now.Add(-time.Duration(b.AgoMicros) * time.Microsecond)}
--- a/router/owner/owner.go
+++ b/router/owner/owner.go
@@ -29,14 +29,26 @@
 	Watch(name string, lost func()) (stop func())
 }
 
+// Option changes a default of a finder.
+type Option func(*finder)
+
+// Within lets only the instances of an availability zone be owners.
+func Within(zone string) Option { return func(f *finder) { f.zone = zone } }
+
 // NewFinder returns a finder over the instances that are registered.
-func NewFinder(clk clock.Clock, current *inventory.Current) Finder {
-	return &finder{clk: clk, current: current, away: make(map[string]absence), watches: make(map[string]map[*func()]struct{})}
+func NewFinder(clk clock.Clock, current *inventory.Current, opts ...Option) Finder {
+	f := &finder{clk: clk, current: current, away: make(map[string]absence), watches: make(map[string]map[*func()]struct{})}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
 }
 
 type finder struct {
 	clk     clock.Clock
 	current *inventory.Current
+	// zone is that of all owners, or "" if they may be anywhere.
+	zone string
 
 	mu sync.Mutex
 	// away has the instances that didn't answer.
@@ -59,6 +71,9 @@
 	defer f.mu.Unlock()
 	best, top := "", uint64(0)
 	for name, i := range known {
+		if f.zone != "" && i.Zone != f.zone {
+			continue
+		}
 		if a, ok := f.away[name]; ok && now.Before(a.until) && a.revision == i.Revision {
 			continue
 		}
--- a/router/policy/policy.go
+++ b/router/policy/policy.go
@@ -31,6 +31,9 @@
 	PromptHomes bool `json:"promptHomes"`
 	// MoveStalled asks another runner to go on with a stream that stalls.
 	MoveStalled bool `json:"moveStalled"`
+	// StoreLeads has the store read by one instance of each zone, which tells the
+	// others. Without it each instance reads it.
+	StoreLeads bool `json:"storeLeads"`
 	// SetAside leaves runners alone for a while that fail or are slow.
 	SetAside bool `json:"setAside"`
 }
@@ -39,7 +42,7 @@
 func Default() Policy {
 	return Policy{
 		StageOwners: true, Reservations: true, BegunFirst: true, DropOvertaken: true, Rooms: true, ResultZones: true,
-		PlacementOwners: true, KeptPrompts: true, PromptHomes: true, MoveStalled: true, SetAside: true,
+		PlacementOwners: true, KeptPrompts: true, PromptHomes: true, MoveStalled: true, StoreLeads: true, SetAside: true,
 	}
 }
 
