--- a/router/placement/placer.go
+++ b/router/placement/placer.go
@@ -24,18 +24,14 @@
 	InputBytes int64
 	// Avoid are engines that were tried already.
 	Avoid []*target.Target
-	// Until is when the call is given up, Due when its first event has to come
-	// for its full value.
-	Until, Due time.Time
+	// Until is when the call is given up.
+	Until time.Time
 }
 
 // Place is an engine for a call.
 type Place interface {
 	// Target is the engine.
 	Target() *target.Target
-	// Late reports whether the first event would come after it is due even if
-	// nothing else waited at the engine.
-	Late() bool
 	// Answered notes the first event.
 	Answered()
 	// Ended notes the end of the call at this engine.
@@ -54,9 +50,8 @@
 type Local interface {
 	Placer
 	// Begin, Answer and End are the steps of a call that another instance has
-	// placed here. Begin returns the runner's identifier, or "", and whether the
-	// first event will be late.
-	Begin(r Request) (runner string, late bool)
+	// placed here. Begin returns the runner's identifier, or "".
+	Begin(r Request) string
 	Answer(id string)
 	End(id string)
 }
@@ -94,11 +89,11 @@
 const sweepEvery = time.Second
 
 func (l *local) Place(_ context.Context, r Request) Place {
-	t, late := l.begin(r)
+	t := l.begin(r)
 	if t == nil {
 		return nil
 	}
-	return &localPlace{local: l, target: t, id: r.ID, late: late}
+	return &localPlace{local: l, target: t, id: r.ID}
 }
 
 func (l *local) Home(_ context.Context, r Request) string {
@@ -110,30 +105,27 @@
 	return ""
 }
 
-func (l *local) Begin(r Request) (runner string, late bool) {
-	t, late := l.begin(r)
-	if t == nil {
-		return "", false
+func (l *local) Begin(r Request) string {
+	if t := l.begin(r); t != nil {
+		return t.Runner().ID
 	}
-	return t.Runner().ID, late
+	return ""
 }
 
-func (l *local) begin(r Request) (t *target.Target, late bool) {
+func (l *local) begin(r Request) *target.Target {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep()
-	t = l.choose(r, true)
+	t := l.choose(r, true)
 	if t == nil {
-		return nil, false
+		return nil
 	}
 	b := l.trackers[r.Service]
 	e := b.of(t)
-	now := l.clk.Now()
-	late = now.Add(readingTime(e.unread(r.Prompt))).After(r.Due)
 	l.log.Info("placed", "request", r.ID, "service", r.Service, "runner", t.Runner().ID, "zone", t.Runner().Zone, "tokens", r.Prompt.Tokens,
-		"unread", e.unread(r.Prompt), "pending", e.pending, "running", e.running, "inputsIn", r.Zone, "tried", len(r.Avoid), "late", late)
-	l.calls[r.ID] = &entry{tracker: b, target: t, tokens: b.begin(t, r.Prompt, now), until: r.Until}
-	return t, late
+		"unread", e.unread(r.Prompt), "pending", e.pending, "running", e.running, "inputsIn", r.Zone, "tried", len(r.Avoid))
+	l.calls[r.ID] = &entry{tracker: b, target: t, tokens: b.begin(t, r.Prompt, l.clk.Now()), until: r.Until}
+	return t
 }
 
 // choose returns the cheapest engine. The caller holds mu.
@@ -205,11 +197,8 @@
 	local  *local
 	target *target.Target
 	id     string
-	late   bool
 }
 
-func (p *localPlace) Late() bool { return p.late }
-
 func (p *localPlace) Target() *target.Target { return p.target }
 
 func (p *localPlace) Answered() { p.local.Answer(p.id) }
--- a/router/placement/placer_test.go
+++ b/router/placement/placer_test.go
@@ -118,12 +118,11 @@
 func TestCallsWhoseEndIsNotToldAreDropped(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 2)
-	first, _ := w.local.Begin(request("a", "subject", 10_000))
+	first := w.local.Begin(request("a", "subject", 10_000))
 	w.clk.Advance(11 * time.Second)
 	r := request("b", "subject", 10_000)
 	r.Until = w.clk.Now().Add(time.Second)
-	again, _ := w.local.Begin(r)
-	is.Equal(again, first) // nothing waits there any more
+	is.Equal(w.local.Begin(r), first) // nothing waits there any more
 }
 
 // fakeMesh answers calls by another world's handlers, or not at all.
--- a/router/placement/shared.go
+++ b/router/placement/shared.go
@@ -61,13 +61,11 @@
 	InputBytes  int64         `json:"inputBytes,omitempty"`
 	Avoid       []string      `json:"avoid,omitempty"`
 	UntilMicros int64         `json:"untilMicros"`
-	DueMicros   int64         `json:"dueMicros"`
 }
 
 // placedBody is the answer: the runner, or a zone.
 type placedBody struct {
 	Runner string `json:"runner,omitempty"`
-	Late   bool   `json:"late,omitempty"`
 	Zone   string `json:"zone,omitempty"`
 }
 
@@ -85,7 +83,7 @@
 	defer cancel()
 	b := placeBody{
 		ID: r.ID, Service: r.Service, Prompt: r.Prompt, Zone: r.Zone, InputBytes: r.InputBytes,
-		UntilMicros: r.Until.Sub(s.clk.Now()).Microseconds(), DueMicros: r.Due.Sub(s.clk.Now()).Microseconds(),
+		UntilMicros: r.Until.Sub(s.clk.Now()).Microseconds(),
 	}
 	for _, t := range r.Avoid {
 		b.Avoid = append(b.Avoid, t.Runner().ID)
@@ -118,7 +116,7 @@
 		s.tell(to, tellBody{ID: r.ID, Ended: true})
 		return s.own.Place(ctx, r)
 	}
-	return &remotePlace{shared: s, owner: to, target: t, id: r.ID, late: placed.Late}
+	return &remotePlace{shared: s, owner: to, target: t, id: r.ID}
 }
 
 func (s *shared) Home(ctx context.Context, r Request) string {
@@ -156,7 +154,6 @@
 	r := Request{
 		ID: b.ID, Service: b.Service, Prompt: b.Prompt, Zone: b.Zone, InputBytes: b.InputBytes,
 		Until: s.clk.Now().Add(time.Duration(b.UntilMicros) * time.Microsecond),
-		Due:   s.clk.Now().Add(time.Duration(b.DueMicros) * time.Microsecond),
 	}
 	for _, id := range b.Avoid {
 		if t := s.targets.Find(id); t != nil {
@@ -171,8 +168,7 @@
 	if err != nil {
 		return nil, err
 	}
-	runner, late := s.own.Begin(r)
-	return placedBody{Runner: runner, Late: late}, nil
+	return placedBody{Runner: s.own.Begin(r)}, nil
 }
 
 func (s *shared) serveHome(ctx context.Context, _ string, params json.RawMessage) (any, error) {
@@ -202,11 +198,8 @@
 	owner  string
 	target *target.Target
 	id     string
-	late   bool
 }
 
-func (p *remotePlace) Late() bool { return p.late }
-
 func (p *remotePlace) Target() *target.Target { return p.target }
 
 func (p *remotePlace) Answered() { p.shared.tell(p.owner, tellBody{ID: p.id}) }
--- a/router/placement/tracker.go
+++ b/router/placement/tracker.go
@@ -30,11 +30,8 @@
 
 // FirstEvent returns about how long an engine with nothing else to do needs for
 // the first event of an answer.
-func FirstEvent(p target.Prompt) time.Duration { return readingTime(p.Tokens) }
-
-// readingTime is the same for a prompt of which so many tokens aren't kept.
-func readingTime(tokens int) time.Duration {
-	return engineStart + time.Duration(tokens)*prefillPerToken
+func FirstEvent(p target.Prompt) time.Duration {
+	return engineStart + time.Duration(p.Tokens)*prefillPerToken
 }
 
 // ask is what a choice depends on.
--- a/router/policy/policy.go
+++ b/router/policy/policy.go
@@ -29,9 +29,6 @@
 	// PromptHomes chooses the same engine everywhere for prompt parts that
 	// nobody is known to have read.
 	PromptHomes bool `json:"promptHomes"`
-	// LateLast has engines read the prompts of calls that will miss their
-	// objective anyway after others of the same rank.
-	LateLast bool `json:"lateLast"`
 	// MoveStalled asks another runner to go on with a stream that stalls.
 	MoveStalled bool `json:"moveStalled"`
 	// StoreLeads has the store read by one instance of each zone, which tells the
@@ -45,7 +42,7 @@
 func Default() Policy {
 	return Policy{
 		StageOwners: true, Reservations: true, BegunFirst: true, DropOvertaken: true, Rooms: true, ResultZones: true,
-		PlacementOwners: true, KeptPrompts: true, PromptHomes: true, LateLast: true, MoveStalled: true, StoreLeads: true, SetAside: true,
+		PlacementOwners: true, KeptPrompts: true, PromptHomes: true, MoveStalled: true, StoreLeads: true, SetAside: true,
 	}
 }
 
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -49,11 +49,8 @@
 	Team string
 	// Left is how long the runner may work.
 	Left time.Duration
-	// Rank is the call's rank among Ranks; 0 is the most urgent.
-	Rank, Ranks int
-	// Late is set if the call's first event will miss its objective even if the
-	// runner begins at once. Others of its rank go before it.
-	Late bool
+	// Urgency is the call's rank at the runner; 0 is the most urgent.
+	Urgency int
 	// Inputs are the handles of the stages' results.
 	Inputs []string
 	// ResumeAfter is the last event that the caller has, or empty.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -204,7 +204,7 @@
 func (x *relay) send(ctx context.Context, p *plan, t *target.Target, d Dispatch) (*Answer, error) {
 	d.Runner = t.Runner()
 	d.Team = p.team
-	d.Rank, d.Ranks = x.Current.Load().Table.Rank(p.priority)
+	d.Urgency = p.priority
 	d.Left = p.until.Sub(x.Clock.Now())
 	d.Once = p.once()
 	start := x.Clock.Now()
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -66,11 +66,7 @@
 
 // placing returns the request for an engine.
 func (x *relay) placing(p *plan) placement.Request {
-	r := placement.Request{ID: p.call.ID, Service: p.service, Prompt: p.call.Prompt, Until: p.until, Due: p.until}
-	if p.route.Objective > 0 {
-		r.Due = p.call.Arrived.Add(p.route.Objective)
-	}
-	return r
+	return placement.Request{ID: p.call.ID, Service: p.service, Prompt: p.call.Prompt, Until: p.until}
 }
 
 // resultZone returns the zone that has most results for the call's runner, or
@@ -99,7 +95,7 @@
 	defer place.Ended()
 	ctx, stall := x.watchStream(p)
 	defer stall.stop()
-	a, err := x.send(ctx, p, t, Dispatch{Inputs: inputs, ResumeAfter: s.last, Late: x.Policy.LateLast && !s.begun && place.Late()})
+	a, err := x.send(ctx, p, t, Dispatch{Inputs: inputs, ResumeAfter: s.last})
 	var unanswered *Unanswered
 	switch {
 	case errors.As(err, &unanswered) && !unanswered.Sent:
--- a/router/routing/table.go
+++ b/router/routing/table.go
@@ -25,8 +25,6 @@
 	hosts map[string][]*Route
 	// teams is by key.
 	teams map[string]*Team
-	// ranks has the priorities of all routes and teams, each once, in order.
-	ranks []int
 }
 
 // NewTable returns the table of a configuration, which must not be changed any
@@ -56,26 +54,9 @@
 			t.teams[k] = &cfg.Teams[i]
 		}
 	}
-	for i := range cfg.Routes {
-		t.ranks = append(t.ranks, cfg.Routes[i].Priority)
-	}
-	for i := range cfg.Teams {
-		if cfg.Teams[i].HasPriority {
-			t.ranks = append(t.ranks, cfg.Teams[i].Priority)
-		}
-	}
-	slices.Sort(t.ranks)
-	t.ranks = slices.Compact(t.ranks)
 	return t, nil
 }
 
-// Rank returns which of the priorities in use a call has, beginning with 0 for
-// the most urgent, and how many are in use.
-func (t *Table) Rank(priority int) (rank, of int) {
-	rank, _ = slices.BinarySearch(t.ranks, priority)
-	return rank, len(t.ranks)
-}
-
 func (t *Table) check(r *Route) error {
 	if len(r.Shares) == 0 {
 		return fault.New(fault.BadRequest, "a route needs a service").WithField(r.Name)
