Pass over runners that can't be reached

The owner of the placement went on choosing it, as it had nothing to do there, and only the instance that had tried knew better.

Ruled out: the budget for repeats, which these calls didn't reach.

An instance that can't reach an engine tells the owner.

--- a/router/placement/placer.go
+++ b/router/placement/placer.go
@@ -34,6 +34,10 @@
 	Target() *target.Target
 	// Answered notes the first event.
 	Answered()
+	// Broke notes that the engine couldn't be reached, so that others aren't
+	// placed there at once; and the end. Connections that break later say less:
+	// those of one instance may all break together.
+	Broke()
 	// Ended notes the end of the call at this engine.
 	Ended()
 }
@@ -49,10 +53,11 @@
 // Local is a placer by what this instance has placed itself.
 type Local interface {
 	Placer
-	// Begin, Answer and End are the steps of a call that another instance has
+	// Begin, Answer, Break and End are the steps of a call that another instance has
 	// placed here. Begin returns the runner's identifier, or "".
 	Begin(r Request) string
 	Answer(id string)
+	Break(id string)
 	End(id string)
 }
 
@@ -178,6 +183,15 @@
 	}
 }
 
+func (l *local) Break(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.calls[id]; e != nil {
+		e.target.Broke(l.clk.Now())
+		l.end(id)
+	}
+}
+
 func (l *local) End(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -203,4 +217,6 @@
 
 func (p *localPlace) Answered() { p.local.Answer(p.id) }
 
+func (p *localPlace) Broke() { p.local.Break(p.id) }
+
 func (p *localPlace) Ended() { p.local.End(p.id) }
--- a/router/placement/placer_test.go
+++ b/router/placement/placer_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cicadawell.dev/fleet/clock"
@@ -193,6 +194,29 @@
 	is.Equal(len(m.calls), 4)
 }
 
+// TestTheOwnerLearnsOfBrokenEngines has another instance find out that an engine
+// is gone: with nothing to do it would look like the best one to its owner.
+func TestTheOwnerLearnsOfBrokenEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		theirs, own := newWorld(t, 3, "other"), newWorld(t, 3, "other")
+		m, peer := &fakeMesh{handlers: map[string]instance.Handler{}}, &fakeMesh{handlers: map[string]instance.Handler{}}
+		_ = sharedPlacer(theirs, "other", peer)
+		m.peer = peer
+		p := sharedPlacer(own, "self", m)
+		first := p.Place(t.Context(), request("1", "s", 10))
+		gone := first.Target().Runner().ID
+		first.Broke()
+		first.Ended()
+		synctest.Wait()
+		is.Equal(m.calls, []string{"other placement.place", "other placement.tell"}) // one notice of the end
+		for i := range 6 {
+			next := theirs.local.Place(t.Context(), request(fmt.Sprint("n", i), "s", 10))
+			is.True(next.Target().Runner().ID != gone)
+		}
+	})
+}
+
 // TestPlaceBound holds the choice among many engines to a bounded number of
 // allocations, and to a cost that grows no faster than the engines.
 func TestPlaceBound(t *testing.T) {
--- a/router/placement/shared.go
+++ b/router/placement/shared.go
@@ -73,6 +73,8 @@
 type tellBody struct {
 	ID    string `json:"id"`
 	Ended bool   `json:"ended"`
+	// Broke is set if the engine couldn't be reached.
+	Broke bool `json:"broke,omitempty"`
 }
 
 // matter names what is owned.
@@ -184,9 +186,12 @@
 	if err := json.Unmarshal(params, &b); err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "decode progress").WithField(methodTell)
 	}
-	if b.Ended {
+	switch {
+	case b.Broke:
+		s.own.Break(b.ID)
+	case b.Ended:
 		s.own.End(b.ID)
-	} else {
+	default:
 		s.own.Answer(b.ID)
 	}
 	return nil, nil
@@ -198,10 +203,16 @@
 	owner  string
 	target *target.Target
 	id     string
+	// end is used up by the one notice of the end.
+	end sync.Once
 }
 
 func (p *remotePlace) Target() *target.Target { return p.target }
 
 func (p *remotePlace) Answered() { p.shared.tell(p.owner, tellBody{ID: p.id}) }
 
-func (p *remotePlace) Ended() { p.shared.tell(p.owner, tellBody{ID: p.id, Ended: true}) }
+func (p *remotePlace) Broke() { p.last(tellBody{ID: p.id, Ended: true, Broke: true}) }
+
+func (p *remotePlace) Ended() { p.last(tellBody{ID: p.id, Ended: true}) }
+
+func (p *remotePlace) last(b tellBody) { p.end.Do(func() { p.shared.tell(p.owner, b) }) }
--- a/router/relay/plain.go
+++ b/router/relay/plain.go
@@ -51,13 +51,7 @@
 	run := fault.NotRun
 	var avoid []*target.Target
 	var last attempt
-	for n := 0; n < p.route.MaxAttempts; n++ {
-		if p.ctx.Err() != nil {
-			break
-		}
-		if n > 0 && !x.Repeats.Allow(p.service) {
-			break
-		}
+	for tries := x.newTries(p); p.ctx.Err() == nil && tries.next(); {
 		t := x.Targets.Plain(p.service, x.Zone, avoid)
 		if t == nil {
 			break
@@ -65,8 +59,11 @@
 		avoid = append(avoid, t)
 		ended := t.Begin()
 		last.close()
-		last = x.try(p, t, n+1 < p.route.MaxAttempts)
+		last = x.try(p, t, tries.more())
 		ended()
+		if !unreached(last.err) {
+			tries.sent()
+		}
 		if last.err == nil && !last.answer.NotRun {
 			run = fault.Run
 			if usable(last.answer) {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -38,10 +38,7 @@
 	run := fault.NotRun
 	var avoid []*target.Target
 	var last error
-	for n := 0; n < p.route.MaxAttempts && p.ctx.Err() == nil; n++ {
-		if n > 0 && !x.Repeats.Allow(p.service) {
-			break
-		}
+	for tries := x.newTries(p); p.ctx.Err() == nil && tries.next(); {
 		where := x.placing(p)
 		where.Zone, where.InputBytes, where.Avoid = zone, res.bytes(), avoid
 		place := x.Engines.Place(p.ctx, where)
@@ -54,6 +51,9 @@
 			return nil
 		}
 		last = err
+		if !unreached(err) {
+			tries.sent()
+		}
 		if outcome != fault.NotRun {
 			run = outcome
 		}
@@ -96,6 +96,9 @@
 	ctx, stall := x.watchStream(p)
 	defer stall.stop()
 	a, err := x.send(ctx, p, t, Dispatch{Inputs: inputs, ResumeAfter: s.last})
+	if unreached(err) && ctx.Err() == nil {
+		place.Broke()
+	}
 	var unanswered *Unanswered
 	switch {
 	case errors.As(err, &unanswered) && !unanswered.Sent:
