--- a/ctl/overview/overview.go
+++ b/ctl/overview/overview.go
@@ -71,6 +71,9 @@
 		o.count(l, at)
 	}
 	for _, b := range known {
+		if b.empty() {
+			continue // lines before the logs proper
+		}
 		b.end(o.Length)
 		o.Processes = append(o.Processes, b.Process)
 	}
@@ -159,4 +162,9 @@
 	b.lost = false
 }
 
+// empty reports whether the process said nothing of what it believes.
+func (b *beliefs) empty() bool {
+	return len(b.Versions)+len(b.Members)+len(b.Runners)+len(b.Starts) == 0
+}
+
 func (b *beliefs) end(at time.Duration) { b.regained(at) }
--- a/ctl/overview/plot.go
+++ b/ctl/overview/plot.go
@@ -27,7 +27,7 @@
 
 // quiet is the colour of lines that are the same for most processes, so that
 // those that differ stand out.
-var quiet = color.RGBA{R: 70, G: 110, B: 160, A: 150}
+var quiet = color.NRGBA{R: 70, G: 110, B: 160, A: 150}
 
 // Draw writes the overview as an image; the format is "svg" or "png".
 func (o Overview) Draw(w io.Writer, format string) error {
@@ -72,19 +72,54 @@
 	return p
 }
 
-// answers draws how many requests ended in each way.
+// shown is how many outcomes have a line of their own; a legend of more would
+// hide the lines.
+const shown = 6
+
+// others sums the outcomes that are too rare for a line of their own.
+const others = "all others"
+
+// answers draws how many requests ended in each way, the most frequent first.
 func (o Overview) answers() *plot.Plot {
 	p := panelOf("requests a second")
-	for i, outcome := range slices.Sorted(maps.Keys(o.Answers)) {
+	p.Legend.Left = true
+	ends := slices.Sorted(maps.Keys(o.Answers))
+	slices.SortStableFunc(ends, func(a, b string) int { return total(o.Answers[b]) - total(o.Answers[a]) })
+	series := make(map[string][]int)
+	for i, outcome := range ends {
+		name := outcome
+		if i >= shown {
+			name = others
+		}
+		series[name] = sum(series[name], o.Answers[outcome])
+	}
+	for i, name := range append(ends[:min(shown, len(ends))], others) {
 		var points plotter.XYs
-		for second, n := range o.Answers[outcome] {
+		for second, n := range series[name] {
 			points = append(points, plotter.XY{X: float64(second) + 0.5, Y: float64(n)})
 		}
-		addLine(p, outcome, points, plotutil.Color(i), plotter.NoStep)
+		addLine(p, name, points, plotutil.Color(i), plotter.NoStep)
 	}
 	return p
 }
 
+func total(counts []int) int {
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
+
+func sum(a, b []int) []int {
+	out := make([]int, max(len(a), len(b)))
+	copy(out, a)
+	for i, n := range b {
+		out[i] += n
+	}
+	return out
+}
+
 // steps draws series of each process that stay until they change.
 func (o Overview) steps(title string, of ...func(Process) []Point) *plot.Plot {
 	p := panelOf(title)
