Let an instance that the store refuses begin with its seeds

Change: a greeting may leave the name open; while no other instance is known, the exchange asks the seeds. What they tell is as old as they say.

--- a/router/instance/incoming.go
+++ b/router/instance/incoming.go
@@ -108,7 +108,7 @@
 		_ = conn.ReplyWithError(ctx, r.ID, wireError(fault.Wrap(fault.BadRequest, err, "greeting")))
 		return
 	}
-	if h.To != in.network.id {
+	if h.To != "" && h.To != in.network.id {
 		err := fault.New(fault.NotFound, "this is instance %q, not %q", in.network.id, h.To)
 		_ = conn.ReplyWithError(ctx, r.ID, wireError(err))
 		return
--- a/router/instance/mesh.go
+++ b/router/instance/mesh.go
@@ -5,8 +5,25 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 )
 
+// atAddress begins the identifiers that At returns; those of instances begin
+// with a letter or a digit.
+const atAddress = "@"
+
+// At returns an identifier for whichever instance listens at an address, for
+// Learn and Call.
+func At(address string) string { return atAddress + address }
+
+// greeted returns whom a greeting names: nobody if any instance will do.
+func greeted(id string) string {
+	if strings.HasPrefix(id, atAddress) {
+		return ""
+	}
+	return id
+}
+
 // Handler answers one method for other instances. The caller's identifier is
 // from. Errors reach the other side with their kind.
 type Handler func(ctx context.Context, from string, params json.RawMessage) (any, error)
--- a/router/instance/network_test.go
+++ b/router/instance/network_test.go
@@ -74,6 +74,19 @@
 	}
 }
 
+func TestAnyInstanceAtAnAddressAnswers(t *testing.T) {
+	is := is.New(t)
+	b := instance.New(instance.WithID("b"))
+	b.Handle("double", double)
+	a := instance.New(instance.WithID("a"))
+	id := instance.At(serve(t, b))
+	a.Learn(map[string]string{id: id[1:]})
+	is.NoErr(a.Start(t.Context()))
+	var out number
+	is.NoErr(a.Call(t.Context(), id, "double", number{N: 4}, &out))
+	is.Equal(out.N, 8)
+}
+
 func TestErrorsKeepTheirKind(t *testing.T) {
 	is := is.New(t)
 	b := instance.New(instance.WithID("b"))
--- a/router/instance/peer.go
+++ b/router/instance/peer.go
@@ -76,7 +76,7 @@
 	}
 	c := &connection{wire: newWire(conn, &n.config), proving: make(chan struct{}, 1)}
 	c.rpc = jsonrpc2.NewConn(n.ctx, c.wire.stream(), refuseCalls{}, jsonrpc2.SetLogger(quiet{}))
-	if err := c.rpc.Call(ctx, methodHello, hello{From: n.id, To: p.id}, nil); err != nil {
+	if err := c.rpc.Call(ctx, methodHello, hello{From: n.id, To: greeted(p.id)}, nil); err != nil {
 		c.close()
 		return nil, unsent(err, "greet instance %q at %s", p.id, p.address)
 	}
--- a/router/instance/wire.go
+++ b/router/instance/wire.go
@@ -28,7 +28,8 @@
 const codeFault = 1
 
 // hello is the first call over a connection. The other side refuses it when it
-// is not To, since an address may have passed on to another instance.
+// is not To, since an address may have passed on to another instance. An empty
+// To means any instance.
 type hello struct {
 	From string `json:"from"`
 	To   string `json:"to"`
--- a/router/inventory/lead_test.go
+++ b/router/inventory/lead_test.go
@@ -63,6 +63,17 @@
 type fleet struct {
 	log   *sharedLog
 	nodes map[string]*node
+	// start adds an instance; while away is set, the source refuses it.
+	start func(name string, opts ...inventory.ExchangeOption)
+	away  bool
+	// mu guards nodes.
+	mu sync.Mutex
+}
+
+func (f *fleet) node(name string) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[name]
 }
 
 func (n *node) List(ctx context.Context) ([]inventory.Change, int64, error) {
@@ -96,7 +107,7 @@
 func (n *node) Learn(map[string]string) {}
 
 func (n *node) Call(ctx context.Context, to, method string, params, result any) error {
-	peer := n.fleet.nodes[to]
+	peer := n.fleet.node(to)
 	if peer == nil || peer.frozen.Load() {
 		<-ctx.Done()
 		return ctx.Err()
@@ -121,16 +132,23 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var group sync.WaitGroup
 	clk := clock.System()
-	for i := range n {
-		x := &node{fleet: f, name: fmt.Sprint("n", i), handlers: make(map[string]instance.Handler), current: inventory.NewCurrent(clk)}
+	f.start = func(name string, opts ...inventory.ExchangeOption) {
+		x := &node{fleet: f, name: name, handlers: make(map[string]instance.Handler), current: inventory.NewCurrent(clk)}
+		f.mu.Lock()
 		f.nodes[x.name] = x
-		f.log.add(inventory.Change{Instance: &inventory.Instance{Name: x.name, Zone: "z"}})
+		f.mu.Unlock()
+		x.refused.Store(f.away)
 		follower := inventory.NewFollower(clk, x, x.current, hclog.NewNullLogger())
 		leads := owner.NewFinder(clk, x.current, owner.Within("z"))
-		exchange := inventory.NewExchange(clk, x.name, x.current, follower, leads, x, random.NewSource(), hclog.NewNullLogger())
+		exchange := inventory.NewExchange(clk, x.name, x.current, follower, leads, x, random.NewSource(), hclog.NewNullLogger(), opts...)
 		group.Go(func() { _ = follower.Run(ctx) })
 		group.Go(func() { _ = exchange.Run(ctx) })
 	}
+	for i := range n {
+		name := fmt.Sprint("n", i)
+		f.log.add(inventory.Change{Instance: &inventory.Instance{Name: name, Zone: "z"}})
+		f.start(name)
+	}
 	return f, func() {
 		cancel()
 		group.Wait()
@@ -198,6 +216,26 @@
 	})
 }
 
+// TestAnInstanceThatTheStoreRefusesStartsBySeeds has one that has never read the
+// store learn everything, and go on learning, from another.
+func TestAnInstanceThatTheStoreRefusesStartsBySeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, stop := newFleet(t, 2)
+		defer stop()
+		rest(t, 5*time.Second)
+		f.away = true
+		f.start("late", inventory.WithSeeds([]string{"n1"}))
+		rest(t, inForce)
+		late := f.nodes["late"].current
+		is.Equal(late.Load().Table.Version(), int64(1))
+		f.log.add(inventory.Change{Table: config(t, 2)})
+		rest(t, inForce)
+		is.Equal(late.Load().Table.Version(), int64(2))
+		is.True(late.Age() < viewAge)
+	})
+}
+
 // TestZoneWithoutItsLead has the instance that reads for the others freeze, or
 // lose the store.
 func TestZoneWithoutItsLead(t *testing.T) {
--- a/router/inventory/peers.go
+++ b/router/inventory/peers.go
@@ -40,6 +40,13 @@
 	restFor = followEvery + 2*followTimeout
 )
 
+// ExchangeOption changes a default of an exchange.
+type ExchangeOption func(*exchange)
+
+// WithSeeds sets the identifiers of instances that are asked while no other is
+// known.
+func WithSeeds(ids []string) ExchangeOption { return func(e *exchange) { e.seeds = ids } }
+
 // Exchange lets instances learn from each other what the store holds: those that
 // the store doesn't answer from any other, and all from the one that reads the
 // store for its neighbours.
@@ -60,8 +67,11 @@
 
 // NewExchange returns the exchange of an instance. Without leads each instance
 // reads the store itself.
-func NewExchange(clk clock.Clock, self string, current *Current, f Follower, leads Leads, mesh instance.Mesh, numbers random.Source, log hclog.Logger) Exchange {
+func NewExchange(clk clock.Clock, self string, current *Current, f Follower, leads Leads, mesh instance.Mesh, numbers random.Source, log hclog.Logger, opts ...ExchangeOption) Exchange {
 	e := &exchange{clk: clk, self: self, current: current, follower: f, leads: leads, mesh: mesh, random: numbers, log: log}
+	for _, opt := range opts {
+		opt(e)
+	}
 	mesh.Handle(methodInventory, e.serve)
 	return e
 }
@@ -75,6 +85,8 @@
 	mesh     instance.Mesh
 	random   random.Source
 	log      hclog.Logger
+	// seeds are asked while no other instance is known.
+	seeds []string
 
 	// lead is the instance that mark is of.
 	lead string
@@ -134,6 +146,9 @@
 		}
 		others := slices.Sorted(maps.Keys(e.current.Load().Instances))
 		others = slices.DeleteFunc(others, func(name string) bool { return name == e.self })
+		if len(others) == 0 {
+			others = e.seeds
+		}
 		if len(others) == 0 {
 			continue
 		}
