Test budgets, histories and leads where a switched-off line stayed green

Five of sixteen lines of the new mechanisms could be switched off without a red test: the mark of a silent lead, changes beyond the history, older changes of others, the bound on unreached runners, and the question to the budget. Calls are played before eight runners instead of four, so that the bound of five unreached ones shows.

--- a/router/inventory/follower_test.go
+++ b/router/inventory/follower_test.go
@@ -190,3 +190,17 @@
 		is.New(t).True(current.Load().Runners["a"].Draining)
 	})
 }
+
+func TestOlderChangesOfOthersAreNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &script{lists: []step{{changes: []inventory.Change{{Revision: 9, ZoneBack: "z"}, runner("a", 8), runner("b", 3)}, revision: 9}}}
+		current, f := follow(t, s, 100*time.Millisecond)
+		older := []inventory.Change{{Revision: 5, ZoneOut: "z"}, {Revision: 6, Instance: &inventory.Instance{Name: "i"}}, gone("a", 7), gone("b", 7)}
+		f.AdoptChanges("other", older, 9, clock.System().Now())
+		is.True(!current.Load().ZonesOut["z"])
+		is.Equal(len(current.Load().Instances), 0)
+		is.True(current.Load().Runners["a"] != nil)
+		is.True(current.Load().Runners["b"] == nil) // held back elsewhere until now
+	})
+}
--- /dev/null
+++ b/router/inventory/history_test.go
@@ -0,0 +1,41 @@
+package inventory
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestHistory(t *testing.T) {
+	is := is.New(t)
+	h := &history{epoch: 7}
+	begin := h.mark()
+	h.add([]Change{{RunnerGone: "a"}, {RunnerGone: "b"}})
+	middle := h.mark()
+	h.add([]Change{{RunnerGone: "c"}})
+	all, ok := h.since(begin)
+	is.True(ok)
+	is.Equal(len(all), 3)
+	some, ok := h.since(middle)
+	is.True(ok)
+	is.Equal(some, []Change{{RunnerGone: "c"}})
+	none, ok := h.since(h.mark())
+	is.True(ok)
+	is.Equal(len(none), 0)
+	for name, m := range map[string]mark{"unknown": {}, "another epoch": {Epoch: 8}, "ahead": {Epoch: 7, Count: 4}} {
+		_, ok := h.since(m)
+		if ok {
+			t.Errorf("%s: told as whole", name)
+		}
+	}
+	for i := range maxHistory {
+		h.add([]Change{{RunnerGone: fmt.Sprint(i)}})
+	}
+	_, ok = h.since(begin)
+	is.True(!ok) // its first changes are dropped
+	latest := h.mark()
+	h.restart()
+	_, ok = h.since(latest)
+	is.True(!ok)
+}
--- a/router/inventory/lead_test.go
+++ b/router/inventory/lead_test.go
@@ -161,6 +161,24 @@
 	return f.nodes[owner.NewFinder(clock.System(), n.current, owner.Within("z")).Of("inventory")]
 }
 
+// readers returns how many instances but one read the source for a while, some
+// time from now.
+func (f *fleet) readers(t *testing.T, but *node) int {
+	t.Helper()
+	rest(t, 2*time.Second)
+	for _, n := range f.nodes {
+		n.reads.Store(0)
+	}
+	rest(t, 1500*time.Millisecond)
+	readers := 0
+	for _, n := range f.nodes {
+		if n != but && n.reads.Load() > 0 {
+			readers++
+		}
+	}
+	return readers
+}
+
 func rest(t *testing.T, d time.Duration) {
 	t.Helper()
 	is.New(t).NoErr(clock.System().Sleep(t.Context(), d))
@@ -251,6 +269,9 @@
 				rest(t, 5*time.Second)
 				lead := f.lead()
 				fail(lead)
+				if lead.frozen.Load() {
+					is.Equal(f.readers(t, lead), 1) // its successor reads for the others
+				}
 				for range 50 {
 					rest(t, 100*time.Millisecond)
 					for _, n := range f.nodes {
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -99,6 +99,8 @@
 	sent []relay.Dispatch
 	// done has the acts that were played.
 	done []act
+	// repeats stands for the fleet's budget; nil allows all.
+	repeats relay.Repeats
 }
 
 func (f *fakeRunners) Send(ctx context.Context, _ *relay.Call, d relay.Dispatch) (*relay.Answer, error) {
@@ -194,15 +196,19 @@
 	set := target.NewSet(clock.System(), func(string, float64) float64 { return 100 }, time.Second)
 	current.Subscribe(set.Update)
 	s := &inventory.Snapshot{Table: table, Revision: 1, Runners: map[string]*inventory.Runner{}}
-	for i := range 4 {
+	for i := range 8 {
 		id := fmt.Sprint("r", i)
 		s.Runners[id] = &inventory.Runner{ID: id, Service: "s", Zone: "z", Slots: 1}
 	}
 	current.Advance(s)
 	current.Confirm(clock.System().Now())
+	repeats := f.repeats
+	if repeats == nil {
+		repeats = retry.New(nil)
+	}
 	r := relay.New(relay.Parts{
 		Clock: clock.System(), Timers: clock.SystemTimers(), Current: current, Refresh: func(context.Context) error { return errors.New("away") },
-		Targets: set, Engines: placement.NewLocal(clock.System(), policy.Default(), current, set, hclog.NewNullLogger()), Pieces: p, Runners: f, Meter: gauge.NewRelay(), Repeats: retry.New(nil), Log: hclog.NewNullLogger(), Zone: "z", KnownFor: 4 * time.Second, Policy: policy.Default(),
+		Targets: set, Engines: placement.NewLocal(clock.System(), policy.Default(), current, set, hclog.NewNullLogger()), Pieces: p, Runners: f, Meter: gauge.NewRelay(), Repeats: repeats, Log: hclog.NewNullLogger(), Zone: "z", KnownFor: 4 * time.Second, Policy: policy.Default(),
 		Random: random.NewSeeded(1),
 	})
 	c := &relay.Call{ID: "id", Method: http.MethodPost, Target: path, Path: path, Host: host, Header: http.Header{}, Arrived: clock.System().Now(), Pieces: []int{2, 3}, PieceKey: "k"}
@@ -261,6 +267,42 @@
 	})
 }
 
+// spent is a budget without a repeat left.
+type spent struct{ asked int }
+
+func (s *spent) Success(string) {}
+
+func (s *spent) Allow(string) bool {
+	s.asked++
+	return false
+}
+
+// TestRepeatsNeedTheBudget plays calls without a budget: a runner that couldn't
+// be reached takes nothing from it.
+func TestRepeatsNeedTheBudget(t *testing.T) {
+	for _, c := range []struct {
+		path   string
+		acts   []act
+		status int
+		sends  int
+		asked  int
+	}{
+		{"/safe/1", []act{failing, good}, 500, 1, 1},
+		{"/safe/1", []act{refused, good}, 200, 2, 0},
+		{"/resumable/1", []act{stream(one, true), stream(two, false)}, -200, 1, 1},
+		{"/resumable/1", []act{refused, stream(one, false)}, 200, 2, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := &spent{}
+			f := &fakeRunners{acts: c.acts, repeats: s}
+			is.Equal(play(t, c.path, f, &fakePieces{}, nil).Code, c.status)
+			is.Equal(len(f.sent), c.sends)
+			is.Equal(s.asked, c.asked)
+		})
+	}
+}
+
 func TestPlainCalls(t *testing.T) {
 	for _, c := range []struct {
 		path   string
@@ -278,7 +320,7 @@
 		{"/once/1", []act{unsealed, good}, 502, 1},
 		{"/once/1", []act{full, refused, good}, 200, 3},
 		{"/once/1", []act{full}, 503, 3},
-		{"/once/1", []act{refused}, 503, 4},
+		{"/once/1", []act{refused}, 503, 6},
 		{"/once/1", []act{reset, good}, 502, 1},
 		{"/once/1", []act{hanging, good}, 504, 1},
 		{"/single/1", []act{refused, refused, good}, 200, 3},
