Give large zones several leads

Cause: a zone of 26 instances, as the target of 450 in 17 zones has, would have one lead answer 62 questions a second: more than the 10 KB/s that an instance may spend on control.

Change: one lead for six followers, distinct ones; instances are spread over them by their name, and leads follow nobody. Zones of up to seven instances, as in all deployments at hand, have one lead as before.

--- a/router/inventory/lead.go
+++ b/router/inventory/lead.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cicadawell.dev/router/routing"
+	"github.com/cespare/xxhash/v2"
 )
 
 // knownChange is a change on its way to another instance.
@@ -61,12 +63,39 @@
 	return out, nil
 }
 
+// followersPerLead is how many instances of a zone share a lead in the mean, so
+// that what a lead tells stays below what an instance may spend on control.
+const followersPerLead = 6
+
+// chooseLead returns the instance to follow, or "" if this one reads the store.
+// Large zones have several leads; each instance follows one of them, and leads
+// follow nobody, so that what they tell is as young as their own reads.
+func (e *exchange) chooseLead() string {
+	leads := e.leads.First(matter, max(1, (e.neighbours()+followersPerLead-2)/followersPerLead))
+	if len(leads) == 0 || slices.Contains(leads, e.self) {
+		return ""
+	}
+	return leads[xxhash.Sum64String(e.self)%uint64(len(leads))]
+}
+
+// neighbours returns how many instances are in this one's zone.
+func (e *exchange) neighbours() int {
+	known := e.current.Load().Instances
+	n := 0
+	for _, i := range known {
+		if i.Zone == known[e.self].Zone {
+			n++
+		}
+	}
+	return n
+}
+
 // follow asks the lead for changes until ctx ends.
 func (e *exchange) follow(ctx context.Context) {
 	for e.clk.Sleep(ctx, followEvery) == nil {
-		lead := e.leads.Of(matter)
-		for ctx.Err() == nil && lead != "" && lead != e.self && !e.followOnce(ctx, lead) {
-			next := e.leads.Of(matter)
+		lead := e.chooseLead()
+		for ctx.Err() == nil && lead != "" && !e.followOnce(ctx, lead) {
+			next := e.chooseLead()
 			if next == lead {
 				break
 			}
--- a/router/inventory/lead_test.go
+++ b/router/inventory/lead_test.go
@@ -56,6 +56,8 @@
 	handlers map[string]instance.Handler
 	// reads counts the calls of the source.
 	reads atomic.Int64
+	// bytes counts those of its questions and answers.
+	bytes atomic.Int64
 	// refused lets the source fail, frozen lets others wait in vain.
 	refused, frozen atomic.Bool
 }
@@ -116,14 +118,25 @@
 	if err != nil {
 		return err
 	}
+	n.exchanged(peer, len(raw))
 	answer, err := peer.handlers[method](ctx, n.name, raw)
 	if err != nil {
 		return err
 	}
 	raw, err = json.Marshal(answer)
+	n.exchanged(peer, len(raw))
 	return errors.Join(err, json.Unmarshal(raw, result))
 }
 
+// envelope is about what a message has beside its content: the call's frame,
+// identifier and method.
+const envelope = 100
+
+func (n *node) exchanged(peer *node, content int) {
+	n.bytes.Add(int64(content + envelope))
+	peer.bytes.Add(int64(content + envelope))
+}
+
 // newFleet starts some instances of one zone. They end with the test's context.
 func newFleet(t *testing.T, n int) (f *fleet, stop func()) {
 	t.Helper()
@@ -295,3 +308,44 @@
 		})
 	}
 }
+
+// TestControlOfAZoneBound has zones of the size that the deployments have, and of
+// the target's 450 instances in 17 zones, before 1,500 runners: what an instance
+// spends on following the store doesn't grow with its zone.
+func TestControlOfAZoneBound(t *testing.T) {
+	const limit = 10_000 // bytes a second and instance, the target's
+	measure := func(instances int) (most, mean, reads float64) {
+		synctest.Test(t, func(t *testing.T) {
+			f, stop := newFleet(t, instances)
+			defer stop()
+			for i := range 1500 {
+				f.log.add(runner(fmt.Sprint("r", i), 0))
+			}
+			rest(t, 10*time.Second)
+			for _, n := range f.nodes {
+				n.bytes.Store(0)
+				n.reads.Store(0)
+			}
+			const seconds = 20
+			for i := range seconds {
+				f.log.add(runner(fmt.Sprint("r", i), 0))
+				rest(t, time.Second)
+			}
+			for _, n := range f.nodes {
+				perSecond := float64(n.bytes.Load()) / seconds
+				most, mean = max(most, perSecond), mean+perSecond/float64(instances)
+				reads += float64(n.reads.Load()) / seconds
+			}
+		})
+		return most, mean, reads
+	}
+	is := is.New(t)
+	fewMost, fewMean, fewReads := measure(7)
+	manyMost, manyMean, manyReads := measure(26)
+	t.Logf("7 instances: %.0f B/s at most, %.0f in the mean, %.1f reads of the store a second", fewMost, fewMean, fewReads)
+	t.Logf("26 instances: %.0f B/s at most, %.0f in the mean, %.1f reads of the store a second", manyMost, manyMean, manyReads)
+	is.True(manyMost <= limit)
+	is.True(manyMean <= 1.2*fewMean)
+	const leads = 5 // one for six followers
+	is.True(manyReads <= 1.1*leads*fewReads)
+}
--- a/router/inventory/peers.go
+++ b/router/inventory/peers.go
@@ -55,10 +55,10 @@
 	Run(ctx context.Context) error
 }
 
-// Leads finds the instance that reads the store for its neighbours. Its methods
+// Leads finds the instances that read the store for their neighbours. Its methods
 // are those of owner.Finder.
 type Leads interface {
-	Of(matter string) string
+	First(matter string, n int) []string
 	Away(name string)
 }
 
--- a/router/owner/owner.go
+++ b/router/owner/owner.go
@@ -5,6 +5,8 @@
 package owner
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +24,9 @@
 	// Of returns the owner of a matter, or "" if no instance is known that
 	// answers.
 	Of(matter string) string
+	// First returns the first n instances in the order in which they would own a
+	// matter, or fewer if fewer answer.
+	First(matter string, n int) []string
 	// Away notes that an instance didn't answer. Its successors stand in, and
 	// what waits for it is told.
 	Away(name string)
@@ -65,11 +70,31 @@
 }
 
 func (f *finder) Of(matter string) string {
+	best, top := "", uint64(0)
+	f.answering(func(name string) {
+		if h := weight(matter, name); best == "" || h > top {
+			best, top = name, h
+		}
+	})
+	return best
+}
+
+func (f *finder) First(matter string, n int) []string {
+	var all []string
+	f.answering(func(name string) { all = append(all, name) })
+	slices.SortFunc(all, func(a, b string) int { return cmp.Compare(weight(matter, b), weight(matter, a)) })
+	return all[:min(n, len(all))]
+}
+
+// weight orders instances for a matter.
+func weight(matter, name string) uint64 { return xxhash.Sum64String(matter + "/" + name) }
+
+// answering calls visit with each instance that may be an owner.
+func (f *finder) answering(visit func(name string)) {
 	known := f.current.Load().Instances
 	now := f.clk.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	best, top := "", uint64(0)
 	for name, i := range known {
 		if f.zone != "" && i.Zone != f.zone {
 			continue
@@ -77,11 +102,8 @@
 		if a, ok := f.away[name]; ok && now.Before(a.until) && a.revision == i.Revision {
 			continue
 		}
-		if h := xxhash.Sum64String(matter + "/" + name); best == "" || h > top {
-			best, top = name, h
-		}
+		visit(name)
 	}
-	return best
 }
 
 func (f *finder) Away(name string) {
