--- a/router/stage/piece.go
+++ b/router/stage/piece.go
@@ -83,7 +83,7 @@
 	// Reserve asks whether an order that will follow can be made in time. If
 	// it can, its place is kept until the order, or Cancel.
 	Reserve(ctx context.Context, a Reservation) Forecast
-	// Cancel gives the place of an reserved order up. It returns at once.
+	// Cancel gives the place of a reserved order up. It returns at once.
 	Cancel(service, order string)
 }
 
--- a/router/stage/shared.go
+++ b/router/stage/shared.go
@@ -235,7 +235,7 @@
 	return nil, nil
 }
 
-// reservationBody is an reservation on its way to another instance.
+// reservationBody is a reservation on its way to another instance.
 type reservationBody struct {
 	ID          string `json:"id"`
 	Service     string `json:"service"`
@@ -281,7 +281,7 @@
 func (s *shared) serveReserve(ctx context.Context, _ string, params json.RawMessage) (any, error) {
 	var b reservationBody
 	if err := json.Unmarshal(params, &b); err != nil {
-		return nil, fault.Wrap(fault.BadRequest, err, "decode an reservation").WithField(methodReserve)
+		return nil, fault.Wrap(fault.BadRequest, err, "decode a reservation").WithField(methodReserve)
 	}
 	now := s.clk.Now()
 	return s.own.Reserve(ctx, Reservation{
--- a/router/stage/shared_test.go
+++ b/router/stage/shared_test.go
@@ -104,7 +104,7 @@
 	})
 }
 
-// TestOrdersMoveOnWhenTheirOwnerFallsSilent has an reservation notice the
+// TestOrdersMoveOnWhenTheirOwnerFallsSilent has a reservation notice the
 // silence for an order that waits already.
 func TestOrdersMoveOnWhenTheirOwnerFallsSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
