Log what distinguishes the ways in which calls reach leaving runners

Cause: the logs said neither that the removal of a runner was held back, nor how old the view was by which a runner was chosen, nor whether a description or removal was older than what was known already, so that the hypotheses of docs/incidents/leaving-runners.md could not be told apart.

Change: a line for each removal that is held back; the age of the view in the lines of calls, batches, runners seen and gone; the view's revision beside that of a description.

--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -311,6 +311,8 @@
 		switch {
 		case c.RunnerGone != "" && waiting:
 			f.lapsed[c.RunnerGone] = c
+			f.log.Info("removal of a runner held back", "runner", c.RunnerGone, "revision", c.Revision,
+				"forMillis", f.back.Add(defaultLapse).Sub(now).Milliseconds())
 			continue
 		case c.Runner != nil:
 			delete(f.lapsed, c.Runner.ID)
@@ -333,9 +335,10 @@
 		case c.Table != nil && (old.Table == nil || c.Table.Version() > old.Table.Version()):
 			f.log.Info("configuration in force", "version", c.Table.Version(), "revision", c.Revision)
 		case c.Runner != nil:
-			f.reportRunner(old.Runners[c.Runner.ID], c)
+			f.reportRunner(old, c)
 		case c.RunnerGone != "":
-			f.log.Info("runner gone", "runner", c.RunnerGone, "revision", c.Revision)
+			f.log.Info("runner gone", "runner", c.RunnerGone, "revision", c.Revision, "known", old.Runners[c.RunnerGone] != nil,
+				"viewMillis", f.current.Age().Milliseconds())
 		case c.ZoneOut != "":
 			f.log.Info("zone out", "zone", c.ZoneOut, "revision", c.Revision)
 		case c.ZoneBack != "":
@@ -348,11 +351,11 @@
 	}
 }
 
-func (f *follower) reportRunner(was *Runner, c Change) {
-	r := c.Runner
+func (f *follower) reportRunner(old *Snapshot, c Change) {
+	was, r := old.Runners[c.Runner.ID], c.Runner
 	if was == nil || was.Draining != r.Draining || was.Born != r.Born {
 		f.log.Info("runner seen", "runner", r.ID, "service", r.Service, "zone", r.Zone, "draining", r.Draining,
-			"coldMillis", r.Cold.Milliseconds(), "revision", c.Revision)
+			"coldMillis", r.Cold.Milliseconds(), "revision", c.Revision, "viewRevision", old.Revision, "viewMillis", f.current.Age().Milliseconds())
 	}
 }
 
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -223,7 +223,7 @@
 	}
 	x.Meter.Sent(p.service, statusOf(a), now.Sub(start))
 	x.Log.Info("sent", "request", p.call.ID, "route", p.route.Name, "service", p.service, "team", p.team, "runner", d.Runner.ID,
-		"zone", d.Runner.Zone, "runnerRevision", d.Runner.Revision, "configuration", x.Current.Load().Table.Version(),
+		"zone", d.Runner.Zone, "runnerRevision", d.Runner.Revision, "configuration", x.Current.Load().Table.Version(), "viewMillis", x.Current.Age().Milliseconds(),
 		"leftMillis", d.Left.Milliseconds(), "resumeAfter", d.ResumeAfter, "inputs", len(d.Inputs),
 		"tookMillis", now.Sub(start).Milliseconds(), "status", statusOf(a), "error", err)
 	return a, err
--- a/router/stage/pool.go
+++ b/router/stage/pool.go
@@ -27,6 +27,8 @@
 	// take.
 	targets func() []*target.Target
 	batches func() *routing.Batches
+	// age returns for how long what is known of the runners may be out of date.
+	age func() time.Duration
 	// permit reports whether a runner may get one more call.
 	permit func(*target.Target) bool
 	// ctx ends the calls to runners.
@@ -229,7 +231,7 @@
 
 // run passes one batch to a runner.
 func (p *Pool) run(t *target.Target, limits *routing.Batches, batch []*waiting) {
-	now := p.clk.Now()
+	now, age := p.clk.Now(), p.age()
 	timed := make([]Timed, len(batch))
 	for i, w := range batch {
 		timed[i] = Timed{Piece: w.piece, Left: w.order.Until.Sub(now) - w.order.After}
@@ -239,7 +241,7 @@
 	defer cancel()
 	results, refused, err := p.runners.Run(ctx, t.Runner(), timed)
 	p.log.Info("batch", "service", p.service, "runner", t.Runner().ID, "zone", t.Runner().Zone, "pieces", len(batch), "requests", callsOf(batch),
-		"waitedMillis", now.Sub(batch[0].since).Milliseconds(), "tookMillis", p.clk.Now().Sub(now).Milliseconds(), "refused", refused, "error", err)
+		"waitedMillis", now.Sub(batch[0].since).Milliseconds(), "tookMillis", p.clk.Now().Sub(now).Milliseconds(), "viewMillis", age.Milliseconds(), "refused", refused, "error", err)
 	p.settle(t, limits, batch, results, refused, err)
 	p.Dispatch()
 }
--- a/router/stage/pools.go
+++ b/router/stage/pools.go
@@ -99,8 +99,8 @@
 				}
 				return table.Service(service).Batches
 			},
-			permit: s.targets.Permit,
-			busy:   make(map[*target.Target]int), rooms: make(map[*target.Target]*room),
+			age: s.current.Age, permit: s.targets.Permit,
+			busy: make(map[*target.Target]int), rooms: make(map[*target.Target]*room),
 			reserved: make(map[string]reserved), backoff: make(map[*target.Target]time.Time),
 		}
 		s.pools[service] = p
