Hold removals of runners back only after an outage of the store

Cause: after any failed call of its own an instance took removals of runners for lapses of an outage and held them back for 2 s and until its next answer. What its neighbours got from it was late as well, or put a runner back that they knew to have left, though the store had answered others all the while.

Change: an outage is a time in which no instance that tells this one heard of the store, longer than the heartbeats that a description outlives. One that was alone is told by any such instance that the store wasn't away. What is still in doubt is decided on time, no longer with the next answer.

The scripted outage of TestRunnersThatLapsedDuringAnOutageAreKeptForAWhile lasted 0.3 s, in which nothing can lapse; it lasts 2.9 s now, with the same expectations.

--- a/router/inventory/change.go
+++ b/router/inventory/change.go
@@ -18,6 +18,8 @@
 	// without any.
 	Runner     *Runner
 	RunnerGone string
+	// Lapsed is set if the description may only have lapsed.
+	Lapsed bool
 	// ZoneOut is a zone that was taken out, ZoneBack one that was taken back.
 	ZoneOut, ZoneBack string
 	// SeenAt is when the return of a zone was read.
@@ -43,6 +45,7 @@
 	next := &Snapshot{
 		Table: s.Table, Revision: max(s.Revision, revision),
 		Runners: clone(s.Runners), ZonesOut: clone(s.ZonesOut), ZonesBack: clone(s.ZonesBack), Instances: clone(s.Instances),
+		Lapsed: clone(s.Lapsed),
 	}
 	for _, c := range changes {
 		next.apply(c)
@@ -64,12 +67,13 @@
 			s.Table = c.Table
 		}
 	case c.Runner != nil:
-		if old := s.Runners[c.Runner.ID]; old == nil || old.Revision < c.Revision {
+		if old := s.Runners[c.Runner.ID]; (old == nil || old.Revision < c.Revision) && s.Lapsed[c.Runner.ID] < c.Revision {
 			s.Runners[c.Runner.ID] = c.Runner
+			delete(s.Lapsed, c.Runner.ID)
 		}
 	case c.RunnerGone != "":
 		if old := s.Runners[c.RunnerGone]; old != nil && old.Revision < c.Revision {
-			delete(s.Runners, c.RunnerGone)
+			s.remove(c)
 		}
 	case c.ZoneOut != "":
 		s.ZonesOut[c.ZoneOut] = true
@@ -82,3 +86,13 @@
 		delete(s.Instances, c.InstanceGone)
 	}
 }
+
+// remove takes a runner out, or notes that its description may have lapsed.
+func (s *Snapshot) remove(c Change) {
+	if c.Lapsed {
+		s.Lapsed[c.RunnerGone] = max(s.Lapsed[c.RunnerGone], c.Revision)
+		return
+	}
+	delete(s.Runners, c.RunnerGone)
+	delete(s.Lapsed, c.RunnerGone)
+}
--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -15,12 +15,13 @@
 type Follower interface {
 	// Run follows the source until ctx ends.
 	Run(ctx context.Context) error
-	// Adopt takes over what another instance knows, if it is newer, and notes
-	// that it was the newest at a time.
-	Adopt(from string, s *Snapshot, at time.Time)
+	// Adopt takes over what another instance knows, if it is newer.
+	Adopt(from string, s *Snapshot, standing Standing)
 	// AdoptChanges does the same with the changes that another instance took
 	// over up to a revision.
-	AdoptChanges(from string, changes []Change, revision int64, at time.Time)
+	AdoptChanges(from string, changes []Change, revision int64, standing Standing)
+	// Standing says how far this instance's view can be relied on.
+	Standing() Standing
 	// Tell returns what this instance took over after a mark, as a snapshot or,
 	// if all is known, as changes.
 	Tell(after mark) told
@@ -62,9 +63,6 @@
 	// doubles each time.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 800 * time.Millisecond
-	// defaultLapse is for how long runners without an entry are kept after the
-	// source was away: their entries may have lapsed meanwhile.
-	defaultLapse = 2 * time.Second
 )
 
 // WithPause sets how long changes are gathered before the next call.
@@ -73,7 +71,8 @@
 // NewFollower returns a follower. The clock has to count the time for which the
 // machine was suspended.
 func NewFollower(clk clock.Clock, source Source, current *Current, log hclog.Logger, opts ...FollowerOption) Follower {
-	f := &follower{clk: clk, source: source, current: current, log: log, pause: defaultPause, lapsed: make(map[string]Change)}
+	f := &follower{clk: clk, source: source, current: current, log: log, pause: defaultPause, doubted: make(chan struct{}, 1)}
+	f.lapses.outage = defaultOutage
 	// Marks of an earlier process are of another epoch.
 	f.history.epoch = clk.Now().UnixNano()
 	for _, opt := range opts {
@@ -88,14 +87,14 @@
 	current *Current
 	log     hclog.Logger
 	pause   time.Duration
+	// doubted receives when removals may be lapses from now on; it has room for
+	// one.
+	doubted chan struct{}
 
 	mu sync.Mutex
 	// failingSince is zero while the source answers.
 	failingSince time.Time
-	// back is when the source answered again after it had failed.
-	back time.Time
-	// lapsed has the removals of runners that are not believed yet.
-	lapsed map[string]Change
+	lapses       lapses
 	// relist is set when the history after the snapshot is lost.
 	relist bool
 	// history has what was taken over last.
@@ -133,9 +132,8 @@
 // told is what one instance tells another.
 type told struct {
 	snapshot *Snapshot
-	// age is that of the last confirmation.
-	age  time.Duration
-	mark mark
+	standing Standing
+	mark     mark
 	// changes are those after the mark that was asked for; they stand for the
 	// whole if complete is set.
 	changes  []Change
@@ -146,7 +144,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked = f.clk.Now()
-	t := told{snapshot: f.current.Load(), age: f.current.Age(), mark: f.history.mark()}
+	t := told{snapshot: f.current.Load(), standing: f.standing(), mark: f.history.mark()}
 	t.changes, t.complete = f.history.since(after)
 	return t
 }
@@ -165,6 +163,9 @@
 	f.mu.Lock()
 	f.relist = true
 	f.mu.Unlock()
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { f.settle(ctx) })
 	retry := firstRetry
 	for ctx.Err() == nil {
 		if d := f.resting(); d > 0 {
@@ -251,22 +252,21 @@
 	if !f.failingSince.IsZero() {
 		f.log.Info("store regained", "awayMillis", now.Sub(f.failingSince).Milliseconds(), "revision", revision)
 		f.failingSince = time.Time{}
-		f.back = now
 	}
+	f.hear(now, now)
 	old := f.current.Load()
 	if all {
 		changes = append(changes, missing(old, changes, revision, now)...)
 		f.relist = false
 	}
-	changes = f.believe(now, changes)
-	f.advance(old, changes, revision)
+	f.history.add(changes)
+	f.advance(old, f.lapses.mark(now, changes), revision)
 	f.current.Confirm(start)
 }
 
 // advance takes changes over. The caller holds mu.
 func (f *follower) advance(old *Snapshot, changes []Change, revision int64) {
 	f.report(old, changes)
-	f.history.add(changes)
 	f.current.Advance(old.with(changes, revision))
 }
 
@@ -302,32 +302,6 @@
 	return out
 }
 
-// believe holds back the removals of runners that may be lapses of the time in
-// which the store was away, until the runners had time to write again.
-func (f *follower) believe(now time.Time, changes []Change) []Change {
-	var out []Change
-	waiting := !f.back.IsZero() && now.Before(f.back.Add(defaultLapse))
-	for _, c := range changes {
-		switch {
-		case c.RunnerGone != "" && waiting:
-			f.lapsed[c.RunnerGone] = c
-			f.log.Info("removal of a runner held back", "runner", c.RunnerGone, "revision", c.Revision,
-				"forMillis", f.back.Add(defaultLapse).Sub(now).Milliseconds())
-			continue
-		case c.Runner != nil:
-			delete(f.lapsed, c.Runner.ID)
-		}
-		out = append(out, c)
-	}
-	if !waiting {
-		for id, c := range f.lapsed {
-			out = append(out, c)
-			delete(f.lapsed, id)
-		}
-	}
-	return out
-}
-
 // report logs what changes the instance's beliefs.
 func (f *follower) report(old *Snapshot, changes []Change) {
 	for _, c := range changes {
@@ -336,6 +310,8 @@
 			f.log.Info("configuration in force", "version", c.Table.Version(), "revision", c.Revision)
 		case c.Runner != nil:
 			f.reportRunner(old, c)
+		case c.Lapsed:
+			f.log.Info("removal of a runner held back", "runner", c.RunnerGone, "revision", c.Revision, "known", old.Runners[c.RunnerGone] != nil)
 		case c.RunnerGone != "":
 			f.log.Info("runner gone", "runner", c.RunnerGone, "revision", c.Revision, "known", old.Runners[c.RunnerGone] != nil,
 				"viewMillis", f.current.Age().Milliseconds())
@@ -359,34 +335,55 @@
 	}
 }
 
-func (f *follower) Adopt(from string, s *Snapshot, at time.Time) {
+func (f *follower) Adopt(from string, s *Snapshot, standing Standing) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.clk.Now()
+	f.vouch(from, standing, now)
 	old := f.current.Load()
-	if s.Revision > old.Revision && f.current.Advance(s) {
-		f.history.restart()
-		f.log.Info("taken over from another instance", "instance", from, "revision", s.Revision, "was", old.Revision,
-			"ageMillis", f.clk.Now().Sub(at).Milliseconds())
+	if s.Revision > old.Revision {
+		next := s.with(s.settled(), s.Revision)
+		if f.lapses.doubts(now) {
+			next = s.carry(old)
+		}
+		if f.current.Advance(next) {
+			f.history.restart()
+			f.log.Info("taken over from another instance", "instance", from, "revision", s.Revision, "was", old.Revision,
+				"ageMillis", now.Sub(standing.Confirmed).Milliseconds(), "lapsed", len(next.Lapsed))
+		}
 	}
 	if s.Revision >= old.Revision {
-		f.current.Confirm(at)
+		f.current.Confirm(standing.Confirmed)
 	}
 }
 
-func (f *follower) AdoptChanges(from string, changes []Change, revision int64, at time.Time) {
+func (f *follower) AdoptChanges(from string, changes []Change, revision int64, standing Standing) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.clk.Now()
+	f.vouch(from, standing, now)
 	old := f.current.Load()
 	changes = slices.DeleteFunc(changes, func(c Change) bool {
-		// The removal of a runner may have been held back elsewhere until after
-		// newer changes.
+		// Removals are told in the order in which another instance read them.
 		return c.Revision <= old.Revision && c.RunnerGone == ""
 	})
 	if len(changes) > 0 || revision > old.Revision {
 		f.log.Debug("changes taken over from another instance", "instance", from, "changes", len(changes), "revision", revision, "was", old.Revision)
-		f.advance(old, changes, revision)
+		f.history.add(changes)
+		f.advance(old, f.lapses.mark(now, changes), revision)
 	}
 	if revision >= old.Revision {
-		f.current.Confirm(at)
+		f.current.Confirm(standing.Confirmed)
 	}
 }
+
+func (f *follower) Standing() Standing {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.standing()
+}
+
+// standing is Standing for callers that hold mu.
+func (f *follower) standing() Standing {
+	return Standing{Confirmed: f.clk.Now().Add(-f.current.Age()), Steady: f.lapses.steady}
+}
--- a/router/inventory/follower_test.go
+++ b/router/inventory/follower_test.go
@@ -83,6 +83,8 @@
 	return current, f
 }
 
+func confirmedNow() inventory.Standing { return inventory.Standing{Confirmed: clock.System().Now()} }
+
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &script{
@@ -91,9 +93,9 @@
 		}
 		current, f := follow(t, s, 100*time.Millisecond)
 		is.New(t).Equal(current.Load().Table.Version(), int64(7))
-		f.Adopt("other", &inventory.Snapshot{Table: config(t, 4), Revision: 9}, clock.System().Now())
+		f.Adopt("other", &inventory.Snapshot{Table: config(t, 4), Revision: 9}, confirmedNow())
 		is.New(t).Equal(current.Load().Table.Version(), int64(7))
-		f.Adopt("other", &inventory.Snapshot{Table: config(t, 9), Revision: 2}, clock.System().Now())
+		f.Adopt("other", &inventory.Snapshot{Table: config(t, 9), Revision: 2}, confirmedNow())
 		is.New(t).Equal(current.Load().Table.Version(), int64(7)) // an older snapshot says nothing
 	})
 }
@@ -109,37 +111,52 @@
 	})
 }
 
+// outage is how long the source is away in a script with two such failures.
+const outage = 2900 * time.Millisecond
+
 func TestRunnersThatLapsedDuringAnOutageAreKeptForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &script{
 			lists: []step{{changes: []inventory.Change{runner("back", 1), runner("dead", 2)}, revision: 2}},
 			steps: []step{
-				{err: errAway},
-				{err: errAway},
+				{after: 1500 * time.Millisecond, err: errAway},
+				{after: 1500 * time.Millisecond, err: errAway},
 				{changes: []inventory.Change{gone("back", 3), gone("dead", 4)}, revision: 4},
 				{after: 500 * time.Millisecond, changes: []inventory.Change{runner("back", 5)}, revision: 5},
 				{after: 500 * time.Millisecond, revision: 5},
 				{after: 1200 * time.Millisecond, revision: 5},
 			},
 		}
-		current, _ := follow(t, s, 1500*time.Millisecond)
+		current, _ := follow(t, s, outage+1500*time.Millisecond)
 		is.Equal(len(current.Load().Runners), 2)
 		s = &script{
 			lists: []step{{changes: []inventory.Change{runner("back", 1), runner("dead", 2)}, revision: 2}},
 			steps: []step{
-				{err: errAway},
+				{after: 1500 * time.Millisecond, err: errAway},
+				{after: 1500 * time.Millisecond, err: errAway},
 				{changes: []inventory.Change{gone("back", 3), gone("dead", 4)}, revision: 4},
 				{after: 500 * time.Millisecond, changes: []inventory.Change{runner("back", 5)}, revision: 5},
 				{after: 1800 * time.Millisecond, revision: 5},
 			},
 		}
-		current, _ = follow(t, s, 3*time.Second)
+		current, _ = follow(t, s, outage+3*time.Second)
 		is.Equal(len(current.Load().Runners), 1)
 		is.True(current.Load().Runners["back"] != nil)
 	})
 }
 
+func TestRunnersThatLeaveAfterAFailedCallAreGoneAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{
+			lists: []step{{changes: []inventory.Change{runner("a", 1)}, revision: 1}},
+			steps: []step{{err: errAway}, {changes: []inventory.Change{gone("a", 2)}, revision: 2}},
+		}
+		current, _ := follow(t, s, 300*time.Millisecond)
+		is.New(t).Equal(len(current.Load().Runners), 0)
+	})
+}
+
 func TestRunnersThatLeaveWithoutAnOutageAreGoneAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &script{
@@ -197,7 +214,7 @@
 		s := &script{lists: []step{{changes: []inventory.Change{{Revision: 9, ZoneBack: "z"}, runner("a", 8), runner("b", 3)}, revision: 9}}}
 		current, f := follow(t, s, 100*time.Millisecond)
 		older := []inventory.Change{{Revision: 5, ZoneOut: "z"}, {Revision: 6, Instance: &inventory.Instance{Name: "i"}}, gone("a", 7), gone("b", 7)}
-		f.AdoptChanges("other", older, 9, clock.System().Now())
+		f.AdoptChanges("other", older, 9, confirmedNow())
 		is.True(!current.Load().ZonesOut["z"])
 		is.Equal(len(current.Load().Instances), 0)
 		is.True(current.Load().Runners["a"] != nil)
--- a/router/inventory/lead.go
+++ b/router/inventory/lead.go
@@ -46,7 +46,7 @@
 	for _, known := range k.Changes {
 		c := Change{
 			Revision: known.Revision, RunnerGone: known.RunnerGone, ZoneOut: known.ZoneOut, ZoneBack: known.ZoneBack,
-			Instance: known.Instance, InstanceGone: known.InstanceGone, SeenAt: now.Add(-time.Duration(known.AgoMicros) * time.Microsecond),
+			Instance: known.Instance, InstanceGone: known.InstanceGone, SeenAt: now.Add(-micros(known.AgoMicros)),
 		}
 		if known.Config != nil {
 			table, err := routing.NewTable(*known.Config)
--- a/router/inventory/lead_test.go
+++ b/router/inventory/lead_test.go
@@ -110,7 +110,7 @@
 
 func (n *node) Call(ctx context.Context, to, method string, params, result any) error {
 	peer := n.fleet.node(to)
-	if peer == nil || peer.frozen.Load() {
+	if peer == nil || peer.frozen.Load() || n.frozen.Load() {
 		<-ctx.Done()
 		return ctx.Err()
 	}
--- a/router/inventory/peers.go
+++ b/router/inventory/peers.go
@@ -106,7 +106,10 @@
 type knowledge struct {
 	// AgeMicros is how old the answering instance's confirmation is.
 	AgeMicros int64 `json:"ageMicros"`
-	Revision  int64 `json:"revision"`
+	// SteadyMicros is for how long the answering instance has heard of the store
+	// without an outage.
+	SteadyMicros int64 `json:"steadyMicros"`
+	Revision     int64 `json:"revision"`
 	// Mark is where the next changes begin.
 	Mark mark `json:"mark,omitzero"`
 	// Complete is set if Changes stand for all that follows.
@@ -125,6 +128,9 @@
 type knownRunner struct {
 	Runner
 	ColdMicros int64 `json:"coldMicros"`
+	// LapsedAt is the revision at which the description was removed, if that may
+	// be a lapse.
+	LapsedAt int64 `json:"lapsedAt,omitempty"`
 }
 
 // knownReturn is the return of a zone some time before the answer.
@@ -141,7 +147,7 @@
 	}
 	defer group.Wait()
 	for e.clk.Sleep(ctx, askEvery) == nil {
-		if e.follower.Failing() < askAfter {
+		if e.follower.Failing() < askAfter && len(e.current.Load().Lapsed) == 0 {
 			continue
 		}
 		others := slices.Sorted(maps.Keys(e.current.Load().Instances))
@@ -186,20 +192,21 @@
 // adopt takes over what another instance told in answer to a question that was
 // asked at start.
 func (e *exchange) adopt(name string, k knowledge, start time.Time) error {
-	now, at := e.clk.Now(), start.Add(-time.Duration(k.AgeMicros)*time.Microsecond)
+	now := e.clk.Now()
+	standing := Standing{Confirmed: start.Add(-micros(k.AgeMicros)), Steady: now.Add(-micros(k.SteadyMicros))}
 	if k.Complete {
 		changes, err := k.changes(now)
 		if err != nil {
 			return err
 		}
-		e.follower.AdoptChanges(name, changes, k.Revision, at)
+		e.follower.AdoptChanges(name, changes, k.Revision, standing)
 		return nil
 	}
 	s, err := k.snapshot(e.current.Load().Table, now)
 	if err != nil {
 		return err
 	}
-	e.follower.Adopt(name, s, at)
+	e.follower.Adopt(name, s, standing)
 	return nil
 }
 
@@ -213,15 +220,16 @@
 	}
 	now := e.clk.Now()
 	if !q.Changes {
-		return e.all(e.current.Load(), e.current.Age(), q.Version, now), nil
+		return e.all(e.current.Load(), e.follower.Standing(), q.Version, now), nil
 	}
 	t := e.follower.Tell(q.After)
 	if !t.complete {
-		k := e.all(t.snapshot, t.age, q.Version, now)
+		k := e.all(t.snapshot, t.standing, q.Version, now)
 		k.Mark = t.mark
 		return k, nil
 	}
-	k := knowledge{AgeMicros: t.age.Microseconds(), Revision: t.snapshot.Revision, Mark: t.mark, Complete: true}
+	k := knowledge{Revision: t.snapshot.Revision, Mark: t.mark, Complete: true}
+	k.stand(t.standing, now)
 	for _, c := range t.changes {
 		k.Changes = append(k.Changes, knownChangeOf(c, now))
 	}
@@ -230,11 +238,11 @@
 
 // all returns a snapshot on its way to an instance that has a version of the
 // configuration.
-func (e *exchange) all(s *Snapshot, age time.Duration, version int64, now time.Time) knowledge {
+func (e *exchange) all(s *Snapshot, standing Standing, version int64, now time.Time) knowledge {
 	k := knowledge{
-		AgeMicros: age.Microseconds(), Revision: s.Revision,
-		ZonesOut: slices.Sorted(maps.Keys(s.ZonesOut)), Instances: slices.Collect(maps.Values(s.Instances)),
+		Revision: s.Revision, ZonesOut: slices.Sorted(maps.Keys(s.ZonesOut)), Instances: slices.Collect(maps.Values(s.Instances)),
 	}
+	k.stand(standing, now)
 	if s.Table.Version() != version {
 		cfg := s.Table.Config()
 		k.Config = &cfg
@@ -242,12 +250,24 @@
 	for zone, back := range s.ZonesBack {
 		k.ZonesBack = append(k.ZonesBack, knownReturn{Zone: zone, Revision: back.Revision, AgoMicros: now.Sub(back.SeenAt).Microseconds()})
 	}
-	for _, r := range s.Runners {
-		k.Runners = append(k.Runners, knownRunnerOf(r, now))
+	for id, r := range s.Runners {
+		known := knownRunnerOf(r, now)
+		known.LapsedAt = s.Lapsed[id]
+		k.Runners = append(k.Runners, known)
 	}
 	return k
 }
 
+// stand notes how far the answering instance's view can be relied on.
+func (k *knowledge) stand(s Standing, now time.Time) {
+	k.AgeMicros = now.Sub(s.Confirmed).Microseconds()
+	if !s.Steady.IsZero() {
+		k.SteadyMicros = now.Sub(s.Steady).Microseconds()
+	}
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
 func knownRunnerOf(r *Runner, now time.Time) knownRunner {
 	return knownRunner{Runner: *r, ColdMicros: (r.Cold - now.Sub(r.SeenAt)).Microseconds()}
 }
@@ -255,7 +275,7 @@
 // runner returns the runner as this instance would have read it now.
 func (r knownRunner) runner(now time.Time) *Runner {
 	out := r.Runner
-	out.Cold, out.SeenAt = time.Duration(r.ColdMicros)*time.Microsecond, now
+	out.Cold, out.SeenAt = micros(r.ColdMicros), now
 	return &out
 }
 
@@ -265,6 +285,7 @@
 	s := &Snapshot{
 		Table: table, Revision: k.Revision, Runners: make(map[string]*Runner, len(k.Runners)),
 		ZonesOut: make(map[string]bool), ZonesBack: make(map[string]Return), Instances: make(map[string]Instance),
+		Lapsed: make(map[string]int64),
 	}
 	if k.Config != nil {
 		t, err := routing.NewTable(*k.Config)
@@ -275,9 +296,12 @@
 	}
 	for _, r := range k.Runners {
 		s.Runners[r.ID] = r.runner(now)
+		if r.LapsedAt > 0 {
+			s.Lapsed[r.ID] = r.LapsedAt
+		}
 	}
 	for _, b := range k.ZonesBack {
-		s.ZonesBack[b.Zone] = Return{Revision: b.Revision, SeenAt: now.Add(-time.Duration(b.AgoMicros) * time.Microsecond)}
+		s.ZonesBack[b.Zone] = Return{Revision: b.Revision, SeenAt: now.Add(-micros(b.AgoMicros))}
 	}
 	for _, z := range k.ZonesOut {
 		s.ZonesOut[z] = true
--- a/router/inventory/snapshot.go
+++ b/router/inventory/snapshot.go
@@ -56,6 +56,10 @@
 	Table *routing.Table
 	// Runners is by identifier.
 	Runners map[string]*Runner
+	// Lapsed has, of the runners, those whose descriptions were removed when the
+	// store had been away, with the revision of the removal. They are kept until
+	// it is clear whether they left.
+	Lapsed map[string]int64
 	// ZonesOut holds the zones whose runners get nothing new.
 	ZonesOut map[string]bool
 	// ZonesBack has the zones that were taken back.
