Don't let overtaken answers of the store bring runners back

What callers would see: calls to a runner that left, for as long as it still serves, with no removal to follow, since its removal is behind the revision from which the instance reads on.

A list, or changes, that were older than that put runners back and zones out again.

Test, red before: TestOvertakenAnswersBringNoRunnersBack, both cases (2 runners where 1 is left).

--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -255,9 +255,16 @@
 	}
 	f.hear(now, now)
 	old := f.current.Load()
-	if all {
+	switch {
+	case all && revision < old.Revision:
+		f.log.Info("list is older than what another instance told, reading again", "revision", revision, "known", old.Revision)
+		return
+	case all:
 		changes = append(changes, missing(old, changes, revision, now)...)
 		f.relist = false
+	default:
+		// What another instance told while the call waited may be newer.
+		changes = slices.DeleteFunc(changes, func(c Change) bool { return c.Revision <= old.Revision })
 	}
 	f.history.add(changes)
 	f.advance(old, f.lapses.mark(now, changes), revision)
--- a/router/inventory/follower_test.go
+++ b/router/inventory/follower_test.go
@@ -208,6 +208,39 @@
 	})
 }
 
+func TestOvertakenAnswersBringNoRunnersBack(t *testing.T) {
+	for name, s := range map[string]*script{
+		"list": {
+			lists: []step{{after: time.Second, changes: []inventory.Change{runner("left", 1), runner("stays", 2)}, revision: 2}},
+		},
+		"changes": {
+			lists: []step{{changes: []inventory.Change{runner("stays", 2)}, revision: 2}},
+			steps: []step{{after: time.Second, changes: []inventory.Change{runner("left", 3), {Revision: 4, ZoneOut: "z"}}, revision: 4}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				current := inventory.NewCurrent(clock.System())
+				f := inventory.NewFollower(clock.System(), s, current, hclog.NewNullLogger())
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan error, 1)
+				go func() { done <- f.Run(ctx) }()
+				rest(t, 600*time.Millisecond)
+				newer := map[string]*inventory.Runner{"stays": runner("stays", 2).Runner}
+				f.Adopt("other", &inventory.Snapshot{Revision: 6, Runners: newer}, confirmedNow())
+				rest(t, time.Second)
+				cancel()
+				is.NoErr(<-done)
+				is.Equal(len(current.Load().Runners), 1)
+				is.True(current.Load().Runners["stays"] != nil)
+				is.True(!current.Load().ZonesOut["z"])
+				is.Equal(current.Load().Revision, int64(6))
+			})
+		})
+	}
+}
+
 func TestOlderChangesOfOthersAreNotTaken(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
