Bound by the draining bound how old a view learned from others may be

What callers would see: calls to a runner that left more than 2 s ago, from an instance that nothing is wrong with, while the one that reads the store for its zone has lost the store without noticing.

Cause: an instance that follows another read the store itself only once its view was 2 s old, which is the whole bound on draining; the way of a call to its runner comes on top. A lead that has lost the store goes on answering.

Change: the age is the draining bound of the settings less the way of a call, and what leads tell is young enough for that by their own calls' waits, also while changes are gathered.

--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -25,9 +25,10 @@
 	// Tell returns what this instance took over after a mark, as a snapshot or,
 	// if all is known, as changes.
 	Tell(after mark) told
-	// Rest leaves the source alone until a time, as long as another instance
-	// tells what it reads there.
-	Rest(until time.Time)
+	// Rest leaves the source alone for a while, since another instance tells what
+	// it reads there, but no longer than until the view is too old. It reports
+	// whether that leaves time for another question.
+	Rest(d time.Duration) bool
 	// Refresh asks the source at once whether there are changes.
 	Refresh(ctx context.Context) error
 	// Failing returns for how long the source hasn't answered; zero if its last
@@ -49,12 +50,18 @@
 	// sharedWait is the same while other instances rely on this one's answers,
 	// which they get a little later.
 	sharedWait = 700 * time.Millisecond
+	// shortestWait bounds how often a call that other instances rely on is made.
+	shortestWait = 200 * time.Millisecond
 	// sharedFor is how long after a question other instances are taken to rely on
 	// this one.
 	sharedFor = 2 * time.Second
 	// staleAge is when the store is asked for an answer at once: less than the age
 	// up to which a view counts for limits that all share, by one call.
 	staleAge = 2 * time.Second
+	// defaultMaxAge is when the store is asked by an instance that another one
+	// tells: less than the usual bound on draining, by the way of a call to its
+	// runner.
+	defaultMaxAge = 1300 * time.Millisecond
 	// answerSlack is how long a call may take beyond its wait.
 	answerSlack = 700 * time.Millisecond
 	// listTimeout bounds the reading of all items.
@@ -68,10 +75,15 @@
 // WithPause sets how long changes are gathered before the next call.
 func WithPause(d time.Duration) FollowerOption { return func(f *follower) { f.pause = d } }
 
+// WithMaxAge sets how old the view may become by what another instance tells.
+func WithMaxAge(d time.Duration) FollowerOption {
+	return func(f *follower) { f.maxAge = max(d, 2*followEvery) }
+}
+
 // NewFollower returns a follower. The clock has to count the time for which the
 // machine was suspended.
 func NewFollower(clk clock.Clock, source Source, current *Current, log hclog.Logger, opts ...FollowerOption) Follower {
-	f := &follower{clk: clk, source: source, current: current, log: log, pause: defaultPause, doubted: make(chan struct{}, 1)}
+	f := &follower{clk: clk, source: source, current: current, log: log, pause: defaultPause, maxAge: defaultMaxAge, doubted: make(chan struct{}, 1)}
 	f.lapses.outage = defaultOutage
 	// Marks of an earlier process are of another epoch.
 	f.history.epoch = clk.Now().UnixNano()
@@ -87,6 +99,8 @@
 	current *Current
 	log     hclog.Logger
 	pause   time.Duration
+	// maxAge is how old the view may become by what another instance tells.
+	maxAge time.Duration
 	// doubted receives when removals may be lapses from now on; it has room for
 	// one.
 	doubted chan struct{}
@@ -105,10 +119,12 @@
 	asked time.Time
 }
 
-func (f *follower) Rest(until time.Time) {
+func (f *follower) Rest(d time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.rest = until
+	left := f.maxAge - f.current.Age()
+	f.rest = f.clk.Now().Add(min(d, left))
+	return left >= followEvery
 }
 
 // resting returns for how long the source is left alone.
@@ -122,11 +138,14 @@
 func (f *follower) wait() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	wait := defaultWait
+	wait, age := defaultWait, staleAge
 	if f.clk.Now().Sub(f.asked) < sharedFor {
-		wait = sharedWait
+		// Those that ask get along with the answer until they ask again, also
+		// while changes are gathered.
+		age = f.maxAge - followEvery
+		wait = max(shortestWait, min(sharedWait, age-f.pause))
 	}
-	return max(0, min(wait, staleAge-f.current.Age()))
+	return max(0, min(wait, age-f.current.Age()))
 }
 
 // told is what one instance tells another.
--- a/router/inventory/lead.go
+++ b/router/inventory/lead.go
@@ -125,7 +125,5 @@
 		return false
 	}
 	e.mark = k.Mark
-	age := e.current.Age()
-	e.follower.Rest(e.clk.Now().Add(min(restFor, staleAge-age)))
-	return age <= followAge
+	return e.follower.Rest(restFor)
 }
--- a/router/inventory/lead_test.go
+++ b/router/inventory/lead_test.go
@@ -58,8 +58,9 @@
 	reads atomic.Int64
 	// bytes counts those of its questions and answers.
 	bytes atomic.Int64
-	// refused lets the source fail, frozen lets others wait in vain.
-	refused, frozen atomic.Bool
+	// refused lets the source fail, silent lets it answer nothing, frozen lets
+	// others wait in vain, too.
+	refused, silent, frozen atomic.Bool
 }
 
 type fleet struct {
@@ -84,7 +85,7 @@
 
 func (n *node) Changes(ctx context.Context, after int64, wait time.Duration) ([]inventory.Change, int64, error) {
 	n.reads.Add(1)
-	if n.frozen.Load() {
+	if n.frozen.Load() || n.silent.Load() {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
@@ -99,6 +100,9 @@
 		case <-more:
 		case <-timer.Done():
 		}
+		if n.silent.Load() {
+			<-ctx.Done()
+		}
 		changes, revision, _ = n.fleet.log.after(after)
 	}
 	return changes, revision, ctx.Err()
@@ -309,6 +313,32 @@
 	}
 }
 
+// TestRunnersThatLeaveWhileALeadIsCutOffAreGoneForItsZone has a lead lose the
+// store without noticing, some time after its last change.
+func TestRunnersThatLeaveWhileALeadIsCutOffAreGoneForItsZone(t *testing.T) {
+	// onTheWay is what a call may take to its runner.
+	const onTheWay = 700 * time.Millisecond
+	for cutAfter := time.Duration(0); cutAfter < 1500*time.Millisecond; cutAfter += 50 * time.Millisecond {
+		t.Run(cutAfter.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, stop := newFleet(t, 3)
+				defer stop()
+				f.log.add(runner("r", 0))
+				rest(t, 5*time.Second)
+				lead := f.lead()
+				f.log.add(runner("s", 0))
+				rest(t, cutAfter+time.Millisecond)
+				lead.silent.Store(true)
+				f.log.add(inventory.Change{RunnerGone: "r"})
+				rest(t, inForce-onTheWay)
+				for _, n := range f.nodes {
+					is.New(t).True(n == lead || n.current.Load().Runners["r"] == nil)
+				}
+			})
+		})
+	}
+}
+
 // TestControlOfAZoneBound has zones of the size that the deployments have, and of
 // the target's 450 instances in 17 zones, before 1,500 runners: what an instance
 // spends on following the store doesn't grow with its zone.
--- a/router/inventory/peers.go
+++ b/router/inventory/peers.go
@@ -33,8 +33,6 @@
 	followEvery = 400 * time.Millisecond
 	// followTimeout bounds such a question: several round trips.
 	followTimeout = 250 * time.Millisecond
-	// followAge is how old what it tells may be; beyond, its successor is asked.
-	followAge = 1600 * time.Millisecond
 	// restFor is how long an answer lets the store alone: until the next answer
 	// is due, or its successor's.
 	restFor = followEvery + 2*followTimeout
