Look at a runner again once there is a connection to it

What callers would see: calls and batches at a runner up to 0.7 s later than its choice, also if it left meanwhile.

Cause: a runner was chosen, and then a connection opened, for which up to 0.7 s are allowed; nothing looked at the runner again before the request was written.

Change: exchanges ask, directly before the first byte, whether the runner is still usable; if not, the connection is kept, nothing is sent, and another runner is chosen, as if this one couldn't be reached but without holding that against it. The line of a call says how long the connection took.

Tests, red with the new look switched off: TestRunnersThatLeaveWhileTheyAreConnectedToGetNoCall (five routes) and TestRunnersThatLeaveWhileTheyAreConnectedToGetNoBatch; TestUnusableRunnersGetNothing for the exchange.

--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -24,11 +24,18 @@
 	// MaxIdle bounds the age of an idle connection that carries it; zero means
 	// that a new connection is opened.
 	MaxIdle time.Duration
+	// Usable reports, once there is a connection, whether the request may still be
+	// sent. Nil takes it for granted.
+	Usable func() bool
 	// Accept reports whether an answer belongs to this request. Answers that
 	// don't are dropped. Nil takes each answer.
 	Accept func(h http.Header) bool
 }
 
+// ErrUnusable is the cause of an exchange that wasn't made since its request may
+// no longer be sent.
+var ErrUnusable = errors.New("the runner takes no calls any more")
+
 // Error is the failure of an exchange.
 type Error struct {
 	// Sent is false if no byte of the request left for the runner.
@@ -116,6 +123,10 @@
 		}
 		c = fresh
 	}
+	if req.Usable != nil && !req.Usable() {
+		p.put(c)
+		return nil, &Error{Reused: c.used, Err: ErrUnusable}
+	}
 	ex := &exchange{pool: p, conn: c, written: make(chan error, 1)}
 	// Closing is the only way to end a read at once, and the runner drops the
 	// request with its connection.
--- a/router/link/exchange_test.go
+++ b/router/link/exchange_test.go
@@ -165,6 +165,20 @@
 	is.New(t).Equal(outcome(t, link.NewPool(), address), "failed, sent no")
 }
 
+func TestUnusableRunnersGetNothing(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok\x00")
+	pool := link.NewPool()
+	req := request()
+	req.Usable = func() bool { return false }
+	_, err := pool.Exchange(t.Context(), s.address, req)
+	var failed *link.Error
+	is.True(errors.As(err, &failed) && !failed.Sent && errors.Is(err, link.ErrUnusable))
+	is.Equal(outcome(t, pool, s.address), "1 OK ok, framed yes") // over the same connection
+	is.Equal(len(s.got), 1)
+	is.Equal(s.conns, 1)
+}
+
 // TestKeptConnectionThatClosedIsNotUsed has the server close an idle connection:
 // the next exchange must not lose its request on it.
 func TestKeptConnectionThatClosedIsNotUsed(t *testing.T) {
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -55,6 +55,9 @@
 	Inputs []string
 	// ResumeAfter is the last event that the caller has, or empty.
 	ResumeAfter string
+	// Usable reports, once there is a connection, whether the runner still takes
+	// new calls.
+	Usable func() bool
 	// Once forbids connections that may break before the runner answers.
 	Once bool
 }
@@ -82,6 +85,9 @@
 type Unanswered struct {
 	// Sent is false if nothing of the call left for the runner.
 	Sent bool
+	// Left is set if nothing was sent since the runner takes no new calls any
+	// more.
+	Left bool
 	Err  error
 }
 
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -208,9 +208,15 @@
 	d.Left = p.until.Sub(x.Clock.Now())
 	d.Once = p.once()
 	start := x.Clock.Now()
+	connected := start
+	d.Usable = func() bool {
+		connected = x.Clock.Now()
+		return x.Targets.MayUse(t)
+	}
 	a, err := x.Runners.Send(ctx, p.call, d)
 	now := x.Clock.Now()
 	switch {
+	case left(err):
 	case err != nil && ctx.Err() == nil:
 		t.Broke(now)
 	case err != nil && p.ctx.Err() == nil:
@@ -224,7 +230,7 @@
 	x.Meter.Sent(p.service, statusOf(a), now.Sub(start))
 	x.Log.Info("sent", "request", p.call.ID, "route", p.route.Name, "service", p.service, "team", p.team, "runner", d.Runner.ID,
 		"zone", d.Runner.Zone, "runnerRevision", d.Runner.Revision, "configuration", x.Current.Load().Table.Version(), "viewMillis", x.Current.Age().Milliseconds(),
-		"leftMillis", d.Left.Milliseconds(), "resumeAfter", d.ResumeAfter, "inputs", len(d.Inputs),
+		"connectedMillis", connected.Sub(start).Milliseconds(), "leftMillis", d.Left.Milliseconds(), "resumeAfter", d.ResumeAfter, "inputs", len(d.Inputs),
 		"tookMillis", now.Sub(start).Milliseconds(), "status", statusOf(a), "error", err)
 	return a, err
 }
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -101,9 +102,17 @@
 	done []act
 	// repeats stands for the fleet's budget; nil allows all.
 	repeats relay.Repeats
+	// connect is called while the connection to a runner is opened.
+	connect func(d relay.Dispatch)
 }
 
 func (f *fakeRunners) Send(ctx context.Context, _ *relay.Call, d relay.Dispatch) (*relay.Answer, error) {
+	if f.connect != nil {
+		f.connect(d)
+	}
+	if !d.Usable() {
+		return nil, &relay.Unanswered{Left: true, Err: errors.New("left")}
+	}
 	a := f.acts[min(len(f.done), len(f.acts)-1)]
 	f.done = append(f.done, a)
 	f.sent = append(f.sent, d)
@@ -252,6 +261,37 @@
 	})
 }
 
+func TestRunnersThatLeaveWhileTheyAreConnectedToGetNoCall(t *testing.T) {
+	for _, path := range []string{"/once/1", "/safe/1", "/single/1", "/stream/1", "/brief/1"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeRunners{acts: []act{good}}
+				if path == "/stream/1" || path == "/brief/1" {
+					f.acts = []act{stream(one, false)}
+				}
+				left := ""
+				w := play(t, path, f, &fakePieces{}, func(_ *relay.Call, current *inventory.Current) {
+					f.connect = func(d relay.Dispatch) {
+						if left != "" {
+							return
+						}
+						left = d.Runner.ID
+						s := *current.Load()
+						s.Runners = maps.Clone(s.Runners)
+						delete(s.Runners, left)
+						s.Revision++
+						current.Advance(&s)
+					}
+				})
+				is.Equal(w.Code, http.StatusOK)
+				is.Equal(len(f.sent), 1)
+				is.True(f.sent[0].Runner.ID != left)
+			})
+		})
+	}
+}
+
 // TestLongAnswersArePassedOnAsTheyCome plays answers beyond what is read whole.
 func TestLongAnswersArePassedOnAsTheyCome(t *testing.T) {
 	text := strings.Repeat("0123456789", 200_000)
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -96,7 +96,7 @@
 	ctx, stall := x.watchStream(p)
 	defer stall.stop()
 	a, err := x.send(ctx, p, t, Dispatch{Inputs: inputs, ResumeAfter: s.last})
-	if unreached(err) && ctx.Err() == nil {
+	if unreached(err) && !left(err) && ctx.Err() == nil {
 		place.Broke()
 	}
 	var unanswered *Unanswered
--- a/router/relay/tries.go
+++ b/router/relay/tries.go
@@ -50,3 +50,10 @@
 	var u *Unanswered
 	return errors.As(err, &u) && !u.Sent
 }
+
+// left reports whether a try was given up since its runner takes no calls any
+// more.
+func left(err error) bool {
+	var u *Unanswered
+	return errors.As(err, &u) && u.Left
+}
--- a/router/stage/piece.go
+++ b/router/stage/piece.go
@@ -114,9 +114,10 @@
 // Runners passes batches to runners.
 type Runners interface {
 	// Run makes the pieces and returns a result for each, in order. On an error
-	// there are no results; it tells whether the runner refused the batch as a
-	// whole.
-	Run(ctx context.Context, r *inventory.Runner, batch []Timed) (results []Result, refused bool, err error)
+	// there are no results; it tells whether the runner did nothing of the batch.
+	// Nothing is sent if the runner isn't usable any more once there is a
+	// connection.
+	Run(ctx context.Context, r *inventory.Runner, usable func() bool, batch []Timed) (results []Result, refused bool, err error)
 	// Room returns how many bytes of results still fit at the runner at most.
 	Room(ctx context.Context, r *inventory.Runner) (int64, error)
 	// Free gives results up.
--- a/router/stage/pool.go
+++ b/router/stage/pool.go
@@ -239,7 +239,8 @@
 	expected := limits.CallTime + time.Duration(len(batch))*limits.PieceTime
 	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(1+limits.Queue)*expected+callSlack)
 	defer cancel()
-	results, refused, err := p.runners.Run(ctx, t.Runner(), timed)
+	usable := func() bool { return slices.Contains(p.targets(), t) }
+	results, refused, err := p.runners.Run(ctx, t.Runner(), usable, timed)
 	p.log.Info("batch", "service", p.service, "runner", t.Runner().ID, "zone", t.Runner().Zone, "pieces", len(batch), "requests", callsOf(batch),
 		"waitedMillis", now.Sub(batch[0].since).Milliseconds(), "tookMillis", p.clk.Now().Sub(now).Milliseconds(), "viewMillis", age.Milliseconds(), "refused", refused, "error", err)
 	p.settle(t, limits, batch, results, refused, err)
--- a/router/stage/pool_test.go
+++ b/router/stage/pool_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,20 +25,43 @@
 type benches struct {
 	mu      sync.Mutex
 	batches []int
+	// reached has the runners of these batches.
+	reached []string
 	freed   []string
 	// fail makes the calls of a runner fail.
 	fail   map[string]bool
 	refuse map[string]bool
 	// slow is how many times as long as told calls take; 0 means once.
 	slow int
+	// leaves is a runner that leaves while the first connection to it is opened.
+	leaves  string
+	current *inventory.Current
 	// hang lets calls wait until they are given up.
 	hang    bool
 	results int
 }
 
-func (b *benches) Run(ctx context.Context, r *inventory.Runner, batch []Timed) ([]Result, bool, error) {
+// leave lets a runner drain in a view.
+func leave(current *inventory.Current, id string) {
+	s := *current.Load()
+	r := *s.Runners[id]
+	r.Draining = true
+	s.Runners = maps.Clone(s.Runners)
+	s.Runners[id] = &r
+	s.Revision++
+	current.Advance(&s)
+}
+
+func (b *benches) Run(ctx context.Context, r *inventory.Runner, usable func() bool, batch []Timed) ([]Result, bool, error) {
+	if r.ID == b.leaves {
+		leave(b.current, r.ID)
+	}
+	if !usable() {
+		return nil, true, errors.New("left")
+	}
 	b.mu.Lock()
 	b.batches = append(b.batches, len(batch))
+	b.reached = append(b.reached, r.ID)
 	fail, refuse := b.fail[r.ID], b.refuse[r.ID]
 	b.mu.Unlock()
 	if refuse {
@@ -94,6 +119,7 @@
 	set := target.NewSet(clock.System(), func(string, float64) float64 { return 1 }, time.Second)
 	current.Subscribe(set.Update)
 	current.Advance(s)
+	b.current = current
 	return NewPools(clock.System(), rules, current, set, b, hclog.NewNullLogger())
 }
 
@@ -259,6 +285,19 @@
 	})
 }
 
+func TestRunnersThatLeaveWhileTheyAreConnectedToGetNoBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &benches{leaves: "r0"}
+		w := testPools(t, b, 2)
+		for range 4 {
+			is.Equal(made(w.Make(t.Context(), testOrder("c", 16, 3*time.Second, 4*time.Second))), 16)
+		}
+		w.Close(t.Context())
+		is.True(!slices.Contains(b.reached, "r0"))
+	})
+}
+
 func TestAbandonedPiecesAreNotMade(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
