Ignore descriptions of a runner that are older than a known one

What callers would see: calls to a runner that said that it leaves, after a description that it had written before reached the store late.

Cause: descriptions were told apart by the store's revision alone, which is the order of their arrival; the count that runners put into them was not read.

Change: of one incarnation, a description with a lower count is not taken.

Test, red before: TestOlderDescriptionsOfTheSameStartAreNotTaken.

--- a/router/inventory/change.go
+++ b/router/inventory/change.go
@@ -67,7 +67,7 @@
 			s.Table = c.Table
 		}
 	case c.Runner != nil:
-		if old := s.Runners[c.Runner.ID]; (old == nil || old.Revision < c.Revision) && s.Lapsed[c.Runner.ID] < c.Revision {
+		if old := s.Runners[c.Runner.ID]; s.Lapsed[c.Runner.ID] < c.Revision && (old == nil || old.Revision < c.Revision && !old.follows(c.Runner)) {
 			s.Runners[c.Runner.ID] = c.Runner
 			delete(s.Lapsed, c.Runner.ID)
 		}
--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -355,6 +355,10 @@
 
 func (f *follower) reportRunner(old *Snapshot, c Change) {
 	was, r := old.Runners[c.Runner.ID], c.Runner
+	if was != nil && was.follows(r) {
+		f.log.Info("older description of a runner not taken", "runner", r.ID, "revision", c.Revision, "count", r.Count, "known", was.Count)
+		return
+	}
 	if was == nil || was.Draining != r.Draining || was.Born != r.Born {
 		f.log.Info("runner seen", "runner", r.ID, "service", r.Service, "zone", r.Zone, "draining", r.Draining,
 			"coldMillis", r.Cold.Milliseconds(), "revision", c.Revision, "viewRevision", old.Revision, "viewMillis", f.current.Age().Milliseconds())
--- a/router/inventory/follower_test.go
+++ b/router/inventory/follower_test.go
@@ -208,6 +208,24 @@
 	})
 }
 
+func TestOlderDescriptionsOfTheSameStartAreNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		described := func(id string, revision, born, count int64, draining bool) inventory.Change {
+			c := runner(id, revision)
+			c.Runner.Born, c.Runner.Count, c.Runner.Draining = born, count, draining
+			return c
+		}
+		s := &script{
+			lists: []step{{changes: []inventory.Change{described("late", 1, 7, 9, true), described("reborn", 2, 7, 9, true)}, revision: 2}},
+			steps: []step{{changes: []inventory.Change{described("late", 3, 7, 8, false), described("reborn", 4, 8, 1, false)}, revision: 4}},
+		}
+		current, _ := follow(t, s, 100*time.Millisecond)
+		is.True(current.Load().Runners["late"].Draining)
+		is.True(!current.Load().Runners["reborn"].Draining)
+	})
+}
+
 func TestOvertakenAnswersBringNoRunnersBack(t *testing.T) {
 	for name, s := range map[string]*script{
 		"list": {
--- a/router/inventory/snapshot.go
+++ b/router/inventory/snapshot.go
@@ -13,7 +13,9 @@
 type Runner struct {
 	ID string
 	// Born tells incarnations of the same ID apart; zero if it isn't known.
-	Born    int64
+	Born int64
+	// Count grows with the descriptions of one incarnation.
+	Count   int64
 	Service string
 	Address string
 	Zone    string
@@ -28,6 +30,12 @@
 	Revision int64
 }
 
+// follows reports whether the description is a later one of the same
+// incarnation than another. Descriptions may reach the store out of order.
+func (r *Runner) follows(other *Runner) bool {
+	return r.Born != 0 && r.Born == other.Born && r.Count > other.Count
+}
+
 // ColdAt reports whether the runner is cold at a time.
 func (r *Runner) ColdAt(now time.Time) bool { return r.Cold > 0 && now.Before(r.SeenAt.Add(r.Cold)) }
 
