Give answers without end up

Cause: heads, interim answers and answers to other calls were read without a bound; an event could only grow to 1 MB, but empty lines counted as events and as progress; what came in place of a stream, or with a failure, was cut at 1 MB and passed back as whole; orders drained the rest of an answer before they closed its connection.

Change: a head has 64 KB together with interim answers, a dropped answer 1 MB; comments and empty lines belong to the event after them, so that the bound on events and the watch for progress hold for them; long answers to failed calls and in place of streams count as failures; connections are closed first.

Tests, red before (ended by their timeouts or with a cut body): TestAnswersWithoutEndAreGivenUp in router/link (six ways) and router/relay (ten, seven of them tried on the old code, one of these green: an event that doesn't end was bounded). TestEmptyLinesAndCommentsArePassedOn holds that what is passed on stays the same.

--- a/router/link/conn.go
+++ b/router/link/conn.go
@@ -17,6 +17,7 @@
 type conn struct {
 	net.Conn
 	r       *bufio.Reader
+	source  *headReader
 	address string
 	// out has the request that is being written. Only the writer of the
 	// exchange in progress uses it.
@@ -29,7 +30,8 @@
 }
 
 func newConn(nc net.Conn, address string, idleLimit time.Duration) *conn {
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBuffer), address: address, idleLimit: idleLimit}
+	source := newHeadReader(nc)
+	return &conn{Conn: nc, r: bufio.NewReaderSize(source, readBuffer), source: source, address: address, idleLimit: idleLimit}
 }
 
 func (c *conn) close() { _ = c.Close() }
--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -184,6 +184,9 @@
 // head reads answers until one belongs to the request.
 func (ex *exchange) head(req *Request) (*Answer, error) {
 	method := &http.Request{Method: req.Method}
+	source := ex.conn.source
+	source.left = maxHead
+	defer func() { source.left = -1 }()
 	for dropped := 0; dropped <= maxSurplus; {
 		resp, err := http.ReadResponse(ex.conn.r, method)
 		if err != nil {
@@ -196,9 +199,11 @@
 			continue
 		}
 		if req.Accept != nil && !req.Accept(resp.Header) {
+			source.left = maxDropped
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 				return nil, err
 			}
+			source.left = maxHead
 			dropped++
 			continue
 		}
--- a/router/link/exchange_test.go
+++ b/router/link/exchange_test.go
@@ -31,7 +31,8 @@
 }
 
 // serve answers with raw bytes. A script that ends in "\x00" leaves the
-// connection open, one that ends in "\x01" resets it.
+// connection open, one that ends in "\x01" resets it; what follows "\x02" is
+// sent until the other side closes.
 func serve(t *testing.T, scripts ...string) *server {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -82,6 +83,10 @@
 		if n >= len(scripts) {
 			return
 		}
+		if begin, text, ok := strings.Cut(scripts[n], "\x02"); ok {
+			flood(c, begin, text)
+			return
+		}
 		text, reset := strings.CutSuffix(scripts[n], "\x01")
 		text, open := strings.CutSuffix(text, "\x00")
 		if _, err := io.WriteString(c, text); err != nil {
@@ -99,6 +104,14 @@
 	}
 }
 
+// flood sends a text until the connection is closed.
+func flood(c net.Conn, begin, text string) {
+	_, err := io.WriteString(c, begin)
+	for block := strings.Repeat(text, 1000); err == nil; {
+		_, err = io.WriteString(c, block)
+	}
+}
+
 func request() *link.Request {
 	return &link.Request{
 		Method: http.MethodPost, Target: "/run?q=1", Host: "h", Header: http.Header{"Id": {"1"}}, Body: []byte("body"),
@@ -273,3 +286,25 @@
 	mu.Unlock()
 	group.Wait()
 }
+
+func TestAnswersWithoutEndAreGivenUp(t *testing.T) {
+	for name, c := range map[string]struct{ begin, text string }{
+		"head without a line":    {"", "x"},
+		"one line":               {"HTTP/1.1 200 OK\r\nA: ", "x"},
+		"lines":                  {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"interim answers":        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"answer of another call": {"HTTP/1.1 200 OK\r\nId: 2\r\n\r\n", "x"},
+		"its chunks":             {"HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, c.begin+"\x02"+c.text)
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			_, err := link.NewPool().Exchange(ctx, s.address, request())
+			var failed *link.Error
+			is.True(errors.As(err, &failed) && failed.Sent)
+			is.NoErr(ctx.Err()) // given up before the call's time was over
+		})
+	}
+}
--- a/router/relay/events.go
+++ b/router/relay/events.go
@@ -10,46 +10,53 @@
 // maxEvent bounds one event of a stream.
 const maxEvent = 1 << 20
 
-var errTorn = errors.New("the stream ended inside an event")
+var (
+	errTorn      = errors.New("the stream ended inside an event")
+	errLongEvent = errors.New("an event doesn't end")
+)
 
 // eventReader splits a stream into its events.
 type eventReader struct {
 	r *bufio.Reader
 	// event is the one that is being read.
 	event []byte
+	// any is set once there was an event.
+	any bool
 }
 
 func newEventReader(r io.Reader) *eventReader { return &eventReader{r: bufio.NewReader(r)} }
 
 // next returns the next whole event together with the empty line that ends it,
-// and its identifier. The event is valid until the next call. The error is
-// io.EOF only where the stream ended between two events.
+// and its identifier. Comments and empty lines before an event belong to it. The
+// event is valid until the next call. The error is io.EOF only where the stream
+// ended between two events.
 func (e *eventReader) next() (event []byte, id string, err error) {
 	e.event = e.event[:0]
-	for {
-		line, err := e.r.ReadSlice('\n')
-		e.event = append(e.event, line...)
+	content := false
+	for begin := 0; ; {
+		part, err := e.r.ReadSlice('\n')
+		e.event = append(e.event, part...)
+		line := bytes.TrimRight(e.event[begin:], "\r\n")
 		switch {
 		case len(e.event) > maxEvent:
-			return nil, "", errors.New("an event is too long")
+			return nil, "", errLongEvent
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(e.event) > 0:
+		case errors.Is(err, io.EOF) && (content || begin < len(e.event)):
 			return nil, "", errTorn
+		case errors.Is(err, io.EOF) && len(e.event) > 0:
+			return e.event, "", nil
 		case err != nil:
 			return nil, "", err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 && ended(e.event) {
+		case len(line) == 0 && content:
+			e.any = true
 			return e.event, identifier(e.event), nil
 		}
+		content = content || (len(line) > 0 && line[0] != ':')
+		begin = len(e.event)
 	}
 }
 
-// ended reports whether the event's last line is empty.
-func ended(event []byte) bool {
-	return bytes.HasSuffix(event, []byte("\n\n")) || bytes.HasSuffix(event, []byte("\n\r\n")) || len(bytes.TrimRight(event, "\r\n")) == 0
-}
-
 // identifier returns the value of the event's id field, or "".
 func identifier(event []byte) string {
 	for line := range bytes.Lines(event) {
--- a/router/relay/plain.go
+++ b/router/relay/plain.go
@@ -106,6 +106,9 @@
 	}
 	a.Close()
 	cancel()
+	if err == nil && len(body) == maxWhole {
+		err = errLongFailure
+	}
 	if err != nil {
 		t.Failed(x.Clock.Now())
 		return attempt{err: &Unanswered{Sent: true, Err: err}}
@@ -148,6 +151,8 @@
 	}
 }
 
+var errLongFailure = errors.New("the answer to a failed call is too long")
+
 var errUnsealed = errors.New("the answer doesn't prove its origin")
 
 func errOr(err error) error {
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -511,3 +511,64 @@
 		is.Equal(play(t, "/none/1", f(), &fakePieces{}, age(3*time.Second, "")).Code, 503)
 	})
 }
+
+// without gives a text again and again, without end.
+type without struct {
+	text string
+	at   int
+}
+
+func (w *without) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = w.text[w.at]
+		w.at = (w.at + 1) % len(w.text)
+	}
+	return len(p), nil
+}
+
+func endless(status int, eventful bool, begin, text string) act {
+	return act{"endless", true, reply(status, "", func(a *relay.Answer) {
+		a.Events = eventful
+		a.Body = io.MultiReader(strings.NewReader(begin), &without{text: text})
+	})}
+}
+
+func TestAnswersWithoutEndAreGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		acts       []act
+		// status is negative for an answer that was broken off.
+		status int
+		body   string
+	}{
+		{"failure", "/once/1", []act{endless(500, false, "", "x")}, 502, ""},
+		{"failure, then an answer", "/safe/1", []act{endless(500, false, "", "x"), good}, 200, "answer"},
+		{"failure of a stream", "/stream/1", []act{endless(500, false, "", "x")}, 502, ""},
+		{"no stream", "/stream/1", []act{endless(200, false, "", "x")}, 502, ""},
+		{"event", "/stream/1", []act{endless(200, true, one+"data: ", "x")}, -200, one},
+		{"lines of an event", "/stream/1", []act{endless(200, true, one, "data: x\n")}, -200, one},
+		{"empty lines", "/stream/1", []act{endless(200, true, one, "\n")}, -200, one},
+		{"comments", "/stream/1", []act{endless(200, true, one, ": x\n\n")}, -200, one},
+		{"nothing but empty lines", "/stream/1", []act{endless(200, true, "", "\r\n")}, 502, ""},
+		{"empty lines, then another runner", "/resumable/1", []act{endless(200, true, one, "\n"), stream(two, false)}, 200, one + two},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := play(t, c.path, &fakeRunners{acts: c.acts}, &fakePieces{}, nil)
+				is.Equal(w.Code, c.status)
+				is.Equal(w.Body.String(), c.body)
+			})
+		})
+	}
+}
+
+func TestEmptyLinesAndCommentsArePassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		text := ": hello\n\n\n" + one + "\n\r\n: still here\n\n" + two + "\n: bye\n"
+		w := play(t, "/stream/1", &fakeRunners{acts: []act{stream(text, false)}}, &fakePieces{}, nil)
+		is.Equal(w.Code, http.StatusOK)
+		is.Equal(w.Body.String(), text)
+	})
+}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -129,10 +129,13 @@
 	if s.begun {
 		return fault.New(fault.RunnerFailed, "the runner answered %d to a stream that goes on", a.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole))
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
 	if err != nil {
 		return err
 	}
+	if len(body) > maxWhole {
+		return fault.New(fault.RunnerFailed, "the runner answered %d to a stream with more than %d bytes", a.Status, maxWhole)
+	}
 	if a.Status >= http.StatusInternalServerError && !p.once() {
 		return fault.New(fault.RunnerFailed, "the runner answered %d", a.Status)
 	}
@@ -151,10 +154,10 @@
 // pass passes events on as they come. It calls first at the first one.
 func (x *relay) pass(p *plan, t *target.Target, s *streamState, a *Answer, stall *stallWatch, first func()) error {
 	events := newEventReader(a.Body)
-	for n := 0; ; n++ {
+	for answered := false; ; {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
-			if n == 0 && !s.begun {
+			if !events.any && !s.begun {
 				return fault.New(fault.RunnerFailed, "the stream has no event")
 			}
 			p.status, p.events = http.StatusOK, s.events
@@ -166,7 +169,11 @@
 			}
 			return err
 		}
-		if n == 0 {
+		if !events.any {
+			continue
+		}
+		if !answered {
+			answered = true
 			first()
 			x.Log.Info("first event", "request", p.call.ID, "runner", t.Runner().ID, "resumed", s.begun,
 				"afterMillis", x.Clock.Now().Sub(p.call.Arrived).Milliseconds())
--- a/router/runner/once.go
+++ b/router/runner/once.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"net"
@@ -11,6 +10,7 @@
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/router/link"
 )
 
 // RunOnce sends an attempt that may not be repeated. The request is encoded and
@@ -38,7 +38,7 @@
 	if n, err := conn.Write(data); err != nil {
 		return none, unsent(err, to, n)
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), httpReq)
+	resp, err := link.ReadAnswer(conn, httpReq)
 	if err != nil {
 		return none, fault.Wrap(fault.OutcomeUnknown, err, "no answer from runner %s", to.ID)
 	}
--- a/router/runner/orders.go
+++ b/router/runner/orders.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -12,6 +11,7 @@
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/runnerapi"
+	"cicadawell.dev/router/link"
 )
 
 // maxStateBytes bounds a runner's state.
@@ -83,11 +83,15 @@
 	if n, err := conn.Write(data.Bytes()); err != nil {
 		return none, unsent(err, to, n)
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	resp, err := link.ReadAnswer(conn, req)
 	if err != nil {
 		return none, fault.Wrap(fault.OutcomeUnknown, err, "no answer from runner %s", to.ID)
 	}
-	defer func() { _ = resp.Body.Close() }()
+	defer func() {
+		// Closing the body reads it to its end, unless its connection is closed.
+		resetConn(conn)
+		_ = resp.Body.Close()
+	}()
 	return readState(resp, to)
 }
 
