--- a/router/inventory/change.go
+++ b/router/inventory/change.go
@@ -67,14 +67,9 @@
 			s.Table = c.Table
 		}
 	case c.Runner != nil:
-		if old := s.Runners[c.Runner.ID]; s.Lapsed[c.Runner.ID] < c.Revision && (old == nil || old.Revision < c.Revision && !old.follows(c.Runner)) {
-			s.Runners[c.Runner.ID] = c.Runner
-			delete(s.Lapsed, c.Runner.ID)
-		}
+		s.describe(c)
 	case c.RunnerGone != "":
-		if old := s.Runners[c.RunnerGone]; old != nil && old.Revision < c.Revision {
-			s.remove(c)
-		}
+		s.remove(c)
 	case c.ZoneOut != "":
 		s.ZonesOut[c.ZoneOut] = true
 	case c.ZoneBack != "":
@@ -87,9 +82,26 @@
 	}
 }
 
+// describe takes a runner's description over, unless it is older than what is
+// known.
+func (s *Snapshot) describe(c Change) {
+	id := c.Runner.ID
+	if old := s.Runners[id]; old != nil && (old.Revision >= c.Revision || old.follows(c.Runner)) {
+		return
+	}
+	if s.Lapsed[id] < c.Revision {
+		s.Runners[id] = c.Runner
+		delete(s.Lapsed, id)
+	}
+}
+
 // remove takes a runner out, or notes that its description may have lapsed.
 func (s *Snapshot) remove(c Change) {
-	if c.Lapsed {
+	old := s.Runners[c.RunnerGone]
+	switch {
+	case old == nil || old.Revision >= c.Revision:
+		return
+	case c.Lapsed:
 		s.Lapsed[c.RunnerGone] = max(s.Lapsed[c.RunnerGone], c.Revision)
 		return
 	}
