Add a fault soak of real processes

standin soak draws a plan of overlapping faults of sixteen kinds from a seed (routers killed, paused, stopped and replaced; the store down, slow, losing writes, silent; runners that drop, refuse, are slow, cold, silent; zones and runners taken out; rolls), plays it to a fleet under five classes of traffic, and judges by the records of callers and runners.

scene.Scene may start routers while others are listed.

--- a/Makefile
+++ b/Makefile
@@ -56,9 +56,10 @@
 measure: build
 	bin/standin measure all --bin bin
 
-soak:
+soak: build
 	@echo "seed $(SOAK_SEED)"
 	go test -count=1 -run 'Property' $(PROPERTIES) -args -rapid.seed=$(SOAK_SEED) -rapid.checks=3000
+	bin/standin soak --seed $(SOAK_SEED) --seeds 5
 
 clean:
 	rm -rf bin out
--- a/standin/main.go
+++ b/standin/main.go
@@ -17,6 +17,7 @@
 	"cicadawell.dev/standin/measure"
 	"cicadawell.dev/standin/platform"
 	"cicadawell.dev/standin/runner"
+	"cicadawell.dev/standin/soak"
 	"github.com/alecthomas/kingpin/v2"
 )
 
@@ -33,6 +34,7 @@
 	addDemo(app, actions)
 	addMeasure(app, actions)
 	addCapacity(app, actions)
+	addSoak(app, actions)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if err := actions[name](context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
@@ -135,3 +137,20 @@
 		return capacity.Run(ctx, cfg)
 	}
 }
+
+func addSoak(app *kingpin.Application, actions map[string]func(context.Context) error) {
+	cfg := soak.Config{Out: os.Stdout, Clock: clock.System()}
+	seeds := 1
+	cmd := app.Command("soak", "Play seeded plans of overlapping faults to a fleet under traffic, and check its promises.")
+	cmd.Flag("bin", "Folder with the programs router, ctl and standin.").Default("bin").StringVar(&cfg.Bin)
+	cmd.Flag("seed", "Seed of the first plan.").Default("1").Uint64Var(&cfg.Seed)
+	cmd.Flag("seeds", "How many seeds are played one after the other.").Default("1").IntVar(&seeds)
+	cmd.Flag("for", "How long faults begin.").Default("15s").DurationVar(&cfg.Faults)
+	cmd.Flag("size", "Size of the fleet.").Default("demo").EnumVar(&cfg.Size, "demo", "taxiline", "loimekoda")
+	cmd.Flag("routers", "Number of routers; 0 is that of the size.").Default("4").IntVar(&cfg.Routers)
+	actions[cmd.FullCommand()] = func(ctx context.Context) error {
+		ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+		defer stop()
+		return soak.RunAll(ctx, cfg, seeds)
+	}
+}
--- a/standin/scene/scene.go
+++ b/standin/scene/scene.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"cicadawell.dev/fleet/bundle"
@@ -37,6 +38,11 @@
 
 	bin string
 	dir string
+
+	// mu guards Routers while some are started; the list only grows.
+	mu sync.Mutex
+	// named is how many routers have a name.
+	named int
 }
 
 // Start starts a fleet with the programs of the folder bin, and rolls its
@@ -143,7 +149,10 @@
 // StartRouter starts one more router, in the next zone.
 func (s *Scene) StartRouter(ctx context.Context) (*Process, error) {
 	const anyPort = "127.0.0.1:0"
-	n := len(s.Routers)
+	s.mu.Lock()
+	n := s.named
+	s.named++
+	s.mu.Unlock()
 	cfg := settings{ID: fmt.Sprintf("router%d", n+1), Zone: zone(n % s.Plan.Zones), Policy: s.Plan.Policy}
 	cfg.Listen.Callers, cfg.Listen.Operators, cfg.Listen.Instances = anyPort, anyPort, anyPort
 	address := s.Platform.Address
@@ -161,7 +170,9 @@
 	}
 	p, err := StartProcess(ctx, s.dir, cfg.ID, s.program("router"), "serve", file)
 	if err == nil {
+		s.mu.Lock()
 		s.Routers = append(s.Routers, p)
+		s.mu.Unlock()
 	}
 	return p, err
 }
@@ -224,6 +235,8 @@
 
 // Live returns the routers that run.
 func (s *Scene) Live() []*Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return slices.DeleteFunc(slices.Clone(s.Routers), (*Process).Ended)
 }
 
--- /dev/null
+++ b/standin/soak/soak_test.go
@@ -0,0 +1,76 @@
+package soak
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/fleet/golden"
+	"cicadawell.dev/standin/load"
+	"cicadawell.dev/standin/runner"
+	"github.com/matryer/is"
+)
+
+func TestPlanOfASeed(t *testing.T) {
+	var text strings.Builder
+	for _, f := range NewPlan(7, 8*time.Second) {
+		text.WriteString(f.String() + "\n")
+	}
+	golden.Check(t, "testdata/plan.txt", text.String())
+}
+
+// sound returns what is seen of a soak in which all promises are kept.
+func sound(at time.Time) seen {
+	return seen{
+		records: []runner.Record{{Runner: "r", Zone: "z", Runs: []runner.Run{
+			{Team: "t", Key: "ran", Request: "1", From: "router1", At: at},
+		}}},
+		during: &load.Result{Classes: []*load.ClassResult{{Name: "booking", Sent: 2, Met: 1, Calls: []load.Once{
+			{Team: "t", Key: "ran", Outcome: fault.Run}, {Team: "t", Key: "refused", Outcome: fault.NotRun, NotRun: []string{"2"}},
+		}}}},
+		after: &load.Result{Classes: []*load.ClassResult{{Name: "booking", Sent: 100, Met: 90, Late: 10}}},
+	}
+}
+
+// TestBrokenPromisesAreFound breaks one promise at a time.
+func TestBrokenPromisesAreFound(t *testing.T) {
+	now := time.Unix(100, 0)
+	run := func(s *seen) *runner.Run { return &s.records[0].Runs[0] }
+	for name, c := range map[string]struct {
+		change func(s *seen)
+		want   string
+	}{
+		"kept":                  {func(*seen) {}, ""},
+		"run twice":             {func(s *seen) { s.records[0].Runs = append(s.records[0].Runs, *run(s)) }, "1 run twice"},
+		"refused and run":       {func(s *seen) { run(s).Request = "2" }, "1 falsely not run"},
+		"answered and not run":  {func(s *seen) { run(s).Key = "other" }, "1 falsely run"},
+		"wrong answer":          {func(s *seen) { s.during.Classes[0].Wrong = []string{"crossed"} }, "wrong answer: crossed"},
+		"not served afterwards": {func(s *seen) { s.after.Classes[0].Met = 80 }, "90 of 100 calls served"},
+		"zone out":              {func(s *seen) { s.outs = []out{{zone: "z", from: now.Add(-time.Minute), to: now.Add(time.Second)}} }, "runner r got a run"},
+		"runner out":            {func(s *seen) { s.outs = []out{{runner: "r", from: now.Add(-time.Minute), to: now.Add(time.Second)}} }, "runner r got a run"},
+		"just taken out":        {func(s *seen) { s.outs = []out{{zone: "z", from: now.Add(-outLimit), to: now.Add(time.Second)}} }, ""},
+		"back before":           {func(s *seen) { s.outs = []out{{zone: "z", from: now.Add(-time.Minute), to: now}} }, ""},
+		"by a router that stood still": {func(s *seen) {
+			s.outs = []out{{zone: "z", from: now.Add(-time.Minute), to: now.Add(time.Second)}}
+			s.pauses = []pause{{router: "router1", from: now.Add(-5 * time.Second), to: now.Add(-time.Second)}}
+		}, ""},
+		"by another one": {func(s *seen) {
+			s.outs = []out{{zone: "z", from: now.Add(-time.Minute), to: now.Add(time.Second)}}
+			s.pauses = []pause{{router: "router2", from: now.Add(-5 * time.Second), to: now.Add(-time.Second)}}
+		}, "runner r got a run"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := sound(now)
+			c.change(&s)
+			_, broken := s.broken()
+			if c.want == "" {
+				is.Equal(len(broken), 0)
+				return
+			}
+			is.Equal(len(broken), 1)
+			is.True(strings.Contains(broken[0].Error(), c.want))
+		})
+	}
+}
