--- a/router/inventory/lapse.go
+++ b/router/inventory/lapse.go
@@ -97,8 +97,8 @@
 	return out
 }
 
-// carry takes over from an older snapshot, as lapsed, the runners that this one
-// lacks, and returns this one. It is not in use yet.
+// carry returns the snapshot with the runners of an older one that it lacks, as
+// lapsed.
 func (s *Snapshot) carry(old *Snapshot) *Snapshot {
 	next := s.with(nil, s.Revision)
 	for id, r := range old.Runners {
--- a/router/inventory/lapse_test.go
+++ b/router/inventory/lapse_test.go
@@ -136,7 +136,8 @@
 				s := &script{
 					lists: []step{{changes: []inventory.Change{runner("r", 1)}, revision: 1}},
 					steps: []step{
-						{after: 1500 * time.Millisecond, err: errAway}, {after: 1500 * time.Millisecond, err: errAway},
+						{after: 1500 * time.Millisecond, err: errAway},
+						{after: 1500 * time.Millisecond, err: errAway},
 						{changes: []inventory.Change{gone("r", 2)}, revision: 2},
 					},
 				}
