Let half of an even view bring the next one into effect

Cause: two of four routers left while the store was slow and lost writes, and ended without having left the view. The next view waited for a majority of the one before, three of four, of which two were left, and so for the limit on promises of 10 min. Logs: 'view changed' with effective false at epoch 9, and no 'view in effect' for 23 s.

Change: it waits for so many acknowledgements that the members without any are no majority, which could go on promising: half of an even view, as before a majority of an odd one.

Why it is safe: a hold by promises has a majority of them, one of which is of a member that acknowledged, which it does only after its promises ran out.

--- a/router/roster/hold/effect.go
+++ b/router/roster/hold/effect.go
@@ -27,13 +27,14 @@
 // hold in it was renewed last either by a store read that began before the view
 // was written, or by a majority of promises, each of which is owed by a member
 // that acknowledges only when it has run out, at most Limit after such a read.
+// Every majority has a member among so many that the others are none.
 func (m *machine) inEffect(now time.Time) bool {
 	since := now.Sub(m.seen)
 	t := m.timing
 	switch {
 	case m.released.len() == len(m.view.Prior):
 		return true
-	case since >= t.Stretch(t.Hold) && m.acked.len() >= majorityOf(len(m.view.Prior)):
+	case since >= t.Stretch(t.Hold) && m.acked.len() >= blockingOf(len(m.view.Prior)):
 		return true
 	default:
 		return since >= t.Stretch(t.Hold+t.limit(len(m.view.Prior)))
--- a/router/roster/hold/rules_test.go
+++ b/router/roster/hold/rules_test.go
@@ -87,3 +87,18 @@
 	is.True(!b.State(after(3 * time.Second)).Effective)
 	is.True(b.State(after(3100 * time.Millisecond)).Effective)
 }
+
+func TestLossOfHalfOfAnEvenViewDoesNotWaitForTheLimit(t *testing.T) {
+	is := is.New(t)
+	all := append(append([]hold.Member(nil), first...), hold.Member{ID: "d", Incarnation: "1"})
+	four := hold.View{Epoch: 1, Members: all, Settled: true}
+	next := four.WithMembers(all[:2])
+	a := hold.New(all[0], hold.DefaultTiming())
+	a.Read(origin, origin, hold.Read{View: four, Revision: 1})
+	a.Read(origin, origin, hold.Read{View: next, Revision: 2})
+	late := after(3100 * time.Millisecond)
+	is.True(!a.State(late).Effective) // one of four leaves a majority that may promise
+	ask, _ := a.Round(late)
+	a.Replied(late, hold.Reply{From: all[1], Round: ask.Round, Epoch: 2, Acked: true})
+	is.True(a.State(late).Effective)
+}
--- a/router/roster/hold/view.go
+++ b/router/roster/hold/view.go
@@ -58,6 +58,9 @@
 // majorityOf returns how many of n members are more than half.
 func majorityOf(n int) int { return n/2 + 1 }
 
+// blockingOf returns how many of n members leave no majority without them.
+func blockingOf(n int) int { return n - majorityOf(n) + 1 }
+
 // Slots is the number of parts into which the keys are divided.
 const Slots = 1024
 
