Don't let a silent store hold a planned stop up

Cause: a leaving instance first ends its lease. The store had gone silent before the SIGTERM and the call waited for an answer through the whole grace, so that callers' connections were never closed in order.

Change: ending the lease has the bound of other calls of the registration.

Test, red before: TestLeavingDoesNotWaitForASilentStore. Another test of the package takes a context from outside of its bubble, as the code now derives one from it.

--- a/router/membership/membership.go
+++ b/router/membership/membership.go
@@ -26,7 +26,8 @@
 type Member interface {
 	// Run registers and renews until ctx ends.
 	Run(ctx context.Context) error
-	// Leave ends the registration.
+	// Leave ends the registration, or lets it lapse if the store doesn't answer
+	// soon.
 	Leave(ctx context.Context) error
 	// Count returns how many instances may be at work, at least 1, and false
 	// while that isn't known well enough for limits that must not be exceeded.
@@ -163,5 +164,7 @@
 	if lease == 0 {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	return m.registry.End(ctx, lease)
 }
--- a/router/membership/membership_test.go
+++ b/router/membership/membership_test.go
@@ -26,6 +26,8 @@
 	register []int64
 	renewed  int
 	away     bool
+	// silent lets the end of a lease wait for an answer in vain.
+	silent bool
 }
 
 var errAway = errors.New("away")
@@ -60,7 +62,14 @@
 	return nil
 }
 
-func (r *registry) End(_ context.Context, lease int64) error {
+func (r *registry) End(ctx context.Context, lease int64) error {
+	r.mu.Lock()
+	silent := r.silent
+	r.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.ended[lease] = true
@@ -151,13 +160,29 @@
 		is := is.New(t)
 		w.see(t)
 		sleep(time.Second)
-		is.NoErr(w.member.Leave(t.Context()))
+		is.NoErr(w.member.Leave(context.Background()))
 		w.registry.set(func() { is.True(w.registry.ended[1]) })
 		sleep(10 * time.Second)
 		is.Equal(w.registry.registered(), []int64{1})
 	})
 }
 
+func TestLeavingDoesNotWaitForASilentStore(t *testing.T) {
+	run(t, func(w *world) {
+		is := is.New(t)
+		w.see(t)
+		sleep(2 * time.Second)
+		w.registry.set(func() { w.registry.silent = true })
+		const grace = 7500 * time.Millisecond
+		ctx, cancel := context.WithTimeout(context.Background(), grace)
+		defer cancel()
+		start := clock.System().Now()
+		is.True(w.member.Leave(ctx) != nil)
+		is.True(clock.System().Now().Sub(start) < time.Second) // the rest is for the calls under way
+		is.NoErr(ctx.Err())
+	})
+}
+
 func TestSharesCountOnlyOnASettledView(t *testing.T) {
 	run(t, func(w *world) {
 		is := is.New(t)
