--- a/standin/soak/faults.go
+++ b/standin/soak/faults.go
@@ -102,13 +102,17 @@
 func (r *run) fault(ctx context.Context, p *scene.Process, f Fault, begin func(*endpoint.Faults)) error {
 	var x endpoint.Faults
 	begin(&x)
-	if err := p.Fault(ctx, x); err != nil {
+	// Another fault may silence the connection of the order for this one.
+	set := func(x endpoint.Faults) error {
+		return r.insist(ctx, f.String(), func() error { return p.Fault(ctx, x) })
+	}
+	if err := set(x); err != nil {
 		return err
 	}
 	if err := r.cfg.Clock.Sleep(ctx, f.For); err != nil {
 		return err
 	}
-	return p.Fault(ctx, endpoint.Faults{})
+	return set(endpoint.Faults{})
 }
 
 // runnerID returns the runner that a fault befalls.
@@ -135,6 +139,10 @@
 // order gives an order to operators' interfaces, and takes it back. Orders may
 // fail while faults last; one that can't be taken back is tried again.
 func (r *run) order(ctx context.Context, f Fault, o out, begin, end []string) error {
+	if !r.takeOut(o) {
+		return nil
+	}
+	defer r.takenBack(o)
 	err := r.ctl(ctx, begin)
 	if err != nil {
 		r.say("not ordered: %v: %v", begin, err)
@@ -150,6 +158,23 @@
 	return r.insist(ctx, fmt.Sprint(end), func() error { return r.ctl(ctx, end) })
 }
 
+// takeOut reports whether nothing has taken the same zone or runner out already:
+// the end of one order would end the other too.
+func (r *run) takeOut(o out) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.gone[o] {
+		return false
+	}
+	r.gone[o] = true
+	return true
+}
+
+func (r *run) takenBack(o out) {
+	o.from, o.to = time.Time{}, time.Time{}
+	r.note(func() { delete(r.gone, o) })
+}
+
 // note changes what the soak is judged by.
 func (r *run) note(change func()) {
 	r.mu.Lock()
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -54,6 +54,8 @@
 	mu      sync.Mutex
 	// taken has the routers that a fault befalls now.
 	taken map[*scene.Process]bool
+	// gone has what is taken out now, without times.
+	gone map[out]bool
 	// outs and pauses are those that have ended.
 	outs   []out
 	pauses []pause
@@ -87,7 +89,7 @@
 		size.Routers = cfg.Routers
 	}
 	s, err := scene.Start(ctx, cfg.Bin, size)
-	r := &run{cfg: cfg, scene: s, taken: make(map[*scene.Process]bool)}
+	r := &run{cfg: cfg, scene: s, taken: make(map[*scene.Process]bool), gone: make(map[out]bool)}
 	if err == nil {
 		err = r.soak(ctx, plan)
 	}
