--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	@bad=$$($(GOFUMPT) -l $(MODULES)); if [ -n "$$bad" ]; then echo "gofumpt: $$bad"; exit 1; fi
 
 lint: $(LINT)
-	@set -e; for m in $(MODULES); do (cd $$m && $(LINT) run --config ../.golangci.yml ./...); done
+	@set -e; for m in $(MODULES); do (cd $$m && $(LINT) run --allow-parallel-runners --config ../.golangci.yml ./...); done
 
 # Rules of this repository that no linter knows.
 rules:
--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -108,7 +108,8 @@
 	mu sync.Mutex
 	// failingSince is zero while the source answers.
 	failingSince time.Time
-	lapses       lapses
+	// lapses tells whether removals of runners may be lapses.
+	lapses lapses
 	// relist is set when the history after the snapshot is lost.
 	relist bool
 	// history has what was taken over last.
@@ -140,8 +141,8 @@
 	defer f.mu.Unlock()
 	wait, age := defaultWait, staleAge
 	if f.clk.Now().Sub(f.asked) < sharedFor {
-		// Those that ask get along with the answer until they ask again, also
-		// while changes are gathered.
+		// Young enough that the view of those that ask doesn't get too old before
+		// their next question, also while changes are gathered.
 		age = f.maxAge - followEvery
 		wait = max(shortestWait, min(sharedWait, age-f.pause))
 	}
@@ -394,7 +395,8 @@
 	f.vouch(from, standing, now)
 	old := f.current.Load()
 	changes = slices.DeleteFunc(changes, func(c Change) bool {
-		// Removals are told in the order in which another instance read them.
+		// An older removal does no harm, since it is compared with the runner's
+		// own revision.
 		return c.Revision <= old.Revision && c.RunnerGone == ""
 	})
 	if len(changes) > 0 || revision > old.Revision {
