Divide services by the size of the whole fleet

Cause: whether a service is divided depended on its own usable runners. A zone that loses its last runner of a service while calls are under way had their orders scheduled by an owner of the whole service, beside the owners of the other zones.

Change: a fleet of more than 200 usable runners divides each service that has three in a zone on average, and work of a zone without runners goes to another zone's shard.

--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -516,12 +516,12 @@
 	}
 }
 
-// addMakers adds six runners of the service of all stages in each of six zones, so
+// addMakers adds forty runners of the service of all stages in each of six zones, so
 // that it is divided by zone.
 func addMakers(_ *relay.Call, current *inventory.Current) {
 	s := *current.Load()
 	s.Runners = maps.Clone(s.Runners)
-	for i := range 36 {
+	for i := range 240 {
 		id := fmt.Sprint("p", i)
 		s.Runners[id] = &inventory.Runner{ID: id, Service: "p", Zone: fmt.Sprint("zone", i%6), Slots: 1}
 	}
--- a/router/shard/balancer_test.go
+++ b/router/shard/balancer_test.go
@@ -22,7 +22,7 @@
 
 func TestCallsLeaveTheirZoneWhenWaitsOutweighIt(t *testing.T) {
 	is := is.New(t)
-	b, clk := newBalancer(t, fleet{"s": even(6, 6)})
+	b, clk := newBalancer(t, large())
 	c := shard.Choice{Key: "part", Services: []string{"s"}, MoveCost: 100 * time.Millisecond}
 	home := b.Choose(c)
 	is.True(home != "")
@@ -42,7 +42,7 @@
 	is := is.New(t)
 	b, _ := newBalancer(t, fleet{"s": even(2, 2)})
 	is.Equal(b.Choose(shard.Choice{Key: "part", Services: []string{"s"}}), "")
-	b, _ = newBalancer(t, fleet{"s": even(6, 6)}, shard.WithZones(false))
+	b, _ = newBalancer(t, large(), shard.WithZones(false))
 	is.Equal(b.Choose(shard.Choice{Key: "part", Services: []string{"s"}}), "")
 }
 
@@ -50,7 +50,7 @@
 // runners of one zone bear, with queues that grow and drain by what was chosen.
 func TestPopularKeyIsSpread(t *testing.T) {
 	is := is.New(t)
-	b, clk := newBalancer(t, fleet{"s": even(6, 6)})
+	b, clk := newBalancer(t, large())
 	const (
 		step     = 10 * time.Millisecond
 		perCall  = 12 * time.Millisecond // how much one call adds to the wait of its zone
--- a/router/shard/layout.go
+++ b/router/shard/layout.go
@@ -11,16 +11,14 @@
 )
 
 const (
-	// maxStageRunners and maxEngines are the numbers of runners up to which a single
-	// owner schedules all runners of a service. The messages of an owner grow with
-	// the runners; a runner of a stage causes several times as many as an engine,
-	// because its calls are shorter.
-	maxStageRunners = 24
-	maxEngines      = 100
+	// maxRunners is the number of runners of all services up to which one owner
+	// schedules a whole service. The messages of owners grow with the runners. The
+	// sum over all services changes little when one service loses runners, which is
+	// when its owner is busiest.
+	maxRunners = 200
 	// minPerZone is the mean number of runners in a zone from which a service is
-	// divided by zone. With fewer, a piece waits noticeably longer for an idle runner
-	// of its zone than for any idle runner.
-	minPerZone = 5
+	// divided. With fewer, the loss of a runner leaves a zone with hardly any.
+	minPerZone = 3
 )
 
 // Layout is the division of all services into shards. It depends only on the
@@ -37,12 +35,16 @@
 	if s.Table == nil {
 		return l
 	}
-	for service, byZone := range countUsable(s) {
+	counts, all := countUsable(s)
+	if all <= maxRunners {
+		return l
+	}
+	for service, byZone := range counts {
 		total := 0
 		for _, n := range byZone {
 			total += n
 		}
-		if total <= maxRunners(s.Table.Service(service)) || total < minPerZone*len(byZone) || len(byZone) < 2 {
+		if !hasOwner(s.Table.Service(service)) || total < minPerZone*len(byZone) || len(byZone) < 2 {
 			continue
 		}
 		l.shares[service] = make(map[string]float64, len(byZone))
@@ -53,9 +55,10 @@
 	return l
 }
 
-// countUsable counts the runners that accept new calls by service and zone.
-func countUsable(s *inventory.Snapshot) map[string]map[string]int {
-	counts := make(map[string]map[string]int)
+// countUsable counts the runners that accept new calls, by service and zone and in
+// all.
+func countUsable(s *inventory.Snapshot) (counts map[string]map[string]int, all int) {
+	counts = make(map[string]map[string]int)
 	for _, r := range s.Runners {
 		if r.Draining || s.ZonesOut[r.Zone] {
 			continue
@@ -64,32 +67,30 @@
 			counts[r.Service] = make(map[string]int)
 		}
 		counts[r.Service][r.Zone]++
+		all++
 	}
-	return counts
+	return counts, all
 }
 
-// maxRunners returns the number of runners up to which one owner schedules a
-// service. Services without pieces and engines have no owners.
-func maxRunners(svc *routing.Service) int {
-	switch {
-	case svc == nil:
-	case svc.Engine != nil:
-		return maxEngines
-	case svc.Batches != nil:
-		return maxStageRunners
-	}
-	return math.MaxInt
+// hasOwner reports whether an owner schedules a service: its runners make pieces or
+// are engines.
+func hasOwner(svc *routing.Service) bool {
+	return svc != nil && (svc.Engine != nil || svc.Batches != nil)
 }
 
 // Divided reports whether a service has a shard for each zone.
 func (l *Layout) Divided(service string) bool { return l.shares[service] != nil }
 
-// Of returns the shard of a service whose runners are in a zone. It is the whole
-// service if that isn't divided, or has no usable runner in the zone.
+// Of returns the shard of a service that does the work of a zone: the whole service
+// if that isn't divided, and otherwise the shard of the zone, or that of another
+// zone if it has no usable runner.
 func (l *Layout) Of(service, zone string) Shard {
-	if l.shares[service][zone] == 0 {
+	if !l.Divided(service) {
 		return Whole(service)
 	}
+	if l.shares[service][zone] == 0 {
+		zone = l.RankZones(zone, []string{service})[0]
+	}
 	return Shard{Service: service, Zone: zone}
 }
 
--- a/router/shard/layout_test.go
+++ b/router/shard/layout_test.go
@@ -48,51 +48,50 @@
 	return out
 }
 
-func TestOnlyLargeServicesAreDivided(t *testing.T) {
+func TestServicesOfLargeFleetsAreDivided(t *testing.T) {
 	for name, c := range map[string]struct {
 		fleet fleet
 		want  bool
 	}{
-		"few runners":            {fleet{"s": even(4, 2)}, false},
-		"one owner is enough":    {fleet{"s": even(4, 6)}, false},
-		"many runners":           {fleet{"s": even(6, 6)}, true},
-		"many thin zones":        {fleet{"s": even(17, 2)}, false},
-		"one zone":               {fleet{"s": even(1, 60)}, false},
-		"engines, one is enough": {fleet{"engines": even(4, 25)}, false},
-		"engines":                {fleet{"engines": even(6, 40)}, true},
-		"other runners":          {fleet{}, false},
+		"small fleet":              {fleet{"s": even(4, 2), "engines": even(4, 2)}, false},
+		"one owner is enough":      {fleet{"s": even(4, 6), "engines": even(4, 25)}, false},
+		"large fleet":              {fleet{"s": even(6, 6), "engines": even(6, 40)}, true},
+		"few runners in each zone": {fleet{"s": even(6, 2), "engines": even(6, 40)}, false},
+		"one zone":                 {fleet{"s": even(1, 60), "engines": even(1, 240)}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			l := shard.NewLayout(c.fleet.snapshot(t))
-			service := "s"
-			if c.fleet["engines"] != nil {
-				service = "engines"
-			}
-			is.Equal(l.Divided(service), c.want)
-			want := shard.Whole(service)
+			is.Equal(l.Divided("s"), c.want)
+			want := shard.Whole("s")
 			if c.want {
 				want.Zone = "z0"
 			}
-			is.Equal(l.Of(service, "z0"), want)
-			is.Equal(l.Of(service, "elsewhere"), shard.Whole(service))
+			is.Equal(l.Of("s", "z0"), want)
+			is.Equal(l.Of("unknown", "z0"), shard.Whole("unknown"))
 		})
 	}
 }
 
-// TestLossesKeepTheLayout loses a sixth of the runners, and a zone.
+// large is a fleet whose services are divided.
+func large() fleet { return fleet{"s": even(6, 6), "engines": even(6, 40)} }
+
+// TestLossesKeepTheLayout loses a third of the runners of one service, and then a
+// zone.
 func TestLossesKeepTheLayout(t *testing.T) {
 	is := is.New(t)
-	s := fleet{"s": even(6, 6)}.snapshot(t)
+	s := large().snapshot(t)
 	for i := range 6 {
 		s.Runners[fmt.Sprint("s-z", i, "-0")].Draining = true
+		delete(s.Runners, fmt.Sprint("s-z", i, "-1"))
 	}
 	is.True(shard.NewLayout(s).Divided("s"))
-	s = fleet{"s": even(6, 6)}.snapshot(t)
+	s = large().snapshot(t)
 	s.ZonesOut["z2"] = true
 	l := shard.NewLayout(s)
 	is.True(l.Divided("s"))
-	is.Equal(l.Of("s", "z2"), shard.Whole("s"))
+	other := l.Of("s", "z2") // calls whose zone was taken out meanwhile
+	is.True(other.Zone != "z2" && other.Zone != "")
 	is.Equal(len(l.RankZones("k", []string{"s"})), 5)
 }
 
@@ -103,7 +102,7 @@
 	is := is.New(t)
 	f := fleet{
 		"s":       {"a": 20, "b": 10, "c": 10},
-		"engines": {"a": 50, "b": 50, "c": 50, "d": 50},
+		"engines": {"a": 100, "b": 100, "c": 100, "d": 100},
 	}
 	s := f.snapshot(t)
 	before := shard.NewLayout(s)
