--- a/router/stage/piece.go
+++ b/router/stage/piece.go
@@ -57,13 +57,18 @@
 	Abandoned Failure = "abandoned"
 )
 
+// MaxPieces bounds the pieces of an order. A caller states their number, and each
+// takes memory at the owner as long as it is queued.
+const MaxPieces = 10_000
+
 // Order requests pieces of one stage of one call.
 type Order struct {
 	// ID identifies the order; it is unique in the fleet.
 	ID string
 	// Shard has the runners that may make the pieces.
 	Shard shard.Shard
-	// Pieces is the number of pieces. They differ only in their index.
+	// Pieces is the number of pieces, up to MaxPieces. They differ only in their
+	// index.
 	Pieces int
 	// Call, Stage, Key and Inputs are those of each piece.
 	Call   string
--- a/router/stage/shared.go
+++ b/router/stage/shared.go
@@ -166,6 +166,9 @@
 	if err := json.Unmarshal(params, &b); err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "decode an order").WithField(methodMake)
 	}
+	if err := checkPieces(b.Pieces); err != nil {
+		return nil, err
+	}
 	now := s.clk.Now()
 	o := Order{
 		ID: b.ID, Shard: b.Shard, Pieces: b.Pieces, Call: b.Call, Stage: b.Stage, Key: b.Key, Inputs: b.Inputs,
@@ -182,6 +185,13 @@
 	return results, nil
 }
 
+func checkPieces(n int) error {
+	if n < 0 || n > MaxPieces {
+		return fault.New(fault.BadRequest, "found %d, 0 to %d are allowed", n, MaxPieces).WithField("pieces")
+	}
+	return nil
+}
+
 // makeForPeer makes an order of another instance. If it was abandoned
 // meanwhile, its results are freed here.
 func (s *shared) makeForPeer(ctx context.Context, o Order) []Result {
@@ -295,6 +305,9 @@
 	if err := json.Unmarshal(params, &b); err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, "decode a reservation").WithField(methodReserve)
 	}
+	if err := checkPieces(b.Pieces); err != nil {
+		return nil, err
+	}
 	now := s.clk.Now()
 	return s.local.Reserve(ctx, Reservation{
 		ID: b.ID, Shard: b.Shard, Pieces: b.Pieces, Rank: b.Rank, EarliestArrival: now.Add(micros(b.ReadyMicros)),
--- a/router/stage/shared_test.go
+++ b/router/stage/shared_test.go
@@ -6,12 +6,14 @@
 	"errors"
 	"fmt"
 	"maps"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/owner"
@@ -209,3 +211,20 @@
 		w.Close(t.Context())
 	})
 }
+
+// TestOrdersOfInvalidSizeAreRefused sends sizes that would exhaust the memory of
+// their owner, or make it panic.
+func TestOrdersOfInvalidSizeAreRefused(t *testing.T) {
+	is := is.New(t)
+	mesh := newPipeMesh()
+	w := testPools(t, &fakeRunners{}, 2)
+	NewShared(clock.System(), "self", owner.NewFinder(clock.System(), inventory.NewCurrent(clock.System())), mesh, w, hclog.NewNullLogger())
+	for _, method := range []string{methodMake, methodReserve} {
+		for _, pieces := range []string{"-1", "10001", "9000000000000"} {
+			_, err := mesh.handlers[method](t.Context(), "caller", json.RawMessage(`{"shard":{"service":"encode"},"pieces":`+pieces+`}`))
+			is.True(fault.Is(err, fault.BadRequest))
+			is.True(strings.Contains(err.Error(), "pieces"))
+		}
+	}
+	w.Close(t.Context())
+}
