Choose a zone for calls without stages, too

Cause: the zone of a call was chosen when its stages were reserved. Calls of a route without stages were placed by an owner of all engines, beside the owners of the zones, which didn't know of each other's calls. None of the deployments has such a route; found by reading.

--- a/router/relay/stages.go
+++ b/router/relay/stages.go
@@ -86,6 +86,7 @@
 	res := x.newResults(p)
 	n := len(p.route.Stages)
 	if n == 0 {
+		p.zone = x.chooseZone(p, nil)
 		return res, nil
 	}
 	if len(p.call.Pieces) != n {
