Let calls that have the time wait for an engine with their prompt cached

Cause: an engine that caches a prompt's shared parts was passed over as soon as its queue took longer than reading them again.

Change: among engines that would answer within half of the time that a call has left, the one with the fewest tokens to process is chosen; if there is none, the soonest, as before.

--- a/router/placement/placer_test.go
+++ b/router/placement/placer_test.go
@@ -255,3 +255,41 @@
 	r.Shard.Zone = "without engines"
 	is.True(w.local.Place(t.Context(), r) != nil)
 }
+
+// TestCallsWaitForCacheAsLongAsTheyAreOnTime sends a burst of calls with the same
+// prompt part of 10,000 tokens, which takes 160 ms to process. Those that can wait
+// share one engine. Those that can't are spread.
+func TestCallsWaitForCacheAsLongAsTheyAreOnTime(t *testing.T) {
+	for _, c := range []struct {
+		objective time.Duration
+		engines   int
+	}{{2 * time.Second, 1}, {250 * time.Millisecond, 4}} {
+		is := is.New(t)
+		w := newFixture(t, 4)
+		used := map[*target.Target]int{}
+		for i := range 8 {
+			r := request(fmt.Sprint("a", i), "subject", 10_000)
+			r.Due = w.clk.Now().Add(c.objective)
+			used[w.local.Place(t.Context(), r).Target()]++
+		}
+		is.Equal(len(used), c.engines)
+	}
+}
+
+// TestBusyEnginesDoNotMakeCallsLate has the engine that caches a part busy for
+// longer than a call can wait.
+func TestBusyEnginesDoNotMakeCallsLate(t *testing.T) {
+	is := is.New(t)
+	w := newFixture(t, 2)
+	first := w.local.Place(t.Context(), request("a", "subject", 10_000))
+	first.Answered()
+	busy := request("b", "subject", 10_000)
+	busy.Prompt.Parts[1].Tokens, busy.Prompt.Tokens = 40_000, 50_000
+	busy.Due = w.clk.Now().Add(10 * time.Second)
+	is.Equal(w.local.Place(t.Context(), busy).Target(), first.Target())
+	r := request("c", "subject", 10_000)
+	r.Due = w.clk.Now().Add(4 * time.Second)
+	is.Equal(w.local.Place(t.Context(), r).Target(), first.Target())
+	r.ID, r.Due = "d", w.clk.Now().Add(time.Second)
+	is.True(w.local.Place(t.Context(), r).Target() != first.Target())
+}
