Count all runners when deciding whether to divide a fleet

Cause: runners that drain or whose zone is taken out for a while don't make a fleet smaller, but a fleet of little more than 200 runners would have been undivided meanwhile, and every change of that costs what owners know. TestShardsAreOwnedInTheirZone comes with it, for the finder.

--- a/router/owner/owner_test.go
+++ b/router/owner/owner_test.go
@@ -75,6 +75,31 @@
 	is.Equal(f.Of("m"), "a")
 }
 
+// TestShardsAreOwnedInTheirZone loses the instances of a zone one after the other.
+func TestShardsAreOwnedInTheirZone(t *testing.T) {
+	is := is.New(t)
+	current := inventory.NewCurrent(clock.NewManual(time.Unix(1000, 0)))
+	s := &inventory.Snapshot{Revision: 1, Instances: map[string]inventory.Instance{}}
+	for i := range 12 {
+		name := fmt.Sprint("instance", i)
+		s.Instances[name] = inventory.Instance{Name: name, Zone: fmt.Sprint("z", i%3)}
+	}
+	current.Advance(s)
+	f := owner.NewFinder(clock.NewManual(time.Unix(1000, 0)), current)
+	sh := shard.Shard{Service: "s", Zone: "z1"}
+	seen := map[string]bool{}
+	for range 4 {
+		name := f.OfShard("work", sh)
+		is.Equal(s.Instances[name].Zone, "z1")
+		is.True(!seen[name])
+		seen[name] = true
+		f.MarkUnavailable(name)
+	}
+	other := f.OfShard("work", sh)
+	is.True(other != "" && s.Instances[other].Zone != "z1")
+	is.True(f.OfShard("work", shard.Shard{Service: "s", Zone: "z2"}) != "")
+}
+
 // spreadTable computes, for fleets of several sizes, how many times the mean work of
 // an instance its busiest one owns. The work of a shard is its share of the
 // service's runners, as the messages of its owner are.
--- a/router/shard/layout.go
+++ b/router/shard/layout.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// maxRunners is the number of runners of all services up to which one owner
-	// schedules a whole service. The messages of owners grow with the runners. The
-	// sum over all services changes little when one service loses runners, which is
-	// when its owner is busiest.
+	// maxRunners is the number of runners of all services, usable or not, up to which
+	// one owner schedules a whole service. The messages of owners grow with the
+	// runners. The sum over all services changes little when one service loses
+	// runners, which is when its owner is busiest.
 	maxRunners = 200
 	// minPerZone is the mean number of runners in a zone from which a service is
 	// divided. With fewer, the loss of a runner leaves a zone with hardly any.
@@ -35,11 +35,10 @@
 	if s.Table == nil {
 		return l
 	}
-	counts, all := countUsable(s)
-	if all <= maxRunners {
+	if len(s.Runners) <= maxRunners {
 		return l
 	}
-	for service, byZone := range counts {
+	for service, byZone := range countUsable(s) {
 		total := 0
 		for _, n := range byZone {
 			total += n
@@ -55,10 +54,9 @@
 	return l
 }
 
-// countUsable counts the runners that accept new calls, by service and zone and in
-// all.
-func countUsable(s *inventory.Snapshot) (counts map[string]map[string]int, all int) {
-	counts = make(map[string]map[string]int)
+// countUsable counts the runners that accept new calls by service and zone.
+func countUsable(s *inventory.Snapshot) map[string]map[string]int {
+	counts := make(map[string]map[string]int)
 	for _, r := range s.Runners {
 		if r.Draining || s.ZonesOut[r.Zone] {
 			continue
@@ -67,9 +65,8 @@
 			counts[r.Service] = make(map[string]int)
 		}
 		counts[r.Service][r.Zone]++
-		all++
 	}
-	return counts, all
+	return counts
 }
 
 // hasOwner reports whether an owner schedules a service: its runners make pieces or
