--- a/router/relay/reserve.go
+++ b/router/relay/reserve.go
@@ -22,10 +22,11 @@
 // refused with the waiting time of that stage as the time to retry after.
 func (x *relay) reserve(p *callPlan) error {
 	refused := make(map[string]bool)
+	// shortest is the refusal with the shortest waiting time.
 	var shortest error
 	for range maxZones {
 		zone := x.chooseZone(p, refused)
-		if zone == "" && shortest != nil {
+		if zone == "" && len(refused) > 0 {
 			break
 		}
 		p.zone = zone
@@ -39,9 +40,6 @@
 		if shortest == nil || fault.Of(err).RetryAfter() < fault.Of(shortest).RetryAfter() {
 			shortest = err
 		}
-		if zone == "" {
-			break
-		}
 		refused[zone] = true
 	}
 	return shortest
@@ -57,11 +55,12 @@
 			continue
 		}
 		group.Go(func() error {
+			sh := x.shardOf(p, s.Service)
 			forecasts[i] = x.Pieces.Reserve(p.ctx, stage.Reservation{
-				ID: orderID(p, i), Shard: x.shardOf(p, s.Service), Pieces: p.call.Pieces[i], EarliestArrival: starts[i], Rank: p.priority,
+				ID: orderID(p, i), Shard: sh, Pieces: p.call.Pieces[i], EarliestArrival: starts[i], Rank: p.priority,
 				Deadline: p.deadline, Due: p.call.Arrived.Add(p.route.Objective), MinRemaining: x.timeAfter(p, i),
 			})
-			x.Shards.Report(x.shardOf(p, s.Service), forecasts[i].Wait)
+			x.Shards.Report(sh, forecasts[i].Wait)
 			return nil
 		})
 	}
