--- a/router/retry/retry.go
+++ b/router/retry/retry.go
@@ -7,8 +7,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"cicadawell.dev/fleet/clock"
 )
 
 // Budget is a retry budget for each service.
@@ -56,16 +54,9 @@
 	return func(b *budget) { b.burst = int64(n) * unitsPerAttempt }
 }
 
-// WithRefill lets a budget also regain its maximum over a time, measured by a
-// clock, without any success. Instances that get few calls may retry then, although
-// their share of the successes is less than one attempt for a long time.
-func WithRefill(clk clock.Clock, window time.Duration) Option {
-	return func(b *budget) { b.clk, b.refillWindow = clk, window }
-}
-
 // WithBurstFunc sets a function that returns the maximum number of attempts in a
 // budget, for a maximum that changes. Budgets start empty then.
-func WithBurstFunc(f func() float64) Option {
+func WithBurstFunc(f func() int) Option {
 	return func(b *budget) { b.burst, b.burstFunc = 0, f }
 }
 
@@ -79,7 +70,7 @@
 	for _, o := range options {
 		o(b)
 	}
-	b.services.Store(&map[string]*bucket{})
+	b.services.Store(&map[string]*atomic.Int64{})
 	return b
 }
 
@@ -89,29 +80,14 @@
 	perSuccess int64
 	burst      int64
 	// burstFunc replaces burst if it isn't nil.
-	burstFunc func() float64
-	// refillWindow is the time in which a budget regains its maximum by itself, or
-	// zero if only successes add to it.
-	clk          clock.Clock
-	refillWindow time.Duration
+	burstFunc func() int
 	// mu is held to add a service; readers only load services.
 	mu       sync.Mutex
-	services atomic.Pointer[map[string]*bucket]
-}
-
-// bucket is the budget of one service.
-type bucket struct {
-	// tokens are in thousandths of an attempt.
-	tokens atomic.Int64
-	// refilledAt is when tokens were last added for the time that passed, in
-	// nanoseconds.
-	refilledAt atomic.Int64
+	services atomic.Pointer[map[string]*atomic.Int64]
 }
 
 func (b *budget) Allow(service string) bool {
-	bk := b.bucket(service)
-	b.refill(bk)
-	tokens := &bk.tokens
+	tokens := b.tokens(service)
 	for {
 		have := tokens.Load()
 		if have < unitsPerAttempt {
@@ -124,38 +100,20 @@
 }
 
 func (b *budget) Success(service string) {
-	b.bucket(service).add(b.perSuccess, b.limit())
-}
-
-// add adds tokens up to a limit. A budget above the limit stays as it is.
-func (bk *bucket) add(n, limit int64) {
+	tokens := b.tokens(service)
 	for {
-		have := bk.tokens.Load()
-		next := max(have, min(have+n, limit))
-		if next == have || bk.tokens.CompareAndSwap(have, next) {
+		have := tokens.Load()
+		next := max(have, min(have+b.perSuccess, b.limit()))
+		if next == have || tokens.CompareAndSwap(have, next) {
 			return
 		}
 	}
 }
 
-// refill adds what the budget regained since it was last refilled.
-func (b *budget) refill(bk *bucket) {
-	if b.refillWindow == 0 {
-		return
-	}
-	last, now := bk.refilledAt.Load(), b.clk.Now().UnixNano()
-	elapsed := min(now-last, int64(b.refillWindow))
-	limit := b.limit()
-	gained := int64(float64(limit) * float64(elapsed) / float64(b.refillWindow))
-	if gained > 0 && bk.refilledAt.CompareAndSwap(last, now) {
-		bk.add(gained, limit)
-	}
-}
-
 // limit returns the maximum of a budget, in thousandths of an attempt.
 func (b *budget) limit() int64 {
 	if b.burstFunc != nil {
-		return int64(b.burstFunc() * unitsPerAttempt)
+		return int64(b.burstFunc()) * unitsPerAttempt
 	}
 	return b.burst
 }
@@ -165,26 +123,23 @@
 	return high, ok
 }
 
-func (b *budget) bucket(service string) *bucket {
-	if bk := (*b.services.Load())[service]; bk != nil {
-		return bk
+func (b *budget) tokens(service string) *atomic.Int64 {
+	if t := (*b.services.Load())[service]; t != nil {
+		return t
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := *b.services.Load()
-	if bk := old[service]; bk != nil {
-		return bk
-	}
-	next := make(map[string]*bucket, len(old)+1)
-	for k, bk := range old {
-		next[k] = bk
+	if t := old[service]; t != nil {
+		return t
 	}
-	bk := &bucket{}
-	bk.tokens.Store(b.burst)
-	if b.clk != nil {
-		bk.refilledAt.Store(b.clk.Now().UnixNano())
+	next := make(map[string]*atomic.Int64, len(old)+1)
+	for k, t := range old {
+		next[k] = t
 	}
-	next[service] = bk
+	t := &atomic.Int64{}
+	t.Store(b.burst)
+	next[service] = t
 	b.services.Store(&next)
-	return bk
+	return t
 }
