Keep instances of different builds from misreading each other's orders

Cause: the parameters of orders, reservations and placements changed, the names of five of the six methods didn't. An owner of the earlier build reads a reservation without a service and refuses it, which would refuse calls during a rolling upgrade although runners are free. And the lines about refused stages lost the field that ctl explain reads the service from.

Change: methods whose parameters changed have new names, so that an instance of the other build refuses the call itself, and the next instance is asked, or none but the own one. Lines have the service as before and the shard's zone.

--- a/router/placement/placer_test.go
+++ b/router/placement/placer_test.go
@@ -214,7 +214,7 @@
 		first.Unreachable()
 		first.Ended()
 		synctest.Wait()
-		is.Equal(m.calls, []string{"other placement.place", "other placement.tell"}) // the end is reported once
+		is.Equal(m.calls, []string{"other placement.engine", "other placement.tell"}) // the end is reported once
 		for i := range 6 {
 			next := other.local.Place(t.Context(), request(fmt.Sprint("n", i), "s", 10))
 			is.True(next.Target().Runner().ID != gone)
--- a/router/placement/shared.go
+++ b/router/placement/shared.go
@@ -15,10 +15,11 @@
 	"github.com/hashicorp/go-hclog"
 )
 
-// Methods that instances call on each other.
+// Methods that instances call on each other. A method whose parameters change gets
+// another name, as in package stage.
 const (
-	methodPlace    = "placement.place"
-	methodHome     = "placement.home"
+	methodPlace    = "placement.engine"
+	methodHome     = "placement.zone"
 	methodProgress = "placement.tell"
 )
 
@@ -118,7 +119,7 @@
 	}
 	if err != nil {
 		if ctx.Err() == nil {
-			s.log.Warn("owner of a placement doesn't answer", "owner", to, "shard", r.Shard, "request", r.ID, "error", err)
+			s.log.Warn("owner of a placement doesn't answer", "owner", to, "service", r.Shard.Service, "shardZone", r.Shard.Zone, "request", r.ID, "error", err)
 			s.owners.MarkUnavailable(to)
 		}
 		return s.local.Place(ctx, r)
--- a/router/relay/reserve.go
+++ b/router/relay/reserve.go
@@ -67,7 +67,8 @@
 	_ = group.Wait()
 	for i, f := range forecasts {
 		if f.Refused {
-			x.Log.Warn("stage refused", "request", p.call.ID, "stage", i, "shard", x.shardOf(p, p.route.Stages[i].Service), "rank", p.priority,
+			sh := x.shardOf(p, p.route.Stages[i].Service)
+			x.Log.Warn("stage refused", "request", p.call.ID, "stage", i, "service", sh.Service, "shardZone", sh.Zone, "rank", p.priority,
 				"waitMillis", f.Wait.Milliseconds(), "objectiveMillis", p.route.Objective.Milliseconds())
 			x.cancelReservations(p)
 			return fault.New(fault.Overloaded, "stage %d would wait %v", i, f.Wait).WithRetryAfter(f.Wait)
--- a/router/relay/stages.go
+++ b/router/relay/stages.go
@@ -184,7 +184,7 @@
 		made := x.Pieces.Make(ctx, o)
 		res.set(i, o.Shard, made)
 		x.Meter.StageEnded(spec.Service, string(firstFailure(made)), x.Clock.Now().Sub(start))
-		x.Log.Info("stage made", "request", p.call.ID, "route", p.route.Name, "stage", i, "service", spec.Service, "pieces", pieces, "shard", o.Shard,
+		x.Log.Info("stage made", "request", p.call.ID, "route", p.route.Name, "stage", i, "service", spec.Service, "pieces", pieces, "shardZone", o.Shard.Zone,
 			"tookMillis", x.Clock.Now().Sub(start).Milliseconds(), "sinceMillis", x.Clock.Now().Sub(p.call.Arrived).Milliseconds())
 		if f := firstFailure(made); f != "" {
 			x.Log.Warn("stage failed", "request", p.call.ID, "stage", i, "service", spec.Service, "failure", f)
--- a/router/stage/shared.go
+++ b/router/stage/shared.go
@@ -15,13 +15,15 @@
 	"github.com/hashicorp/go-hclog"
 )
 
-// Methods that instances call on each other.
+// Methods that instances call on each other. A method whose parameters change gets
+// another name, so that instances of different builds refuse each other's calls
+// during an upgrade instead of misreading them.
 const (
 	methodMake    = "stage.order"
 	methodAbandon = "stage.abandon"
-	methodFree    = "stage.free"
-	methodReserve = "stage.reserve"
-	methodCancel  = "stage.cancel"
+	methodFree    = "stage.release"
+	methodReserve = "stage.reservation"
+	methodCancel  = "stage.cancellation"
 )
 
 const (
@@ -108,7 +110,7 @@
 		if ctx.Err() != nil {
 			return allFailed(o, Abandoned)
 		}
-		s.log.Warn("owner of a stage doesn't answer", "owner", to, "shard", o.Shard, "order", o.ID, "error", err)
+		s.log.Warn("owner of a stage doesn't answer", "owner", to, "service", o.Shard.Service, "shardZone", o.Shard.Zone, "order", o.ID, "error", err)
 		// The connection may have been lost while the instance is still running:
 		// retry once before it is marked as unavailable.
 		if previous == to {
@@ -241,7 +243,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
 		defer cancel()
 		if err := s.mesh.Call(instance.MarkIdempotent(ctx), to, methodFree, freeBody{Shard: sh, Results: results}, nil); err != nil {
-			s.log.Debug("owner not reachable, this instance frees the results itself", "owner", to, "shard", sh, "error", err)
+			s.log.Debug("owner not reachable, this instance frees the results itself", "owner", to, "service", sh.Service, "shardZone", sh.Zone, "error", err)
 			s.local.Free(sh, results)
 		}
 	})
@@ -292,7 +294,7 @@
 	var f Forecast
 	if err := s.mesh.Call(instance.MarkIdempotent(ctx), to, methodReserve, body, &f); err != nil {
 		if outer.Err() == nil {
-			s.log.Warn("owner of a stage doesn't answer", "owner", to, "shard", a.Shard, "order", a.ID, "error", err)
+			s.log.Warn("owner of a stage doesn't answer", "owner", to, "service", a.Shard.Service, "shardZone", a.Shard.Zone, "order", a.ID, "error", err)
 			s.owners.MarkUnavailable(to)
 		}
 		return Forecast{}
