--- a/router/placement/placer.go
+++ b/router/placement/placer.go
@@ -27,9 +27,8 @@
 	InputBytes int64
 	// Avoid lists the engines that were already tried.
 	Avoid []*target.Target
-	// Deadline is the deadline of the call. Due is when its first event has to come
-	// to count as on time, or zero if that isn't known.
-	Deadline, Due time.Time
+	// Deadline is the deadline of the call.
+	Deadline time.Time
 }
 
 // Place is an engine assigned to a call.
@@ -155,9 +154,6 @@
 		}
 	}
 	a := criteria{prompt: r.Prompt, zone: r.Zone, inputBytes: r.InputBytes, ignoreCache: !l.rules.PromptCacheAffinity}
-	if l.rules.WaitForCache && !r.Due.IsZero() {
-		a.maxWait = time.Duration(maxWaitShare * float64(r.Due.Sub(l.clk.Now())))
-	}
 	if l.rules.PromptHashing {
 		a.home = b.home(r.Prompt, l.targets.UsableIn(r.Shard))
 	}
--- a/router/placement/shared.go
+++ b/router/placement/shared.go
@@ -55,9 +55,8 @@
 	group sync.WaitGroup
 }
 
-// placeBody is a request sent to another instance. UntilMicros is the time until
-// Request.Deadline and DueMicros that until Request.Due, since clocks are not
-// compared between instances.
+// placeBody is a request sent to another instance. UntilMicros is the time
+// until Request.Deadline, since clocks are not compared between instances.
 type placeBody struct {
 	ID          string        `json:"id"`
 	Shard       shard.Shard   `json:"shard"`
@@ -66,7 +65,6 @@
 	InputBytes  int64         `json:"inputBytes,omitempty"`
 	Avoid       []string      `json:"avoid,omitempty"`
 	UntilMicros int64         `json:"untilMicros"`
-	DueMicros   int64         `json:"dueMicros,omitempty"`
 }
 
 // placedBody is the response: the identifier of the runner that was chosen, or
@@ -95,9 +93,6 @@
 		ID: r.ID, Shard: r.Shard, Prompt: r.Prompt, Zone: r.Zone, InputBytes: r.InputBytes,
 		UntilMicros: r.Deadline.Sub(s.clk.Now()).Microseconds(),
 	}
-	if !r.Due.IsZero() {
-		b.DueMicros = r.Due.Sub(s.clk.Now()).Microseconds()
-	}
 	for _, t := range r.Avoid {
 		b.Avoid = append(b.Avoid, t.Runner().ID)
 	}
@@ -169,9 +164,6 @@
 		ID: b.ID, Shard: b.Shard, Prompt: b.Prompt, Zone: b.Zone, InputBytes: b.InputBytes,
 		Deadline: s.clk.Now().Add(time.Duration(b.UntilMicros) * time.Microsecond),
 	}
-	if b.DueMicros != 0 {
-		r.Due = s.clk.Now().Add(time.Duration(b.DueMicros) * time.Microsecond)
-	}
 	for _, id := range b.Avoid {
 		if t := s.targets.Find(id); t != nil {
 			r.Avoid = append(r.Avoid, t)
--- a/router/placement/tracker.go
+++ b/router/placement/tracker.go
@@ -25,16 +25,6 @@
 	// cacheShare is the share of an engine's memory that is assumed to cache
 	// prompt parts; the rest is for running requests.
 	cacheShare = 0.7
-	// maxWaitShare is the share of the time left until a call is late that its first
-	// event may take at an engine which is preferred because it has to process fewer
-	// tokens.
-	maxWaitShare = 0.5
-	// queueWeight is how much a delay by other calls counts at such an engine,
-	// relative to the processing of tokens. It decides between engines that have to
-	// process about as many.
-	queueWeight = 0.125
-	// latePenalty puts all other engines behind these.
-	latePenalty = time.Hour
 	// defaultMemoryTokens is the assumed memory, in tokens, of engines that don't
 	// report theirs.
 	defaultMemoryTokens = 200_000
@@ -64,9 +54,6 @@
 	home *target.Target
 	// ignoreCache disregards which prompt parts engines have cached.
 	ignoreCache bool
-	// maxWait is how long the first event may take at an engine that is preferred
-	// for what it has cached; zero if only the time counts.
-	maxWait time.Duration
 }
 
 // engineState is the tracked state of one engine.
@@ -166,10 +153,7 @@
 }
 
 // cost returns the approximate time until the first event at an engine, plus a
-// penalty if the inputs have to be transferred from another zone. If the call can
-// wait, engines that answer soon enough come first, and among them those that
-// process the fewest tokens: a popular prompt part would otherwise be processed by
-// another engine whenever the one that caches it is busy.
+// penalty if the inputs have to be transferred from another zone.
 func (b *tracker) cost(t *target.Target, a criteria) time.Duration {
 	e := b.of(t)
 	uncached := e.uncachedTokens(a.prompt)
@@ -179,16 +163,7 @@
 	if a.ignoreCache {
 		uncached = a.prompt.Tokens
 	}
-	queued := time.Duration(e.pendingTokens)*prefillPerToken + time.Duration(e.running)*slowdownPerCall
-	processing := time.Duration(uncached) * prefillPerToken
-	cost := queued + processing
-	switch {
-	case a.maxWait == 0:
-	case firstEventOverhead+cost <= a.maxWait:
-		cost = processing + time.Duration(queueWeight*float64(queued))
-	default:
-		cost += latePenalty
-	}
+	cost := time.Duration(e.pendingTokens+uncached)*prefillPerToken + time.Duration(e.running)*slowdownPerCall
 	if a.zone != "" && t.Runner().Zone != a.zone {
 		cost += time.Duration(a.inputBytes) * crossZonePerMegabyte / 1_000_000
 	}
--- a/router/policy/policy.go
+++ b/router/policy/policy.go
@@ -37,9 +37,6 @@
 	// PromptCacheAffinity places calls at engines that have parts of their prompts
 	// cached.
 	PromptCacheAffinity bool `json:"keptPrompts"`
-	// WaitForCache lets calls that have the time wait for a busy engine that has
-	// their prompt parts cached, instead of having them processed again elsewhere.
-	WaitForCache bool `json:"waitForCache"`
 	// PromptHashing uses rendezvous hashing to choose one engine for a prompt part
 	// that no engine is known to have cached, so that all instances choose the same
 	// one.
@@ -57,7 +54,7 @@
 func Default() Policy {
 	return Policy{
 		StageOwners: true, ZoneShards: true, Reservations: true, MeasuredThroughput: true, FinishStartedFirst: true, DropLateOrders: true, CheckResultMemory: true, ResultZoneAffinity: true,
-		PlacementOwners: true, PromptCacheAffinity: true, WaitForCache: true, PromptHashing: true, ResumeStalled: true, ZoneStoreReaders: true, TargetBackoff: true,
+		PlacementOwners: true, PromptCacheAffinity: true, PromptHashing: true, ResumeStalled: true, ZoneStoreReaders: true, TargetBackoff: true,
 	}
 }
 
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -67,7 +67,7 @@
 
 // placementRequest returns the request to choose an engine for the call.
 func (x *relay) placementRequest(p *callPlan) placement.Request {
-	return placement.Request{ID: p.call.ID, Shard: x.shardOf(p, p.service), Prompt: p.call.Prompt, Deadline: p.deadline, Due: p.call.Arrived.Add(p.route.Objective)}
+	return placement.Request{ID: p.call.ID, Shard: x.shardOf(p, p.service), Prompt: p.call.Prompt, Deadline: p.deadline}
 }
 
 // resultZone returns the zone that holds the most results for the call, or the
