Wait for the server's close in the test of closed idle connections

No client can detect a close that hasn't arrived; the test asks that one that has is detected.

Ruled out: a fault of the pool: with the wait the same check holds. It is as strict: the second exchange must still use a new connection.

--- a/router/link/exchange_test.go
+++ b/router/link/exchange_test.go
@@ -28,6 +28,9 @@
 	requests  []string
 	connCount int
 	conns     []net.Conn
+	// closed receives a value after each close of a connection by the server. Its
+	// buffer is larger than the number of connections of any test.
+	closed chan struct{}
 }
 
 // serve starts a server that answers with the raw bytes of the scripts. A script
@@ -37,7 +40,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	s := &server{address: l.Addr().String()}
+	s := &server{address: l.Addr().String(), closed: make(chan struct{}, 100)}
 	var group sync.WaitGroup
 	group.Go(func() {
 		for {
@@ -65,7 +68,10 @@
 }
 
 func (s *server) serveConn(c net.Conn, scripts []string) {
-	defer func() { _ = c.Close() }()
+	defer func() {
+		_ = c.Close()
+		s.closed <- struct{}{}
+	}()
 	r := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(r)
@@ -199,6 +205,7 @@
 	s := serve(t, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok\x00")
 	pool := link.NewPool()
 	is.Equal(describeExchange(t, pool, s.address), "1 OK ok, framed yes")
+	<-s.closed
 	is.Equal(describeExchange(t, pool, s.address), "1 OK ok, framed yes")
 	is.Equal(len(s.requests), 2)
 }
