--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -23,7 +23,8 @@
 // Relay serves calls.
 type Relay interface {
 	// Serve answers one call. It panics with http.ErrAbortHandler to abort a
-	// truncated answer, so that it can't be taken for complete.
+	// truncated answer, so that it can't be taken for complete. A call whose context
+	// is cancelled with a fault.Error as its cause is refused with that error.
 	Serve(ctx context.Context, w http.ResponseWriter, c *Call)
 }
 
@@ -94,6 +95,7 @@
 	}
 	kind = ""
 	if err != nil {
+		err = cancellationFault(ctx, err)
 		kind = fault.Of(err).Kind()
 		x.refuse(w, c, p.route.Name, err)
 		return
@@ -261,3 +263,14 @@
 	}
 	return fault.New(fault.CallerGone, "the caller left").WithOutcome(run)
 }
+
+// cancellationFault returns the cause of the cancellation of ctx in place of
+// CallerGone, if the call was cancelled for another reason than that its caller
+// disconnected.
+func cancellationFault(ctx context.Context, err error) error {
+	var cause *fault.Error
+	if fault.Is(err, fault.CallerGone) && errors.As(context.Cause(ctx), &cause) {
+		return cause.WithOutcome(fault.Of(err).Outcome())
+	}
+	return err
+}
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/property"
 	"cicadawell.dev/fleet/random"
 	"cicadawell.dev/router/inventory"
@@ -153,7 +154,9 @@
 	cancelled []shard.Shard
 	made      []stage.Order
 	freed     []string
-	mu        sync.Mutex
+	// cancel, if set, is called while pieces are made, which are abandoned then.
+	cancel func()
+	mu     sync.Mutex
 }
 
 func (f *fakePieces) Make(_ context.Context, o stage.Order) []stage.Result {
@@ -164,6 +167,12 @@
 		if f.fail != "" {
 			out[i] = stage.Result{Failure: f.fail}
 		}
+		if f.cancel != nil {
+			out[i] = stage.Result{Failure: stage.Abandoned}
+		}
+	}
+	if f.cancel != nil {
+		f.cancel()
 	}
 	return out
 }
@@ -219,6 +228,12 @@
 // serveCall serves one call to a path with the fake runners and pieces. The code
 // of the returned response is negative if the answer was aborted.
 func serveCall(t *testing.T, path string, f *fakeRunners, p *fakePieces, change func(*relay.Call, *inventory.Current)) *httptest.ResponseRecorder {
+	t.Helper()
+	return serveCallUntil(t.Context(), t, path, f, p, change)
+}
+
+// serveCallUntil is like serveCall, but the call is cancelled when ctx ends.
+func serveCallUntil(ctx context.Context, t *testing.T, path string, f *fakeRunners, p *fakePieces, change func(*relay.Call, *inventory.Current)) *httptest.ResponseRecorder {
 	t.Helper()
 	table, err := routing.NewTable(testConfig())
 	is.New(t).NoErr(err)
@@ -252,7 +267,7 @@
 				w.Code = -w.Code // aborted
 			}
 		}()
-		r.Serve(t.Context(), w, c)
+		r.Serve(ctx, w, c)
 	}()
 	return w
 }
@@ -600,6 +615,35 @@
 
 // TestStaleConfigurationRefusesKeys checks that a configuration that is too old
 // neither serves calls that need a key nor denies calls.
+// TestCancelledCallsAreRefusedWithTheCause cancels calls as a shutdown does. Only a
+// call that can't have run may be answered 503.
+func TestCancelledCallsAreRefusedWithTheCause(t *testing.T) {
+	for _, test := range []struct {
+		path   string
+		sent   bool
+		status int
+	}{
+		{"/safe/1", true, 502},
+		{"/safe/1", false, 503},
+		{"/once/1", true, 502},
+		{"/once/1", false, 503},
+		{"/stream/1", true, 502},
+		{"/stream/1", false, 503},
+		{"/staged/1", false, 503},
+	} {
+		t.Run(fmt.Sprint(test.path, test.sent), func(t *testing.T) {
+			ctx, cancel := context.WithCancelCause(t.Context())
+			stop := func() { cancel(fault.New(fault.NotReady, "shutdown")) }
+			cancelled := response{"cancelled", test.sent, func(ctx context.Context) (*relay.Answer, error) {
+				stop()
+				return nil, &relay.SendError{Sent: test.sent, Err: ctx.Err()}
+			}}
+			w := serveCallUntil(ctx, t, test.path, &fakeRunners{responses: []response{cancelled}}, &fakePieces{cancel: stop}, nil)
+			is.New(t).Equal(w.Code, test.status)
+		})
+	}
+}
+
 func TestStaleConfigurationRefusesKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
