Keep a silent stream while it can't continue elsewhere

Callers of streams that can be resumed saw their connection close in the middle, or a 502, after a second without an event, though the runner was sound and went on. The watchdog of an attempt was armed by the route alone: it also cancelled the last attempt allowed, one whose retry the budget then refused, and one without any other runner.

Ruled out: switching the watchdog off. Streams at runners that hang would wait for their deadline though others could serve them.

The check now comes before the cancellation: another attempt allowed by the route, another usable runner out of backoff, a retry taken from the budget, an engine placed. Only then the attempt is cancelled, and the call continues at that engine. Otherwise the check is repeated after the same time. Attempts of a call are placed under identifiers of their own, since two may be placed at once.

The six cases of TestPausingStreamWithoutAlternativeIsNotAborted failed before:

silence_test.go:92: -200 != 200 (no attempt left, empty budget, no other runner) silence_test.go:92: 502 != 200 (the same before the first event)

Conclusion: such silences no longer end an answer.

--- a/router/relay/attempts.go
+++ b/router/relay/attempts.go
@@ -15,9 +15,8 @@
 	// sends is how many runners the call was sent to, selections how many runners
 	// were chosen for it, reachable or not.
 	sends, selections int
-	// retryAllowed is set while the call has taken a retry from the budget and hasn't
-	// sent it yet.
-	retryAllowed bool
+	// retries is how many retries the call has taken from the budget, sent or not.
+	retries int
 }
 
 func (x *relay) newAttemptLimiter(p *callPlan) *attemptLimiter {
@@ -26,16 +25,29 @@
 
 // next reports whether the call may go to one more runner, and counts it as chosen.
 func (t *attemptLimiter) next() bool {
-	if t.sends >= t.plan.route.MaxAttempts || t.selections-t.sends > maxUnreachable {
+	if t.selections-t.sends > maxUnreachable || !t.reserve(t.sends) {
 		return false
 	}
-	if t.sends > 0 && !t.retryAllowed {
+	t.selections++
+	return true
+}
+
+// reserveNext reports whether the call may go to one more runner after the current
+// one. A later call of next needs no further retry from the budget then.
+func (t *attemptLimiter) reserveNext() bool { return t.reserve(t.sends + 1) }
+
+// reserve reports whether the call may be sent once more after the given number of
+// sends. It takes a retry from the budget if the call has none left.
+func (t *attemptLimiter) reserve(sends int) bool {
+	if sends >= t.plan.route.MaxAttempts {
+		return false
+	}
+	if sends > t.retries {
 		if !t.relay.RetryBudget.Allow(t.plan.service) {
 			return false
 		}
-		t.retryAllowed = true
+		t.retries++
 	}
-	t.selections++
 	return true
 }
 
@@ -44,10 +56,7 @@
 
 // recordSend records that the call, or a part of it, may have reached the runner
 // chosen last.
-func (t *attemptLimiter) recordSend() {
-	t.sends++
-	t.retryAllowed = false
-}
+func (t *attemptLimiter) recordSend() { t.sends++ }
 
 // notSent reports whether an attempt failed before anything was sent to the runner.
 func notSent(err error) bool {
--- /dev/null
+++ b/router/relay/silence_test.go
@@ -0,0 +1,87 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/relay"
+	"github.com/matryer/is"
+)
+
+// pausingBody pauses before its second part. It ends with the context.
+type pausingBody struct {
+	ctx   context.Context
+	pause time.Duration
+	parts []io.Reader
+}
+
+func (b *pausingBody) Read(p []byte) (int, error) {
+	n, err := b.parts[0].Read(p)
+	if !errors.Is(err, io.EOF) || len(b.parts) == 1 {
+		return n, err
+	}
+	b.parts = b.parts[1:]
+	return n, clock.System().Sleep(b.ctx, b.pause)
+}
+
+// pausing answers with a stream that pauses between begin and end.
+func pausing(begin, end string, pause time.Duration) response {
+	return response{"pausing", true, func(ctx context.Context) (*relay.Answer, error) {
+		a, err := eventAnswer("", false)(ctx)
+		a.Body = &pausingBody{ctx: ctx, pause: pause, parts: []io.Reader{strings.NewReader(begin), strings.NewReader(end)}}
+		return a, err
+	}}
+}
+
+// keepRunners removes all runners of the service but n.
+func keepRunners(n int) func(*relay.Call, *inventory.Current) {
+	return func(_ *relay.Call, current *inventory.Current) {
+		s := *current.Load()
+		s.Runners = maps.Clone(s.Runners)
+		for id := range s.Runners {
+			if len(s.Runners) > n {
+				delete(s.Runners, id)
+			}
+		}
+		s.Revision++
+		current.Advance(&s)
+	}
+}
+
+func TestPausingStreamWithoutAlternativeIsNotAborted(t *testing.T) {
+	const pause = 1700 * time.Millisecond
+	midway, late := pausing(one, two, pause), pausing("", one+two, pause)
+	for _, c := range []struct {
+		name, path string
+		responses  []response
+		budget     relay.RetryBudget
+		change     func(*relay.Call, *inventory.Current)
+	}{
+		{"no attempt left", "/resumable/1", []response{reset, reset, midway}, nil, nil},
+		{"no attempt left before the first event", "/resumable/1", []response{reset, reset, late}, nil, nil},
+		{"empty budget", "/resumable/1", []response{midway}, &emptyBudget{}, nil},
+		{"empty budget before the first event", "/resumable/1", []response{late}, &emptyBudget{}, nil},
+		{"no other runner", "/resumable/1", []response{midway}, nil, keepRunners(1)},
+		{"no other runner before the first event", "/resumable/1", []response{late}, nil, keepRunners(1)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeRunners{responses: c.responses, budget: c.budget}
+				w := serveCall(t, c.path, f, &fakePieces{}, c.change)
+				is.Equal(w.Code, http.StatusOK)
+				is.Equal(w.Body.String(), one+two)
+				is.Equal(len(f.sent), len(c.responses))
+			})
+		})
+	}
+}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"maps"
 	"net/http"
+	"strconv"
 
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/router/placement"
@@ -23,6 +25,23 @@
 	eventsSent int
 }
 
+// streamRun is a call that is answered by events, with what its attempts share.
+type streamRun struct {
+	plan     *callPlan
+	state    *streamState
+	attempts *attemptLimiter
+	results  *results
+	// inputs are the handles of the results that the call's runner uses, zone is where
+	// most of them are.
+	inputs []string
+	zone   string
+	// avoid has the engines that were already tried.
+	avoid []*target.Target
+	// standby is the engine at which the call continues if the current one stalls, or
+	// nil. While an attempt runs, only its watchdog uses it.
+	standby placement.Place
+}
+
 // stream serves a call that is answered by events.
 func (x *relay) stream(w http.ResponseWriter, p *callPlan) error {
 	res, err := x.runStages(p)
@@ -31,29 +50,29 @@
 		return err
 	}
 	x.RetryBudget.Success(p.service)
-	inputs, zone := res.handles(p.route.FinalStages()), ""
+	s := &streamRun{
+		plan: p, state: &streamState{w: w, lastEventID: p.call.ResumeAfter}, attempts: x.newAttemptLimiter(p),
+		results: res, inputs: res.handles(p.route.FinalStages()),
+	}
+	defer s.dropStandby()
 	if x.Policy.ResultZoneAffinity {
-		zone = x.resultZone(p, res)
+		s.zone = x.resultZone(p, res)
 	}
-	state := &streamState{w: w, lastEventID: p.call.ResumeAfter}
 	run := fault.NotRun
-	var avoid []*target.Target
 	var last error
-	for attempts := x.newAttemptLimiter(p); p.ctx.Err() == nil && attempts.next(); {
-		where := x.placementRequest(p)
-		where.Zone, where.InputBytes, where.Avoid = zone, res.bytes(), avoid
-		place := x.Engines.Place(p.ctx, where)
+	for p.ctx.Err() == nil && s.attempts.next() {
+		place := x.nextEngine(s)
 		if place == nil {
 			break
 		}
-		avoid = append(avoid, place.Target())
-		outcome, err := x.streamFrom(p, place, state, res, inputs)
+		s.avoid = append(s.avoid, place.Target())
+		outcome, err := x.streamFrom(s, place)
 		if err == nil {
 			return nil
 		}
 		last = err
 		if !notSent(err) {
-			attempts.recordSend()
+			s.attempts.recordSend()
 		}
 		if outcome != fault.NotRun {
 			run = outcome
@@ -62,7 +81,50 @@
 			break
 		}
 	}
-	return x.failStream(p, state, run, last)
+	return x.failStream(p, s.state, run, last)
+}
+
+// nextEngine returns the standby or else chooses an engine, or returns nil if there
+// is none.
+func (x *relay) nextEngine(s *streamRun) placement.Place {
+	if place := s.standby; place != nil {
+		s.standby = nil
+		return place
+	}
+	return x.place(s.plan.ctx, s, len(s.avoid))
+}
+
+// place chooses an engine for the n-th attempt of the call, counted from zero, or
+// returns nil if there is none.
+func (x *relay) place(ctx context.Context, s *streamRun, n int) placement.Place {
+	where := x.placementRequest(s.plan)
+	if n > 0 {
+		// Two attempts of a call may be placed at the same time.
+		where.ID += "/" + strconv.Itoa(n)
+	}
+	where.Zone, where.InputBytes, where.Avoid = s.zone, s.results.bytes(), s.avoid
+	return x.Engines.Place(ctx, where)
+}
+
+// prepareStandby reports whether the call can continue at another engine, which it
+// chooses.
+func (x *relay) prepareStandby(ctx context.Context, s *streamRun) bool {
+	if s.standby != nil {
+		return true
+	}
+	if !x.Targets.HasAlternative(s.plan.service, s.avoid) || !s.attempts.reserveNext() {
+		return false
+	}
+	s.standby = x.place(ctx, s, len(s.avoid))
+	return s.standby != nil
+}
+
+// dropStandby gives up the standby.
+func (s *streamRun) dropStandby() {
+	if s.standby != nil {
+		s.standby.Ended()
+		s.standby = nil
+	}
 }
 
 // placementRequest returns the request to choose an engine for the call.
@@ -89,15 +151,19 @@
 
 // streamFrom sends the call to one engine and forwards its events. It returns nil
 // if the answer is complete.
-func (x *relay) streamFrom(p *callPlan, place placement.Place, s *streamState, res *results, inputs []string) (fault.Outcome, error) {
-	t := place.Target()
+func (x *relay) streamFrom(s *streamRun, place placement.Place) (fault.Outcome, error) {
+	p, t := s.plan, place.Target()
 	ended := t.Begin()
 	defer ended()
 	defer place.Ended()
-	ctx, stall := x.watchStream(p)
+	var prepare func(context.Context) bool
+	if x.Policy.ResumeStalled && !p.atMostOnce() {
+		prepare = func(ctx context.Context) bool { return x.prepareStandby(ctx, s) }
+	}
+	stall := x.watch(p.ctx, firstEventTimeout(p), prepare)
 	defer stall.stop()
-	a, err := x.send(ctx, p, t, Dispatch{Inputs: inputs, ResumeAfter: s.lastEventID})
-	if notSent(err) && !runnerWithdrawn(err) && ctx.Err() == nil {
+	a, err := x.send(stall.ctx, p, t, Dispatch{Inputs: s.inputs, ResumeAfter: s.state.lastEventID})
+	if notSent(err) && !runnerWithdrawn(err) && stall.ctx.Err() == nil {
 		place.Unreachable()
 	}
 	var sendErr *SendError
@@ -112,15 +178,15 @@
 		return fault.NotRun, fault.New(fault.Overloaded, "runner %q answered %d", t.Runner().ID, a.Status)
 	}
 	if !a.Events || a.Status >= 300 {
-		return fault.Run, x.passPlainAnswer(p, s, a)
+		return fault.Run, x.passPlainAnswer(p, s.state, a)
 	}
 	if !a.Sealed {
 		return fault.Unknown, errUnsealed
 	}
-	return fault.Run, x.passEvents(p, t, s, a, stall, func() {
+	return fault.Run, x.passEvents(p, t, s.state, a, stall, func() {
 		place.Answered()
 		for _, f := range p.route.FinalStages() {
-			res.unref(f)
+			s.results.unref(f)
 		}
 	})
 }
@@ -180,7 +246,7 @@
 			x.Log.Info("first event", "request", p.call.ID, "runner", t.Runner().ID, "resumed", s.headerSent,
 				"afterMillis", x.Clock.Now().Sub(p.call.Arrived).Milliseconds())
 		}
-		stall.progress()
+		stall.progress(eventTimeout(p))
 		if err := s.writeEvent(a, event); err != nil {
 			return fault.Wrap(fault.CallerGone, err, "pass an event on").WithOutcome(fault.Run)
 		}
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -79,3 +79,10 @@
 	}
 	return nil
 }
+
+func (s *set) HasAlternative(service string, avoid []*Target) bool {
+	now := s.clk.Now()
+	return slices.ContainsFunc(s.Usable(service), func(t *Target) bool {
+		return !slices.Contains(avoid, t) && (!s.backOff || !t.inBackoff(now))
+	})
+}
--- a/router/target/set.go
+++ b/router/target/set.go
@@ -35,6 +35,9 @@
 	// targets without a permit are passed over, and the permit of a cold one is
 	// taken.
 	Choose(s shard.Shard, avoid []*Target, permit bool, cost func(*Target) time.Duration) *Target
+	// HasAlternative reports whether a service has a usable target that is neither in
+	// avoid nor in backoff.
+	HasAlternative(service string, avoid []*Target) bool
 	// AcceptsCalls reports whether the target still accepts new calls.
 	AcceptsCalls(t *Target) bool
 }
