Keep a slow plain call while it can't continue elsewhere

Callers of idempotent routes got 502 after twice the objective, though the runner would have answered before the deadline. The timeout of an attempt was set if the route allowed another one; whether the retry budget had a retry and the service another runner was only asked after the cancellation.

Ruled out: a longer timeout, which would leave calls at runners that hang.

Plain calls use the watchdog of streams: it cancels an attempt only after a retry was reserved and another runner chosen.

Both cases of TestSlowPlainCallWithoutAlternativeIsNotAborted failed before:

silence_test.go:134: 502 != 200 (empty budget, no other runner)

Conclusion: fixed; an attempt at a runner that hangs still moves on if it can.

--- a/router/relay/attempts.go
+++ b/router/relay/attempts.go
@@ -51,9 +51,6 @@
 	return true
 }
 
-// mayRetry reports whether the route allows another runner after the current one.
-func (t *attemptLimiter) mayRetry() bool { return t.sends+1 < t.plan.route.MaxAttempts }
-
 // recordSend records that the call, or a part of it, may have reached the runner
 // chosen last.
 func (t *attemptLimiter) recordSend() { t.sends++ }
--- a/router/relay/plain.go
+++ b/router/relay/plain.go
@@ -34,37 +34,48 @@
 	body []byte
 	// long is set if the rest of the body is still to be streamed from the open
 	// exchange.
-	long   bool
-	cancel context.CancelFunc
-	err    error
+	long bool
+	stop func()
+	err  error
 }
 
 // close ends the exchange of a long answer.
 func (a attempt) close() {
 	if a.long {
 		a.answer.Close()
-		a.cancel()
+		a.stop()
 	}
 }
 
+// plainRun is a call that isn't answered by events, with what its attempts share.
+type plainRun struct {
+	plan     *callPlan
+	attempts *attemptLimiter
+	// avoid has the runners that were already tried.
+	avoid []*target.Target
+	// standby is the runner at which the call continues if the current one is silent,
+	// or nil. While an attempt runs, only its watchdog uses it.
+	standby *target.Target
+}
+
 // plain serves a call that isn't answered by a stream of events.
 func (x *relay) plain(w http.ResponseWriter, p *callPlan) error {
 	x.RetryBudget.Success(p.service)
 	run := fault.NotRun
-	var avoid []*target.Target
+	s := &plainRun{plan: p, attempts: x.newAttemptLimiter(p)}
 	var last attempt
-	for attempts := x.newAttemptLimiter(p); p.ctx.Err() == nil && attempts.next(); {
-		t := x.Targets.LeastLoaded(p.service, x.Zone, avoid)
+	for p.ctx.Err() == nil && s.attempts.next() {
+		t := x.nextRunner(s)
 		if t == nil {
 			break
 		}
-		avoid = append(avoid, t)
+		s.avoid = append(s.avoid, t)
 		ended := t.Begin()
 		last.close()
-		last = x.try(p, t, attempts.mayRetry())
+		last = x.try(s, t)
 		ended()
 		if !notSent(last.err) {
-			attempts.recordSend()
+			s.attempts.recordSend()
 		}
 		if last.err == nil && !last.answer.NotRun {
 			run = fault.Run
@@ -84,31 +95,52 @@
 	return x.reply(w, p, last, run)
 }
 
+// nextRunner returns the standby or else chooses a runner, or returns nil if there is
+// none.
+func (x *relay) nextRunner(s *plainRun) *target.Target {
+	if t := s.standby; t != nil {
+		s.standby = nil
+		return t
+	}
+	return x.Targets.LeastLoaded(s.plan.service, x.Zone, s.avoid)
+}
+
+// prepareRunner reports whether the call can continue at another runner, which it
+// chooses.
+func (x *relay) prepareRunner(s *plainRun) bool {
+	if s.standby == nil && x.Targets.HasAlternative(s.plan.service, s.avoid) && s.attempts.reserveNext() {
+		s.standby = x.Targets.LeastLoaded(s.plan.service, x.Zone, s.avoid)
+	}
+	return s.standby != nil
+}
+
 // usable reports whether an answer can be returned without another attempt.
 func usable(a *Answer) bool {
 	return a.Status < http.StatusInternalServerError && (a.Status >= 300 || a.Sealed)
 }
 
-// try sends the call to one runner and reads the answer, up to maxBuffered bytes.
-// more is set if another attempt may follow, which puts a timeout on this one.
-func (x *relay) try(p *callPlan, t *target.Target, more bool) attempt {
-	ctx, cancel := context.WithCancel(p.ctx)
-	stop := func() bool { return true }
-	if more && !p.atMostOnce() {
-		stop = x.Timers.AfterFunc(max(attemptTimeoutFactor*p.route.Objective, minAttemptTimeout), cancel)
+// try sends the call to one runner and reads the answer, up to maxBuffered bytes. An
+// idempotent call that gets no answer in time is cancelled if it can continue at
+// another runner.
+func (x *relay) try(s *plainRun, t *target.Target) attempt {
+	p := s.plan
+	var prepare func(context.Context) bool
+	if !p.atMostOnce() {
+		prepare = func(context.Context) bool { return x.prepareRunner(s) }
 	}
-	a, err := x.send(ctx, p, t, Dispatch{ResumeAfter: p.call.ResumeAfter})
-	stop()
+	w := x.watch(p.ctx, max(attemptTimeoutFactor*p.route.Objective, minAttemptTimeout), prepare)
+	a, err := x.send(w.ctx, p, t, Dispatch{ResumeAfter: p.call.ResumeAfter})
+	w.disarm()
 	if err != nil {
-		cancel()
+		w.stop()
 		return attempt{err: err}
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBuffered))
 	if err == nil && len(body) == maxBuffered && usable(a) {
-		return attempt{answer: a, body: body, long: true, cancel: cancel}
+		return attempt{answer: a, body: body, long: true, stop: w.stop}
 	}
 	a.Close()
-	cancel()
+	w.stop()
 	if err == nil && len(body) == maxBuffered {
 		err = errFailureTooLong
 	}
--- a/router/relay/silence_test.go
+++ b/router/relay/silence_test.go
@@ -42,6 +42,16 @@
 	}}
 }
 
+// pausingPlain answers after a pause.
+func pausingPlain(pause time.Duration) response {
+	return response{"pausing", true, func(ctx context.Context) (*relay.Answer, error) {
+		if err := clock.System().Sleep(ctx, pause); err != nil {
+			return nil, &relay.SendError{Sent: true, Err: err}
+		}
+		return good.do(ctx)
+	}}
+}
+
 // keepRunners removes all runners of the service but n.
 func keepRunners(n int) func(*relay.Call, *inventory.Current) {
 	return func(_ *relay.Call, current *inventory.Current) {
@@ -85,3 +95,25 @@
 		})
 	}
 }
+
+func TestSlowPlainCallWithoutAlternativeIsNotAborted(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		budget relay.RetryBudget
+		change func(*relay.Call, *inventory.Current)
+	}{
+		{"empty budget", &emptyBudget{}, nil},
+		{"no other runner", nil, keepRunners(1)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeRunners{responses: []response{pausingPlain(1500 * time.Millisecond)}, budget: c.budget}
+				w := serveCall(t, "/safe/1", f, &fakePieces{}, c.change)
+				is.Equal(w.Code, http.StatusOK)
+				is.Equal(w.Body.String(), "answer")
+				is.Equal(len(f.sent), 1)
+			})
+		})
+	}
+}
--- a/router/relay/stall.go
+++ b/router/relay/stall.go
@@ -112,6 +112,16 @@
 	w.arm()
 }
 
+// disarm stops the timer. A running check has no effect any more.
+func (w *stallWatch) disarm() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.steps++
+	if w.stopTimer != nil {
+		w.stopTimer()
+	}
+}
+
 // stop ends the context of the attempt and waits for a running check.
 func (w *stallWatch) stop() {
 	w.mu.Lock()
