Let streams pause for a second and a half

A stream that can be resumed left a runner that was silent for a second: the prompt was read again at another engine, for a runner that goes on a moment later. The users' pages now say that sound servers may pause for a second or so. Their callers leave a stream after a gap of two seconds at the earliest.

TestShortPauseOfStreamKeepsItsRunner failed before:

silence_test.go: 2 != 1

Conclusion: a pause of a second costs no prompt; a longer one still moves the stream before its caller leaves.

--- a/router/relay/silence_test.go
+++ b/router/relay/silence_test.go
@@ -96,6 +96,16 @@
 	}
 }
 
+func TestShortPauseOfStreamKeepsItsRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeRunners{responses: []response{pausing(one, two, 1300*time.Millisecond), streamOf(two, false)}}
+		w := serveCall(t, "/resumable/1", f, &fakePieces{}, nil)
+		is.Equal(w.Body.String(), one+two)
+		is.Equal(len(f.sent), 1)
+	})
+}
+
 func TestSlowPlainCallWithoutAlternativeIsNotAborted(t *testing.T) {
 	for _, c := range []struct {
 		name   string
--- a/router/relay/stall.go
+++ b/router/relay/stall.go
@@ -17,9 +17,9 @@
 	stallFactor = 4
 	// firstStallFactor times the route's objective is the same for the first event.
 	firstStallFactor = 2
-	// minStallTimeout is the lower bound of both times, since requests that the engine
-	// preempts pause that long and then continue.
-	minStallTimeout = time.Second
+	// minStallTimeout is the lower bound of both times. Sound runners may pause for a
+	// second or so, and callers wait two seconds for an event.
+	minStallTimeout = 1500 * time.Millisecond
 )
 
 // errStalled is the cause of the cancellation of an attempt without progress.
