Don't resume streams whose inputs were freed

Callers of streams with stages saw their connection close in the middle when a runner paused: the stage results are freed at the first event, so that the next runner answers that an input is gone. The watchdog still cancelled the runner that had them, and a broken stream still took a retry and an engine for nothing.

Ruled out here: keeping the results until the end of the stream, which costs result memory at their makers; it is weighed by itself.

A stream continues elsewhere only while its inputs are held. Failed before:

TestPausingStreamWithoutAlternativeIsNotAborted/inputs_freed: -200 != 200 TestBrokenStreamWithoutInputsTakesNoRetry: 1 != 0

Conclusion: a pause no longer ends such a stream. One whose runner crashes after its first event is still cut.

--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -206,11 +206,13 @@
 	staged.Stages = []routing.Stage{{Service: "p"}, {Service: "p", After: []int{0}}}
 	resumable := route("resumable", routing.Streaming, 3)
 	resumable.Resumable = true
+	stagedResumable := route("stagedResumable", routing.Streaming, 3)
+	stagedResumable.Stages, stagedResumable.Resumable, stagedResumable.Timeout = staged.Stages, true, 4*time.Second
 	closed := route("closed", routing.Idempotent, 2)
 	closed.Open = false
 	return routing.Config{
 		Version:  1,
-		Routes:   []routing.Route{route("safe", routing.Idempotent, 3), route("once", routing.NonIdempotent, 3), route("single", routing.NonIdempotent, 1), route("stream", routing.Streaming, 3), route("brief", routing.Streaming, 1), staged, resumable, closed},
+		Routes:   []routing.Route{route("safe", routing.Idempotent, 3), route("once", routing.NonIdempotent, 3), route("single", routing.NonIdempotent, 1), route("stream", routing.Streaming, 3), route("brief", routing.Streaming, 1), staged, resumable, stagedResumable, closed},
 		Services: []routing.Service{{Name: "s"}, {Name: "p", Batches: &routing.Batches{MaxPieces: 4, CallTime: 100 * time.Millisecond, PieceTime: 10 * time.Millisecond}}},
 		Teams:    []routing.Team{{Name: "team", Keys: []string{"key"}}},
 	}
--- a/router/relay/silence_test.go
+++ b/router/relay/silence_test.go
@@ -82,6 +82,7 @@
 		{"empty budget before the first event", "/resumable/1", []response{late}, &emptyBudget{}, nil},
 		{"no other runner", "/resumable/1", []response{midway}, nil, keepRunners(1)},
 		{"no other runner before the first event", "/resumable/1", []response{late}, nil, keepRunners(1)},
+		{"inputs freed", "/stagedResumable/1", []response{midway}, nil, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -127,3 +128,13 @@
 		})
 	}
 }
+
+func TestBrokenStreamWithoutInputsTakesNoRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeRunners{responses: []response{streamOf(one, true), full}, budget: &emptyBudget{}}
+		w := serveCall(t, "/stagedResumable/1", f, &fakePieces{}, nil)
+		is.Equal(w.Code, -http.StatusOK)
+		is.Equal(f.budget.(*emptyBudget).requested, 0)
+	})
+}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -77,7 +77,7 @@
 		if outcome != fault.NotRun {
 			run = outcome
 		}
-		if run != fault.NotRun && p.atMostOnce() {
+		if (run != fault.NotRun && p.atMostOnce()) || !s.hasInputs() {
 			break
 		}
 	}
@@ -112,13 +112,19 @@
 	if s.standby != nil {
 		return true
 	}
-	if !x.Targets.HasAlternative(s.plan.service, s.avoid) || !s.attempts.reserveNext() {
+	if !s.hasInputs() || !x.Targets.HasAlternative(s.plan.service, s.avoid) || !s.attempts.reserveNext() {
 		return false
 	}
 	s.standby = x.place(ctx, s, len(s.avoid))
 	return s.standby != nil
 }
 
+// hasInputs reports whether the results that a runner of the call uses are still
+// held. They are freed once a runner has used them.
+func (s *streamRun) hasInputs() bool {
+	return len(s.results.handles(s.plan.route.FinalStages())) == len(s.inputs)
+}
+
 // dropStandby gives up the standby.
 func (s *streamRun) dropStandby() {
 	if s.standby != nil {
