Don't resume streams whose caller left

An event that can't be written to the caller was treated like a runner's failure: the stream was resumed at further runners, with retries from the budget, until the end of the connection reached the context. Such calls reach runners after their caller left.

TestStreamOfGoneCallerIsNotResumed failed before:

relay_test.go: 3 != 1

Conclusion: a failed write to the caller ends the call.

--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -106,8 +106,15 @@
 	budget relay.RetryBudget
 	// connect, if set, is called while the connection to a runner is opened.
 	connect func(d relay.Dispatch)
+	// callerGone has all writes to the caller fail.
+	callerGone bool
 }
 
+// goneCaller fails all writes.
+type goneCaller struct{ http.ResponseWriter }
+
+func (goneCaller) Write([]byte) (int, error) { return 0, errors.New("broken pipe") }
+
 func (f *fakeRunners) Send(ctx context.Context, _ *relay.Call, d relay.Dispatch) (*relay.Answer, error) {
 	if f.connect != nil {
 		f.connect(d)
@@ -248,13 +255,17 @@
 		change(c, current)
 	}
 	w := httptest.NewRecorder()
+	caller := http.ResponseWriter(w)
+	if f.callerGone {
+		caller = goneCaller{w}
+	}
 	func() {
 		defer func() {
 			if v := recover(); v != nil {
 				w.Code = -w.Code // aborted
 			}
 		}()
-		r.Serve(t.Context(), w, c)
+		r.Serve(t.Context(), caller, c)
 	}()
 	return w
 }
@@ -474,6 +485,15 @@
 	})
 }
 
+func TestStreamOfGoneCallerIsNotResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeRunners{responses: []response{streamOf(one+two, false)}, callerGone: true}
+		is.Equal(serveCall(t, "/resumable/1", f, &fakePieces{}, nil).Code, -http.StatusOK)
+		is.Equal(len(f.sent), 1)
+	})
+}
+
 func TestStageResultsAreUsedAndFreed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -77,7 +77,7 @@
 		if outcome != fault.NotRun {
 			run = outcome
 		}
-		if (run != fault.NotRun && p.atMostOnce()) || !s.hasInputs() {
+		if (run != fault.NotRun && p.atMostOnce()) || !s.hasInputs() || fault.Is(err, fault.CallerGone) {
 			break
 		}
 	}
