Don't retry streams whose inputs have expired

A stream without its first event after twice the objective was cancelled and sent to a second engine long after that, which answered 409; the caller got 502 from a call that its first engine may have answered. A call whose engine broke off that late took a retry and an engine for nothing in the same way.

Ruled out: holding results until the end of a stream. They expire anyway.

A stream stays at its engine once its results may have expired. One that failed is retried until they certainly have. Failed before:

TestPausingStreamWithoutAlternativeIsNotAborted/inputs_expired: 504 != 200 TestBrokenStreamWithoutInputsTakesNoRetry/expired: 1 != 0

Conclusion: no attempt is given up or started for inputs that are gone. A call at an engine that hangs waits for its caller or its deadline; making its stages again is open.

--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -215,13 +215,19 @@
 	resumable.Resumable = true
 	stagedResumable := route("stagedResumable", routing.Streaming, 3)
 	stagedResumable.Stages, stagedResumable.Resumable, stagedResumable.Timeout = staged.Stages, true, 4*time.Second
+	expiring := stagedResumable
+	expiring.Name, expiring.Prefix, expiring.Stages = "expiring", "/expiring/", []routing.Stage{{Service: "q"}, {Service: "q", After: []int{0}}}
 	closed := route("closed", routing.Idempotent, 2)
 	closed.Open = false
 	return routing.Config{
-		Version:  1,
-		Routes:   []routing.Route{route("safe", routing.Idempotent, 3), route("once", routing.NonIdempotent, 3), route("single", routing.NonIdempotent, 1), route("stream", routing.Streaming, 3), route("brief", routing.Streaming, 1), staged, resumable, stagedResumable, closed},
-		Services: []routing.Service{{Name: "s"}, {Name: "p", Batches: &routing.Batches{MaxPieces: 4, CallTime: 100 * time.Millisecond, PieceTime: 10 * time.Millisecond}}},
-		Teams:    []routing.Team{{Name: "team", Keys: []string{"key"}}},
+		Version: 1,
+		Routes:  []routing.Route{route("safe", routing.Idempotent, 3), route("once", routing.NonIdempotent, 3), route("single", routing.NonIdempotent, 1), route("stream", routing.Streaming, 3), route("brief", routing.Streaming, 1), staged, resumable, stagedResumable, expiring, closed},
+		Services: []routing.Service{
+			{Name: "s"},
+			{Name: "p", Batches: &routing.Batches{MaxPieces: 4, CallTime: 100 * time.Millisecond, PieceTime: 10 * time.Millisecond}},
+			{Name: "q", Batches: &routing.Batches{MaxPieces: 4, CallTime: 100 * time.Millisecond, PieceTime: 10 * time.Millisecond, KeepFor: time.Second}},
+		},
+		Teams: []routing.Team{{Name: "team", Keys: []string{"key"}}},
 	}
 }
 
--- a/router/relay/silence_test.go
+++ b/router/relay/silence_test.go
@@ -82,6 +82,7 @@
 		{"empty budget before the first event", "/resumable/1", []response{late}, &emptyBudget{}, nil},
 		{"no other runner", "/resumable/1", []response{midway}, nil, keepRunners(1)},
 		{"no other runner before the first event", "/resumable/1", []response{late}, nil, keepRunners(1)},
+		{"inputs expired", "/expiring/1", []response{late}, nil, nil},
 		{"inputs freed", "/stagedResumable/1", []response{midway}, nil, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -130,11 +131,42 @@
 }
 
 func TestBrokenStreamWithoutInputsTakesNoRetry(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		response   response
+		status     int
+		requested  int
+	}{
+		{"freed", "/stagedResumable/1", streamOf(one, true), -http.StatusOK, 0},
+		{"expired", "/expiring/1", lostAfter(1200 * time.Millisecond), http.StatusBadGateway, 0},
+		{"held", "/expiring/1", lostAfter(500 * time.Millisecond), http.StatusBadGateway, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := &emptyBudget{}
+				w := serveCall(t, c.path, &fakeRunners{responses: []response{c.response}, budget: b}, &fakePieces{}, nil)
+				is.Equal(w.Code, c.status)
+				is.Equal(b.requested, c.requested)
+			})
+		})
+	}
+}
+
+// lostAfter loses the connection after a time without an answer.
+func lostAfter(d time.Duration) response {
+	return response{"lost", true, func(ctx context.Context) (*relay.Answer, error) {
+		_ = clock.System().Sleep(ctx, d)
+		return connectionLost(true)(ctx)
+	}}
+}
+
+func TestStalledStreamWithoutPiecesIsResumed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := &fakeRunners{responses: []response{streamOf(one, true), full}, budget: &emptyBudget{}}
-		w := serveCall(t, "/stagedResumable/1", f, &fakePieces{}, nil)
-		is.Equal(w.Code, -http.StatusOK)
-		is.Equal(f.budget.(*emptyBudget).requested, 0)
+		f := &fakeRunners{responses: []response{pausing(one, "", 10*time.Second), streamOf(two, false)}}
+		w := serveCall(t, "/stagedResumable/1", f, &fakePieces{}, func(c *relay.Call, _ *inventory.Current) { c.Pieces = []int{0, 0} })
+		is.Equal(w.Body.String(), one+two)
+		is.Equal(len(f.sent), 2)
 	})
 }
--- a/router/relay/stages.go
+++ b/router/relay/stages.go
@@ -27,12 +27,20 @@
 	refs []int
 	// shards has the shard that made the results of each completed stage.
 	shards []shard.Shard
+	// counts has the number of results that were made in each stage, freed or not.
+	counts []int
+	// lifetimes has how long the results of each completed stage are kept.
+	lifetimes []lifetime
 }
 
+// lifetime is when results expire at the runners that made them, which is known as
+// closely as when they were made. Both are zero for results that don't expire.
+type lifetime struct{ earliest, latest time.Time }
+
 // newResults returns empty results with the reference count of each stage.
 func (x *relay) newResults(p *callPlan) *results {
 	n := len(p.route.Stages)
-	res := &results{pieces: x.Pieces, route: p.route, byStage: make([][]stage.Result, n), refs: make([]int, n), shards: make([]shard.Shard, n)}
+	res := &results{pieces: x.Pieces, route: p.route, byStage: make([][]stage.Result, n), refs: make([]int, n), shards: make([]shard.Shard, n), counts: make([]int, n), lifetimes: make([]lifetime, n)}
 	for _, s := range p.route.Stages {
 		for _, a := range s.After {
 			res.refs[a]++
@@ -182,7 +190,7 @@
 			o.Inputs = res.handles(spec.After)
 		}
 		made := x.Pieces.Make(ctx, o)
-		res.set(i, o.Shard, made)
+		res.set(i, o.Shard, made, x.lifetime(spec.Service, start))
 		x.Meter.StageEnded(spec.Service, string(firstFailure(made)), x.Clock.Now().Sub(start))
 		x.Log.Info("stage made", "request", p.call.ID, "route", p.route.Name, "stage", i, "service", spec.Service, "pieces", pieces, "shardZone", o.Shard.Zone,
 			"tookMillis", x.Clock.Now().Sub(start).Milliseconds(), "sinceMillis", x.Clock.Now().Sub(p.call.Arrived).Milliseconds())
@@ -232,10 +240,51 @@
 	return fault.New(fault.Overloaded, "stage %d: %s", i, f)
 }
 
-func (r *results) set(i int, by shard.Shard, made []stage.Result) {
+// lifetime returns the lifetime of results that a service was asked for at a time and
+// has just made.
+func (x *relay) lifetime(service string, ordered time.Time) lifetime {
+	svc := x.Current.Load().Table.Service(service)
+	if svc == nil || svc.Batches == nil || svc.Batches.KeepFor <= 0 {
+		return lifetime{}
+	}
+	return lifetime{earliest: ordered.Add(svc.Batches.KeepFor), latest: x.Clock.Now().Add(svc.Batches.KeepFor)}
+}
+
+func (r *results) set(i int, by shard.Shard, made []stage.Result, l lifetime) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.byStage[i], r.shards[i], r.counts[i], r.lifetimes[i] = made, by, len(made), l
+}
+
+// availability is whether the results for the call's runner still exist.
+type availability int
+
+const (
+	// gone results were freed or have expired.
+	gone availability = iota
+	// doubtful results may have expired.
+	doubtful
+	available
+)
+
+// inputs returns the availability of the results of the final stages.
+func (r *results) inputs(now time.Time) availability {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.byStage[i], r.shards[i] = made, by
+	out := available
+	for _, f := range r.route.FinalStages() {
+		l := r.lifetimes[f]
+		switch {
+		case len(r.byStage[f]) < r.counts[f]:
+			return gone
+		case l.latest.IsZero():
+		case now.After(l.latest):
+			return gone
+		case now.After(l.earliest):
+			out = doubtful
+		}
+	}
+	return out
 }
 
 // handles returns the handles of all results of the given stages.
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -77,7 +77,7 @@
 		if outcome != fault.NotRun {
 			run = outcome
 		}
-		if (run != fault.NotRun && p.atMostOnce()) || !s.hasInputs() || fault.Is(err, fault.CallerGone) {
+		if (run != fault.NotRun && p.atMostOnce()) || s.results.inputs(x.Clock.Now()) == gone || fault.Is(err, fault.CallerGone) {
 			break
 		}
 	}
@@ -112,19 +112,13 @@
 	if s.standby != nil {
 		return true
 	}
-	if !s.hasInputs() || !x.Targets.HasAlternative(s.plan.service, s.avoid) || !s.attempts.reserveNext() {
+	if s.results.inputs(x.Clock.Now()) != available || !x.Targets.HasAlternative(s.plan.service, s.avoid) || !s.attempts.reserveNext() {
 		return false
 	}
 	s.standby = x.place(ctx, s, len(s.avoid))
 	return s.standby != nil
 }
 
-// hasInputs reports whether the results that a runner of the call uses are still
-// held. They are freed once a runner has used them.
-func (s *streamRun) hasInputs() bool {
-	return len(s.results.handles(s.plan.route.FinalStages())) == len(s.inputs)
-}
-
 // dropStandby gives up the standby.
 func (s *streamRun) dropStandby() {
 	if s.standby != nil {
