Close idle connections to a runner after silence on one

Open connections to a runner may go silent for good, without a reset, while new ones work. A call that timed out on a kept connection closed only that one; the next calls took the other kept connections, up to eight, and each waited for its timeout or deadline. Calls that run at most once have no timeout but their deadline.

Ruled out: health checks of idle connections, which a runner answers to no request.

A failure on a connection that was used before closes the idle ones to that address, unless the caller cancelled. Failed before:

TestIdleConnectionsAreClosedAfterSilenceOnOne: 2 != 3 (connections)

TestCancelledExchangeKeepsIdleConnections holds the other side.

Conclusion: one call at most waits for a path that lost its connections, if the others weren't sent at the same time.

--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -145,6 +145,10 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
+		if c.used && !errors.Is(err, context.Canceled) {
+			// The path may have lost the state of all open connections.
+			p.CloseIdle(address)
+		}
 		return nil, &Error{Sent: true, Reused: c.used, Err: err}
 	}
 	return a, nil
--- a/router/link/exchange_test.go
+++ b/router/link/exchange_test.go
@@ -309,3 +309,55 @@
 		})
 	}
 }
+
+// TestIdleConnectionsAreClosedAfterSilenceOnOne has a server that no longer answers on
+// its open connections, but does on new ones.
+func TestIdleConnectionsAreClosedAfterSilenceOnOne(t *testing.T) {
+	is := is.New(t)
+	const answer = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok\x00"
+	s := serve(t, answer, answer, "\x00", answer)
+	pool := link.NewPool()
+	first, err := pool.Exchange(t.Context(), s.address, newRequest())
+	is.NoErr(err)
+	is.Equal(describeExchange(t, pool, s.address), "1 OK ok, framed yes") // opens a second connection
+	_, err = io.ReadAll(first.Body)
+	is.NoErr(err)
+	first.Close()
+	is.Equal(s.connCount, 2)
+
+	slow := errors.New("slow")
+	ctx, cancel := context.WithTimeoutCause(t.Context(), 50*time.Millisecond, slow)
+	defer cancel()
+	_, err = pool.Exchange(ctx, s.address, newRequest())
+	is.True(errors.Is(err, slow))
+	is.Equal(describeExchange(t, pool, s.address), "1 OK ok, framed yes")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.connCount, 3)
+}
+
+func TestCancelledExchangeKeepsIdleConnections(t *testing.T) {
+	is := is.New(t)
+	const answer = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok\x00"
+	s := serve(t, answer, answer, answer, answer)
+	pool := link.NewPool()
+	first, err := pool.Exchange(t.Context(), s.address, newRequest())
+	is.NoErr(err)
+	is.Equal(describeExchange(t, pool, s.address), "1 OK ok, framed yes")
+	_, err = io.ReadAll(first.Body)
+	is.NoErr(err)
+	first.Close()
+
+	ctx, cancel := context.WithCancel(t.Context())
+	req := newRequest()
+	req.MatchResponse = func(http.Header) bool {
+		cancel()
+		return false
+	}
+	_, err = pool.Exchange(ctx, s.address, req)
+	is.True(errors.Is(err, context.Canceled))
+	is.Equal(describeExchange(t, pool, s.address), "1 OK ok, framed yes")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.connCount, 2)
+}
