Fail at once on an unframed answer to another request

A runner may write an answer to an earlier request on a kept connection, with neither a length nor chunks. It was read until the connection ended, though the answer that is due can't follow it: the call waited for its timeout, or for its deadline if it runs at most once.

Ruled out: that the end of the connection comes soon. It stays open at runners that await the next request.

An answer to another request that ends only with its connection now fails the exchange. An answer that has no body by its method or status counts as framed, which also lets the connection of a HEAD request be reused. Failed before:

TestUnframedAnswerOfAnotherRequestFailsAtOnce: err: context deadline exceeded

Conclusion: such a call is retried, or answered, at once.

--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -211,6 +211,9 @@
 			continue
 		}
 		if req.MatchResponse != nil && !req.MatchResponse(resp.Header) {
+			if !framed(resp) {
+				return nil, errStrayResponses
+			}
 			source.remaining = maxDiscardBytes
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 				return nil, err
@@ -224,16 +227,21 @@
 	return nil, errStrayResponses
 }
 
+// framed reports whether the body of a response ends before its connection does.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Body == http.NoBody
+}
+
 func (ex *exchange) newResponse(resp *http.Response, stray bool) *Response {
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	isFramed := framed(resp)
 	ex.body = &bodyReader{r: resp.Body, complete: resp.Body == http.NoBody}
 	ex.conn.idleTimeout = min(ex.conn.idleTimeout, keepAliveTimeout(resp.Header, ex.conn.idleTimeout))
-	if resp.Close || !framed || stray {
+	if resp.Close || !isFramed || stray {
 		ex.conn.idleTimeout = 0
 	}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Body: ex.body, Length: resp.ContentLength,
-		Framed: framed, Reused: ex.conn.used, ex: ex,
+		Framed: isFramed, Reused: ex.conn.used, ex: ex,
 	}
 }
 
--- a/router/link/exchange_test.go
+++ b/router/link/exchange_test.go
@@ -310,6 +310,17 @@
 	}
 }
 
+func TestUnframedAnswerOfAnotherRequestFailsAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, "HTTP/1.1 200 OK\r\nId: 0\r\n\r\nlate\x00")
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := link.NewPool().Exchange(ctx, s.address, newRequest())
+	var failed *link.Error
+	is.True(errors.As(err, &failed) && failed.Sent)
+	is.NoErr(ctx.Err()) // doesn't wait for the end of the connection
+}
+
 // TestIdleConnectionsAreClosedAfterSilenceOnOne has a server that no longer answers on
 // its open connections, but does on new ones.
 func TestIdleConnectionsAreClosedAfterSilenceOnOne(t *testing.T) {
@@ -361,3 +372,32 @@
 	defer s.mu.Unlock()
 	is.Equal(s.connCount, 2)
 }
+
+func TestAnswersWithoutBodyKeepTheirConnection(t *testing.T) {
+	for _, c := range []struct{ method, answer string }{
+		{http.MethodHead, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n\x00"},
+		{http.MethodHead, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\n\x00"},
+		{http.MethodGet, "HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n\x00"},
+		{http.MethodGet, "HTTP/1.1 304 Not Modified\r\nId: 1\r\nContent-Length: 9\r\n\r\n\x00"},
+		{http.MethodHead, "HTTP/1.1 200 OK\r\nId: 0\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\n\r\n\x00"},
+	} {
+		t.Run(c.method+" "+c.answer, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, c.answer, c.answer)
+			pool := link.NewPool()
+			for range 2 {
+				req := newRequest()
+				req.Method, req.Body = c.method, nil
+				a, err := pool.Exchange(t.Context(), s.address, req)
+				is.NoErr(err)
+				body, err := io.ReadAll(a.Body)
+				is.NoErr(err)
+				is.Equal(len(body), 0)
+				a.Close()
+			}
+			if !strings.Contains(c.answer, "Id: 0") {
+				is.Equal(s.connCount, 1)
+			}
+		})
+	}
+}
