Believe a runner's refusal whatever becomes of its body

A refusal that says that the call wasn't run counted only once its body was read. If the body broke off, a call that runs at most once was answered 502, which its caller doesn't repeat, instead of going to another runner.

Ruled out: leaving all bodies of refusals unread. Their connections couldn't be reused, and full runners refuse often.

--- a/router/relay/plain.go
+++ b/router/relay/plain.go
@@ -141,6 +141,9 @@
 	}
 	a.Close()
 	w.stop()
+	if a.NotRun {
+		return attempt{answer: a}
+	}
 	if err == nil && len(body) == maxBuffered {
 		err = errFailureTooLong
 	}
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -91,6 +91,7 @@
 	unsealed = response{"unsealed", true, answerWith(http.StatusOK, "forged", func(a *relay.Answer) { a.Sealed = false })}
 	cut      = response{"cut", true, answerWith(http.StatusOK, "ans", func(a *relay.Answer) { a.Body = cutBody{strings.NewReader("ans")} })}
 	full     = response{"full", false, answerWith(http.StatusServiceUnavailable, "", func(a *relay.Answer) { a.NotRun, a.Sealed = true, false })}
+	cutFull  = response{"cut full", false, answerWith(http.StatusServiceUnavailable, "", func(a *relay.Answer) { a.NotRun, a.Sealed, a.Body = true, false, cutBody{strings.NewReader("fu")} })}
 	reset    = response{"reset", true, connectionLost(true)}
 	refused  = response{"refused", false, connectionLost(false)}
 	hanging  = response{"hanging", true, hang}
@@ -281,7 +282,7 @@
 // than three runners, and that a call that ran isn't answered with a status that
 // says that it didn't run.
 func TestCallsThatRunOnceProperty(t *testing.T) {
-	kinds := []response{good, failing, unsealed, cut, full, reset, refused, hanging}
+	kinds := []response{good, failing, unsealed, cut, full, cutFull, reset, refused, hanging}
 	rapid.Check(t, func(rt *rapid.T) {
 		path := rapid.SampledFrom([]string{"/once/1", "/stream/1", "/safe/1", "/resumable/1"}).Draw(rt, "path")
 		f := &fakeRunners{responses: rapid.SliceOfN(rapid.SampledFrom(kinds), 1, 5).Draw(rt, "acts")}
@@ -403,6 +404,8 @@
 		{"/once/1", []response{unsealed, good}, 502, 1},
 		{"/once/1", []response{full, refused, good}, 200, 3},
 		{"/once/1", []response{full}, 503, 3},
+		{"/once/1", []response{cutFull, good}, 200, 2},
+		{"/once/1", []response{cutFull}, 503, 3},
 		{"/once/1", []response{refused}, 503, 6},
 		{"/once/1", []response{reset, good}, 502, 1},
 		{"/once/1", []response{hanging, good}, 504, 1},
