Answer the calls that remain when the grace period ends

An instance that stops waited for its calls until the end of the grace period and then closed their connections: a call at a silent runner got neither an answer nor a refusal. Since silent runners are kept where a call can't go elsewhere, there are more such calls.

Ruled out: cutting silent calls earlier in a stop. Their runners may answer until the last moment.

Streams that have begun are still cut.

--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -250,9 +250,19 @@
 	return a.Status
 }
 
-// contextFault returns the error of a call whose context ended, by its deadline or
-// because the caller disconnected.
+// ErrStopping is the cause with which the context of calls is cancelled that have no
+// answer when the instance stops.
+var ErrStopping = errors.New("the instance stops")
+
+// contextFault returns the error of a call whose context ended: by its deadline,
+// because the caller disconnected, or because the instance stops.
 func (x *relay) contextFault(p *callPlan, run fault.Outcome) error {
+	if errors.Is(context.Cause(p.ctx), ErrStopping) {
+		if run == fault.NotRun {
+			return fault.Wrap(fault.NotReady, ErrStopping, "no runner took the call")
+		}
+		return fault.Wrap(fault.OutcomeUnknown, ErrStopping, "no answer of %q", p.service).WithOutcome(run)
+	}
 	if errors.Is(context.Cause(p.ctx), context.DeadlineExceeded) {
 		if run == fault.NotRun {
 			return fault.New(fault.DeadlineTooShort, "the deadline passed before a runner took the call")
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -107,6 +107,8 @@
 	budget relay.RetryBudget
 	// connect, if set, is called while the connection to a runner is opened.
 	connect func(d relay.Dispatch)
+	// ctx is the context of the call; nil stands for the test's.
+	ctx context.Context
 	// callerGone has all writes to the caller fail.
 	callerGone bool
 }
@@ -272,7 +274,11 @@
 				w.Code = -w.Code // aborted
 			}
 		}()
-		r.Serve(t.Context(), caller, c)
+		ctx := f.ctx
+		if ctx == nil {
+			ctx = t.Context()
+		}
+		r.Serve(ctx, caller, c)
 	}()
 	return w
 }
--- a/router/relay/silence_test.go
+++ b/router/relay/silence_test.go
@@ -170,3 +170,36 @@
 		is.Equal(len(f.sent), 2)
 	})
 }
+
+func TestSilentCallsAreAnsweredWhenTheInstanceStops(t *testing.T) {
+	for _, c := range []struct {
+		path     string
+		response response
+		status   int
+	}{
+		{"/once/1", hanging, http.StatusBadGateway},
+		{"/safe/1", hanging, http.StatusBadGateway},
+		{"/resumable/1", pausing("", one, 10*time.Second), http.StatusBadGateway},
+		{"/stream/1", pausing(one, two, 10*time.Second), -http.StatusOK},
+	} {
+		t.Run(c.path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, stop := context.WithCancelCause(t.Context())
+				clock.SystemTimers().AfterFunc(500*time.Millisecond, func() { stop(relay.ErrStopping) })
+				w := serveCall(t, c.path, &fakeRunners{responses: []response{c.response}, ctx: ctx}, &fakePieces{}, nil)
+				is.Equal(w.Code, c.status)
+			})
+		})
+	}
+}
+
+func TestCallsOfStoppedInstanceAreRefusedDuringTheirStages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithCancelCause(t.Context())
+		stop(relay.ErrStopping)
+		w := serveCall(t, "/staged/1", &fakeRunners{responses: []response{good}, ctx: ctx}, &fakePieces{}, nil)
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+	})
+}
