Check silent runners for any pauses

The tests of silent streams name single cases. TestSilentRunnersProperty draws the pauses, the retries of the budget and the number of runners, and checks that one runner at a time works on a call, that the last attempt isn't given up before the deadline and that answers are whole. TestStreamThatGoesOnDuringTheCheckKeepsItsRunner has events arrive while the next engine is chosen.

--- a/router/relay/silence_test.go
+++ b/router/relay/silence_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"maps"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -15,6 +17,7 @@
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/relay"
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 // pausingBody pauses before its second part. It ends with the context.
@@ -203,3 +206,97 @@
 		is.Equal(w.Code, http.StatusServiceUnavailable)
 	})
 }
+
+// limitedBudget allows a number of retries.
+type limitedBudget struct{ left int }
+
+func (*limitedBudget) Success(string) {}
+
+func (b *limitedBudget) Allow(string) bool {
+	b.left--
+	return b.left >= 0
+}
+
+// TestSilentRunnersProperty checks, for runners that pause for any time, that one
+// runner at a time works on a call, that an attempt is given up before the deadline
+// only for another one, and that answers are whole.
+func TestSilentRunnersProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		path := rapid.SampledFrom([]string{"/safe/1", "/resumable/1", "/stagedResumable/1", "/expiring/1"}).Draw(rt, "path")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 50), 1, 4).Draw(rt, "pauses")
+		begun := rapid.Bool().Draw(rt, "begun")
+		budget := &limitedBudget{left: rapid.IntRange(0, 3).Draw(rt, "retries")}
+		runners := rapid.IntRange(1, 4).Draw(rt, "runners")
+		f := &fakeRunners{budget: budget}
+		working, most, dropped := 0, 0, 0
+		for _, p := range pauses {
+			pause := time.Duration(p)*100*time.Millisecond + 37*time.Millisecond // not at the same time as a timeout
+			whole := pausing("", one, pause)
+			if begun && path != "/safe/1" {
+				whole = pausing(one, two, pause)
+			} else if path == "/safe/1" {
+				whole = pausingPlain(pause)
+			}
+			f.responses = append(f.responses, response{"pausing", true, func(ctx context.Context) (*relay.Answer, error) {
+				working++
+				most = max(most, working)
+				end := func() {
+					working--
+					if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+						dropped++
+					}
+				}
+				a, err := whole.do(ctx)
+				if err != nil {
+					end()
+					return nil, err
+				}
+				a.Close = end
+				return a, nil
+			}})
+		}
+		var w *httptest.ResponseRecorder
+		synctest.Test(t, func(t *testing.T) { w = serveCall(t, path, f, &fakePieces{}, keepRunners(runners)) })
+		if most > 1 || working != 0 {
+			rt.Fatalf("%d runners worked at a time, %d are left", most, working)
+		}
+		if dropped >= len(f.sent) {
+			rt.Fatalf("%d of %d attempts given up", dropped, len(f.sent))
+		}
+		if len(f.sent) > min(3, runners) {
+			rt.Fatalf("sent to %d runners", len(f.sent))
+		}
+		// A fake runner starts anew when a stream is resumed.
+		if w.Code == http.StatusOK && !slices.Contains([]string{"answer", one, one + two, one + one + two}, w.Body.String()) {
+			rt.Fatalf("body %q", w.Body)
+		}
+	})
+}
+
+// slowBudget takes a while to allow a retry.
+type slowBudget struct{ limitedBudget }
+
+func (b *slowBudget) Allow(string) bool {
+	_ = clock.System().Sleep(context.Background(), 500*time.Millisecond)
+	return true
+}
+
+// pausingTwice is a stream that pauses for 1.7 s and then for 0.6 s.
+func pausingTwice() response {
+	return response{"pausing", true, func(ctx context.Context) (*relay.Answer, error) {
+		a, err := eventAnswer("", false)(ctx)
+		rest := &pausingBody{ctx: ctx, pause: 600 * time.Millisecond, parts: []io.Reader{strings.NewReader(two), strings.NewReader(three)}}
+		a.Body = &pausingBody{ctx: ctx, pause: 1700 * time.Millisecond, parts: []io.Reader{strings.NewReader(one), rest}}
+		return a, err
+	}}
+}
+
+func TestStreamThatGoesOnDuringTheCheckKeepsItsRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeRunners{responses: []response{pausingTwice(), streamOf(two, false)}, budget: &slowBudget{}}
+		w := serveCall(t, "/stagedResumable/1", f, &fakePieces{}, func(c *relay.Call, _ *inventory.Current) { c.Pieces = []int{0, 0} })
+		is.Equal(w.Body.String(), one+two+three)
+		is.Equal(len(f.sent), 1)
+	})
+}
