--- a/router/link/exchange_test.go
+++ b/router/link/exchange_test.go
@@ -316,3 +316,95 @@
 		})
 	}
 }
+
+func TestUnframedAnswerOfAnotherRequestFailsAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, "HTTP/1.1 200 OK\r\nId: 0\r\n\r\nlate\x00")
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := link.NewPool().Exchange(ctx, s.address, newRequest())
+	var failed *link.Error
+	is.True(errors.As(err, &failed) && failed.Sent)
+	is.NoErr(ctx.Err()) // doesn't wait for the end of the connection
+}
+
+// TestIdleConnectionsAreClosedAfterSilenceOnOne has a server that no longer answers on
+// its open connections, but does on new ones.
+func TestIdleConnectionsAreClosedAfterSilenceOnOne(t *testing.T) {
+	is := is.New(t)
+	const answer = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok\x00"
+	s := serve(t, answer, answer, "\x00", answer)
+	pool := link.NewPool()
+	first, err := pool.Exchange(t.Context(), s.address, newRequest())
+	is.NoErr(err)
+	is.Equal(describeExchange(t, pool, s.address), "1 OK ok, framed yes") // opens a second connection
+	_, err = io.ReadAll(first.Body)
+	is.NoErr(err)
+	first.Close()
+	is.Equal(s.connCount, 2)
+
+	slow := errors.New("slow")
+	ctx, cancel := context.WithTimeoutCause(t.Context(), 50*time.Millisecond, slow)
+	defer cancel()
+	_, err = pool.Exchange(ctx, s.address, newRequest())
+	is.True(errors.Is(err, slow))
+	is.Equal(describeExchange(t, pool, s.address), "1 OK ok, framed yes")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.connCount, 3)
+}
+
+func TestCancelledExchangeKeepsIdleConnections(t *testing.T) {
+	is := is.New(t)
+	const answer = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok\x00"
+	s := serve(t, answer, answer, answer, answer)
+	pool := link.NewPool()
+	first, err := pool.Exchange(t.Context(), s.address, newRequest())
+	is.NoErr(err)
+	is.Equal(describeExchange(t, pool, s.address), "1 OK ok, framed yes")
+	_, err = io.ReadAll(first.Body)
+	is.NoErr(err)
+	first.Close()
+
+	ctx, cancel := context.WithCancel(t.Context())
+	req := newRequest()
+	req.MatchResponse = func(http.Header) bool {
+		cancel()
+		return false
+	}
+	_, err = pool.Exchange(ctx, s.address, req)
+	is.True(errors.Is(err, context.Canceled))
+	is.Equal(describeExchange(t, pool, s.address), "1 OK ok, framed yes")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.connCount, 2)
+}
+
+func TestAnswersWithoutBodyKeepTheirConnection(t *testing.T) {
+	for _, c := range []struct{ method, answer string }{
+		{http.MethodHead, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n\x00"},
+		{http.MethodHead, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\n\x00"},
+		{http.MethodGet, "HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n\x00"},
+		{http.MethodGet, "HTTP/1.1 304 Not Modified\r\nId: 1\r\nContent-Length: 9\r\n\r\n\x00"},
+		{http.MethodHead, "HTTP/1.1 200 OK\r\nId: 0\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\n\r\n\x00"},
+	} {
+		t.Run(c.method+" "+c.answer, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, c.answer, c.answer)
+			pool := link.NewPool()
+			for range 2 {
+				req := newRequest()
+				req.Method, req.Body = c.method, nil
+				a, err := pool.Exchange(t.Context(), s.address, req)
+				is.NoErr(err)
+				body, err := io.ReadAll(a.Body)
+				is.NoErr(err)
+				is.Equal(len(body), 0)
+				a.Close()
+			}
+			if !strings.Contains(c.answer, "Id: 0") {
+				is.Equal(s.connCount, 1)
+			}
+		})
+	}
+}
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -92,6 +92,7 @@
 	unsealed = response{"unsealed", true, answerWith(http.StatusOK, "forged", func(a *relay.Answer) { a.Sealed = false })}
 	cut      = response{"cut", true, answerWith(http.StatusOK, "ans", func(a *relay.Answer) { a.Body = cutBody{strings.NewReader("ans")} })}
 	full     = response{"full", false, answerWith(http.StatusServiceUnavailable, "", func(a *relay.Answer) { a.NotRun, a.Sealed = true, false })}
+	cutFull  = response{"cut full", false, answerWith(http.StatusServiceUnavailable, "", func(a *relay.Answer) { a.NotRun, a.Sealed, a.Body = true, false, cutBody{strings.NewReader("fu")} })}
 	reset    = response{"reset", true, connectionLost(true)}
 	refused  = response{"refused", false, connectionLost(false)}
 	hanging  = response{"hanging", true, hang}
@@ -107,8 +108,15 @@
 	budget relay.RetryBudget
 	// connect, if set, is called while the connection to a runner is opened.
 	connect func(d relay.Dispatch)
+	// callerGone has all writes to the caller fail.
+	callerGone bool
 }
 
+// goneCaller fails all writes.
+type goneCaller struct{ http.ResponseWriter }
+
+func (goneCaller) Write([]byte) (int, error) { return 0, errors.New("broken pipe") }
+
 func (f *fakeRunners) Send(ctx context.Context, _ *relay.Call, d relay.Dispatch) (*relay.Answer, error) {
 	if f.connect != nil {
 		f.connect(d)
@@ -215,13 +223,21 @@
 	staged.Stages = []routing.Stage{{Service: "p"}, {Service: "p", After: []int{0}}}
 	resumable := route("resumable", routing.Streaming, 3)
 	resumable.Resumable = true
+	stagedResumable := route("stagedResumable", routing.Streaming, 3)
+	stagedResumable.Stages, stagedResumable.Resumable, stagedResumable.Timeout = staged.Stages, true, 4*time.Second
+	expiring := stagedResumable
+	expiring.Name, expiring.Prefix, expiring.Stages = "expiring", "/expiring/", []routing.Stage{{Service: "q"}, {Service: "q", After: []int{0}}}
 	closed := route("closed", routing.Idempotent, 2)
 	closed.Open = false
 	return routing.Config{
-		Version:  1,
-		Routes:   []routing.Route{route("safe", routing.Idempotent, 3), route("once", routing.NonIdempotent, 3), route("single", routing.NonIdempotent, 1), route("stream", routing.Streaming, 3), route("brief", routing.Streaming, 1), staged, resumable, closed},
-		Services: []routing.Service{{Name: "s"}, {Name: "p", Batches: &routing.Batches{MaxPieces: 4, CallTime: 100 * time.Millisecond, PieceTime: 10 * time.Millisecond}}},
-		Teams:    []routing.Team{{Name: "team", Keys: []string{"key"}}},
+		Version: 1,
+		Routes:  []routing.Route{route("safe", routing.Idempotent, 3), route("once", routing.NonIdempotent, 3), route("single", routing.NonIdempotent, 1), route("stream", routing.Streaming, 3), route("brief", routing.Streaming, 1), staged, resumable, stagedResumable, expiring, closed},
+		Services: []routing.Service{
+			{Name: "s"},
+			{Name: "p", Batches: &routing.Batches{MaxPieces: 4, CallTime: 100 * time.Millisecond, PieceTime: 10 * time.Millisecond}},
+			{Name: "q", Batches: &routing.Batches{MaxPieces: 4, CallTime: 100 * time.Millisecond, PieceTime: 10 * time.Millisecond, KeepFor: time.Second}},
+		},
+		Teams: []routing.Team{{Name: "team", Keys: []string{"key"}}},
 	}
 }
 
@@ -261,13 +277,17 @@
 		change(c, current)
 	}
 	w := httptest.NewRecorder()
+	caller := http.ResponseWriter(w)
+	if f.callerGone {
+		caller = goneCaller{w}
+	}
 	func() {
 		defer func() {
 			if v := recover(); v != nil {
 				w.Code = -w.Code // aborted
 			}
 		}()
-		r.Serve(ctx, w, c)
+		r.Serve(ctx, caller, c)
 	}()
 	return w
 }
@@ -277,7 +297,7 @@
 // than three runners, and that a call that ran isn't answered with a status that
 // says that it didn't run.
 func TestCallsThatRunOnceProperty(t *testing.T) {
-	kinds := []response{good, failing, unsealed, cut, full, reset, refused, hanging}
+	kinds := []response{good, failing, unsealed, cut, full, cutFull, reset, refused, hanging}
 	rapid.Check(t, func(rt *rapid.T) {
 		path := rapid.SampledFrom([]string{"/once/1", "/stream/1", "/safe/1", "/resumable/1"}).Draw(rt, "path")
 		f := &fakeRunners{responses: rapid.SliceOfN(rapid.SampledFrom(kinds), 1, 5).Draw(rt, "acts")}
@@ -399,6 +419,8 @@
 		{"/once/1", []response{unsealed, good}, 502, 1},
 		{"/once/1", []response{full, refused, good}, 200, 3},
 		{"/once/1", []response{full}, 503, 3},
+		{"/once/1", []response{cutFull, good}, 200, 2},
+		{"/once/1", []response{cutFull}, 503, 3},
 		{"/once/1", []response{refused}, 503, 6},
 		{"/once/1", []response{reset, good}, 502, 1},
 		{"/once/1", []response{hanging, good}, 504, 1},
@@ -487,6 +509,29 @@
 	})
 }
 
+func TestResumedStreamHasNotTheLengthOfItsFirstAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		first := response{"first", true, func(ctx context.Context) (*relay.Answer, error) {
+			a, err := eventAnswer(one, true)(ctx)
+			a.Header.Set("Content-Length", "24")
+			return a, err
+		}}
+		w := serveCall(t, "/resumable/1", &fakeRunners{responses: []response{first, streamOf(two+three, false)}}, &fakePieces{}, nil)
+		is.Equal(w.Body.String(), one+two+three)
+		is.Equal(w.Header().Get("Content-Length"), "")
+	})
+}
+
+func TestStreamOfGoneCallerIsNotResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeRunners{responses: []response{streamOf(one+two, false)}, callerGone: true}
+		is.Equal(serveCall(t, "/resumable/1", f, &fakePieces{}, nil).Code, -http.StatusOK)
+		is.Equal(len(f.sent), 1)
+	})
+}
+
 func TestStageResultsAreUsedAndFreed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- /dev/null
+++ b/router/relay/silence_test.go
@@ -0,0 +1,305 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/relay"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// pausingBody pauses before its second part. It ends with the context.
+type pausingBody struct {
+	ctx   context.Context
+	pause time.Duration
+	parts []io.Reader
+}
+
+func (b *pausingBody) Read(p []byte) (int, error) {
+	n, err := b.parts[0].Read(p)
+	if !errors.Is(err, io.EOF) || len(b.parts) == 1 {
+		return n, err
+	}
+	b.parts = b.parts[1:]
+	return n, clock.System().Sleep(b.ctx, b.pause)
+}
+
+// pausing answers with a stream that pauses between begin and end.
+func pausing(begin, end string, pause time.Duration) response {
+	return response{"pausing", true, func(ctx context.Context) (*relay.Answer, error) {
+		a, err := eventAnswer("", false)(ctx)
+		a.Body = &pausingBody{ctx: ctx, pause: pause, parts: []io.Reader{strings.NewReader(begin), strings.NewReader(end)}}
+		return a, err
+	}}
+}
+
+// pausingPlain answers after a pause.
+func pausingPlain(pause time.Duration) response {
+	return response{"pausing", true, func(ctx context.Context) (*relay.Answer, error) {
+		if err := clock.System().Sleep(ctx, pause); err != nil {
+			return nil, &relay.SendError{Sent: true, Err: err}
+		}
+		return good.do(ctx)
+	}}
+}
+
+// keepRunners removes all runners of the service but n.
+func keepRunners(n int) func(*relay.Call, *inventory.Current) {
+	return func(_ *relay.Call, current *inventory.Current) {
+		s := *current.Load()
+		s.Runners = maps.Clone(s.Runners)
+		for id := range s.Runners {
+			if len(s.Runners) > n {
+				delete(s.Runners, id)
+			}
+		}
+		s.Revision++
+		current.Advance(&s)
+	}
+}
+
+func TestPausingStreamWithoutAlternativeIsNotAborted(t *testing.T) {
+	const pause = 1700 * time.Millisecond
+	midway, late := pausing(one, two, pause), pausing("", one+two, pause)
+	for _, c := range []struct {
+		name, path string
+		responses  []response
+		budget     relay.RetryBudget
+		change     func(*relay.Call, *inventory.Current)
+	}{
+		{"no attempt left", "/resumable/1", []response{reset, reset, midway}, nil, nil},
+		{"no attempt left before the first event", "/resumable/1", []response{reset, reset, late}, nil, nil},
+		{"empty budget", "/resumable/1", []response{midway}, &emptyBudget{}, nil},
+		{"empty budget before the first event", "/resumable/1", []response{late}, &emptyBudget{}, nil},
+		{"no other runner", "/resumable/1", []response{midway}, nil, keepRunners(1)},
+		{"no other runner before the first event", "/resumable/1", []response{late}, nil, keepRunners(1)},
+		{"inputs expired", "/expiring/1", []response{late}, nil, nil},
+		{"inputs freed", "/stagedResumable/1", []response{midway}, nil, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeRunners{responses: c.responses, budget: c.budget}
+				w := serveCall(t, c.path, f, &fakePieces{}, c.change)
+				is.Equal(w.Code, http.StatusOK)
+				is.Equal(w.Body.String(), one+two)
+				is.Equal(len(f.sent), len(c.responses))
+			})
+		})
+	}
+}
+
+func TestShortPauseOfStreamKeepsItsRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeRunners{responses: []response{pausing(one, two, 1300*time.Millisecond), streamOf(two, false)}}
+		w := serveCall(t, "/resumable/1", f, &fakePieces{}, nil)
+		is.Equal(w.Body.String(), one+two)
+		is.Equal(len(f.sent), 1)
+	})
+}
+
+func TestSlowPlainCallWithoutAlternativeIsNotAborted(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		budget relay.RetryBudget
+		change func(*relay.Call, *inventory.Current)
+	}{
+		{"empty budget", &emptyBudget{}, nil},
+		{"no other runner", nil, keepRunners(1)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeRunners{responses: []response{pausingPlain(1500 * time.Millisecond)}, budget: c.budget}
+				w := serveCall(t, "/safe/1", f, &fakePieces{}, c.change)
+				is.Equal(w.Code, http.StatusOK)
+				is.Equal(w.Body.String(), "answer")
+				is.Equal(len(f.sent), 1)
+			})
+		})
+	}
+}
+
+func TestBrokenStreamWithoutInputsTakesNoRetry(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		response   response
+		status     int
+		requested  int
+	}{
+		{"freed", "/stagedResumable/1", streamOf(one, true), -http.StatusOK, 0},
+		{"expired", "/expiring/1", lostAfter(1200 * time.Millisecond), http.StatusBadGateway, 0},
+		{"held", "/expiring/1", lostAfter(500 * time.Millisecond), http.StatusBadGateway, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				b := &emptyBudget{}
+				w := serveCall(t, c.path, &fakeRunners{responses: []response{c.response}, budget: b}, &fakePieces{}, nil)
+				is.Equal(w.Code, c.status)
+				is.Equal(b.requested, c.requested)
+			})
+		})
+	}
+}
+
+// lostAfter loses the connection after a time without an answer.
+func lostAfter(d time.Duration) response {
+	return response{"lost", true, func(ctx context.Context) (*relay.Answer, error) {
+		_ = clock.System().Sleep(ctx, d)
+		return connectionLost(true)(ctx)
+	}}
+}
+
+func TestStalledStreamWithoutPiecesIsResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeRunners{responses: []response{pausing(one, "", 10*time.Second), streamOf(two, false)}}
+		w := serveCall(t, "/stagedResumable/1", f, &fakePieces{}, func(c *relay.Call, _ *inventory.Current) { c.Pieces = []int{0, 0} })
+		is.Equal(w.Body.String(), one+two)
+		is.Equal(len(f.sent), 2)
+	})
+}
+
+var errStopping = fault.New(fault.NotReady, "the instance stops")
+
+func TestSilentCallsAreAnsweredWhenTheInstanceStops(t *testing.T) {
+	for _, c := range []struct {
+		path     string
+		response response
+		status   int
+	}{
+		{"/once/1", hanging, http.StatusBadGateway},
+		{"/safe/1", hanging, http.StatusBadGateway},
+		{"/resumable/1", pausing("", one, 10*time.Second), http.StatusBadGateway},
+		{"/stream/1", pausing(one, two, 10*time.Second), -http.StatusOK},
+	} {
+		t.Run(c.path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, stop := context.WithCancelCause(t.Context())
+				clock.SystemTimers().AfterFunc(500*time.Millisecond, func() { stop(errStopping) })
+				w := serveCallUntil(ctx, t, c.path, &fakeRunners{responses: []response{c.response}}, &fakePieces{}, nil)
+				is.Equal(w.Code, c.status)
+			})
+		})
+	}
+}
+
+func TestCallsOfStoppedInstanceAreRefusedDuringTheirStages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, stop := context.WithCancelCause(t.Context())
+		stop(errStopping)
+		w := serveCallUntil(ctx, t, "/staged/1", &fakeRunners{responses: []response{good}}, &fakePieces{}, nil)
+		is.Equal(w.Code, http.StatusServiceUnavailable)
+	})
+}
+
+// limitedBudget allows a number of retries.
+type limitedBudget struct{ left int }
+
+func (*limitedBudget) Success(string) {}
+
+func (b *limitedBudget) Allow(string) bool {
+	b.left--
+	return b.left >= 0
+}
+
+// TestSilentRunnersProperty checks, for runners that pause for any time, that one
+// runner at a time works on a call, that an attempt is given up before the deadline
+// only for another one, and that answers are whole.
+func TestSilentRunnersProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		path := rapid.SampledFrom([]string{"/safe/1", "/resumable/1", "/stagedResumable/1", "/expiring/1"}).Draw(rt, "path")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 50), 1, 4).Draw(rt, "pauses")
+		begun := rapid.Bool().Draw(rt, "begun")
+		budget := &limitedBudget{left: rapid.IntRange(0, 3).Draw(rt, "retries")}
+		runners := rapid.IntRange(1, 4).Draw(rt, "runners")
+		f := &fakeRunners{budget: budget}
+		working, most, dropped := 0, 0, 0
+		for _, p := range pauses {
+			pause := time.Duration(p)*100*time.Millisecond + 37*time.Millisecond // not at the same time as a timeout
+			whole := pausing("", one, pause)
+			if begun && path != "/safe/1" {
+				whole = pausing(one, two, pause)
+			} else if path == "/safe/1" {
+				whole = pausingPlain(pause)
+			}
+			f.responses = append(f.responses, response{"pausing", true, func(ctx context.Context) (*relay.Answer, error) {
+				working++
+				most = max(most, working)
+				end := func() {
+					working--
+					if ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+						dropped++
+					}
+				}
+				a, err := whole.do(ctx)
+				if err != nil {
+					end()
+					return nil, err
+				}
+				a.Close = end
+				return a, nil
+			}})
+		}
+		var w *httptest.ResponseRecorder
+		synctest.Test(t, func(t *testing.T) { w = serveCall(t, path, f, &fakePieces{}, keepRunners(runners)) })
+		if most > 1 || working != 0 {
+			rt.Fatalf("%d runners worked at a time, %d are left", most, working)
+		}
+		if dropped >= len(f.sent) {
+			rt.Fatalf("%d of %d attempts given up", dropped, len(f.sent))
+		}
+		if len(f.sent) > min(3, runners) {
+			rt.Fatalf("sent to %d runners", len(f.sent))
+		}
+		// A fake runner starts anew when a stream is resumed.
+		if w.Code == http.StatusOK && !slices.Contains([]string{"answer", one, one + two, one + one + two}, w.Body.String()) {
+			rt.Fatalf("body %q", w.Body)
+		}
+	})
+}
+
+// slowBudget takes a while to allow a retry.
+type slowBudget struct{ limitedBudget }
+
+func (b *slowBudget) Allow(string) bool {
+	_ = clock.System().Sleep(context.Background(), 500*time.Millisecond)
+	return true
+}
+
+// pausingTwice is a stream that pauses for 1.7 s and then for 0.6 s.
+func pausingTwice() response {
+	return response{"pausing", true, func(ctx context.Context) (*relay.Answer, error) {
+		a, err := eventAnswer("", false)(ctx)
+		rest := &pausingBody{ctx: ctx, pause: 600 * time.Millisecond, parts: []io.Reader{strings.NewReader(two), strings.NewReader(three)}}
+		a.Body = &pausingBody{ctx: ctx, pause: 1700 * time.Millisecond, parts: []io.Reader{strings.NewReader(one), rest}}
+		return a, err
+	}}
+}
+
+func TestStreamThatGoesOnDuringTheCheckKeepsItsRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeRunners{responses: []response{pausingTwice(), streamOf(two, false)}, budget: &slowBudget{}}
+		w := serveCall(t, "/stagedResumable/1", f, &fakePieces{}, func(c *relay.Call, _ *inventory.Current) { c.Pieces = []int{0, 0} })
+		is.Equal(w.Body.String(), one+two+three)
+		is.Equal(len(f.sent), 1)
+	})
+}
