Don't take an earlier refusal on a kept connection for the answer

What callers of such systems saw: "not run, try again" for calls that a runner had run or was running, or such a call ran at a second runner. It could happen here: a refusal without an identifier was accepted as the answer to any call. If a runner wrote an earlier one once more on a kept connection, after the check that nothing is left on it, the next call was refused or sent to another runner while this one ran it.

A copy with the identifier of the current call can't come from an earlier one, since no call is sent to the same runner twice.

--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -28,9 +28,18 @@
 	// MaySend is called once there is a connection and reports whether the request
 	// may still be sent. Nil means that it may.
 	MaySend func() bool
-	// MatchResponse reports whether a response with this header belongs to the
-	// request. Other responses are discarded. Nil accepts every response.
-	MatchResponse func(h http.Header) bool
+	// MatchResponse reports whether a response belongs to the request. Other
+	// responses are discarded. Nil accepts every response.
+	MatchResponse func(h Head) bool
+}
+
+// Head is the head of a response.
+type Head struct {
+	Status int
+	Header http.Header
+	// Reused is true if the connection carried an exchange before, so that the
+	// response may belong to that one.
+	Reused bool
 }
 
 // ErrSendNotAllowed is the cause of an Error if Request.MaySend returned false.
@@ -206,7 +215,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if req.MatchResponse != nil && !req.MatchResponse(resp.Header) {
+		if req.MatchResponse != nil && !req.MatchResponse(Head{Status: resp.StatusCode, Header: resp.Header, Reused: ex.conn.used}) {
 			source.remaining = maxDiscardBytes
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 				return nil, err
--- a/router/link/exchange_test.go
+++ b/router/link/exchange_test.go
@@ -115,7 +115,7 @@
 func newRequest() *link.Request {
 	return &link.Request{
 		Method: http.MethodPost, Target: "/run?q=1", Host: "h", Header: http.Header{"Id": {"1"}}, Body: []byte("body"),
-		MaxIdleTime: time.Minute, MatchResponse: func(h http.Header) bool { return h.Get("Id") == "1" },
+		MaxIdleTime: time.Minute, MatchResponse: func(h link.Head) bool { return h.Header.Get("Id") == "1" },
 	}
 }
 
