End a stream at text that is no event

What callers of such systems saw: the text of an error, at times its whole head, in the middle of their stream, or a stream that ended as if it were complete. Here: an answer that goes on with a stream was passed on by the line, whatever its lines were. Text of an error under the type of streams, in the next runner's answer or in the runner's own stream, ended with an empty line and so counted as an event; the stream then ended as complete.

Ruled out, by the same test: errors with another status or type, refusals, answers without events or proof of origin after events were sent; they were never passed on, and the stream goes on elsewhere or is broken off.

Before, of TestStartedStreamHoldsOnlyItsEvents, the cases text of an error, document of an error, head of an error and whole error failed, e.g. "id: 1 data: a HTTP/1.1 500 Internal Server Error Content-Type: text/plain" and TestErrorInsideStreamIsNotPassedOn failed.

Change: each line of an event is a comment or a field with a name in lower case, and an event has at least one field that the format defines. Other text breaks the attempt off.

Conclusion: a caller's stream holds events only.

--- a/router/relay/events.go
+++ b/router/relay/events.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 )
 
 // maxEvent is the maximum size of one event of a stream, in bytes.
@@ -13,6 +14,7 @@
 var (
 	errTruncatedEvent = errors.New("the stream ended inside an event")
 	errEventTooLong   = errors.New("an event exceeds the size limit")
+	errNoEvent        = errors.New("the stream has text that is no event")
 )
 
 // eventReader splits a stream into server-sent events.
@@ -33,7 +35,9 @@
 // didn't end inside an event.
 func (e *eventReader) next() (event []byte, id string, err error) {
 	e.event = e.event[:0]
-	content := false
+	// content is set once the event has a field, known once it has one that the
+	// format defines.
+	content, known := false, false
 	for begin := 0; ; {
 		part, err := e.r.ReadSlice('\n')
 		e.event = append(e.event, part...)
@@ -50,14 +54,32 @@
 		case err != nil:
 			return nil, "", err
 		case len(line) == 0 && content:
+			if !known {
+				return nil, "", errNoEvent
+			}
 			e.any = true
 			return e.event, identifier(e.event), nil
 		}
-		content = content || (len(line) > 0 && line[0] != ':')
+		if len(line) > 0 && line[0] != ':' {
+			name, _, _ := bytes.Cut(line, []byte(":"))
+			if !validFieldName(name) {
+				return nil, "", errNoEvent
+			}
+			content, known = true, known || slices.Contains(knownFields, string(name))
+		}
 		begin = len(e.event)
 	}
 }
 
+// knownFields are the fields that the format of events defines.
+var knownFields = []string{"data", "id", "event", "retry"}
+
+// validFieldName reports whether a field can have this name. Names in runners'
+// streams are in lower case, unlike the head or the text of an error.
+func validFieldName(name []byte) bool {
+	return len(name) > 0 && !bytes.ContainsFunc(name, func(r rune) bool { return (r < 'a' || r > 'z') && r != '-' && r != '_' })
+}
+
 // identifier returns the value of the event's id field, or "".
 func identifier(event []byte) string {
 	for line := range bytes.Lines(event) {
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -455,6 +455,63 @@
 	}
 }
 
+// TestStartedStreamHoldsOnlyItsEvents covers answers to a stream that broke off after
+// its first event. The caller must get neither a part of them, nor a stream that
+// seems complete.
+func TestStartedStreamHoldsOnlyItsEvents(t *testing.T) {
+	const head = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n"
+	changed := func(body string, change func(a *relay.Answer)) response {
+		return response{"changed", true, answerWith(http.StatusOK, body, func(a *relay.Answer) {
+			a.Events = true
+			change(a)
+		})}
+	}
+	none := func(*relay.Answer) {}
+	for _, c := range []struct {
+		name string
+		odd  response
+	}{
+		{"error", failing},
+		{"refusal", full},
+		{"error of the type of streams", changed(two, func(a *relay.Answer) { a.Status = http.StatusInternalServerError })},
+		{"client error of the type of streams", changed(two, func(a *relay.Answer) { a.Status = http.StatusConflict })},
+		{"success without events", good},
+		{"unsealed events", changed(two, func(a *relay.Answer) { a.Sealed = false })},
+		{"text of an error", changed("internal error\n\n", none)},
+		{"text of an error without an end", changed("internal error", none)},
+		{"document of an error", changed("{\"error\": \"internal\"}\n\n", none)},
+		{"head of an error", changed(head, none)},
+		{"whole error", changed(head+"internal error\n\n", none)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeRunners{responses: []response{streamOf(one, true), c.odd, streamOf(two+three, false)}}
+				w := serveCall(t, "/resumable/1", f, &fakePieces{}, nil)
+				is.Equal(w.Code, 200)
+				is.Equal(w.Body.String(), one+two+three)
+				f = &fakeRunners{responses: []response{streamOf(one, true), c.odd}}
+				w = serveCall(t, "/resumable/1", f, &fakePieces{}, nil)
+				is.Equal(w.Code, -200)
+				is.Equal(w.Body.String(), one)
+			})
+		})
+	}
+}
+
+// TestErrorInsideStreamIsNotPassedOn covers a runner that writes an error into its own
+// stream.
+func TestErrorInsideStreamIsNotPassedOn(t *testing.T) {
+	for _, odd := range []string{"HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n", "internal error\n\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := serveCall(t, "/stream/1", &fakeRunners{responses: []response{streamOf(one+two+odd, false)}}, &fakePieces{}, nil)
+			is.Equal(w.Code, -200)
+			is.Equal(w.Body.String(), one+two)
+		})
+	}
+}
+
 func TestStalledStreamResumesAtAnotherRunner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
