Break off an answer that repeats events of its stream

Cause: the identifiers of events weren't compared. A runner that starts a stream again instead of going on after the last event, or that writes an earlier event once more, sent pieces to the caller twice.

Before, TestStartedStreamHoldsOnlyItsEvents failed for events from the first and events from before, TestErrorInsideStreamIsNotPassedOn for an earlier event in a runner's own stream.

Change: identifiers that are numbers have to increase, others may not be that of the event before. An attempt that breaks this ends; the stream goes on at another runner after the last event, or is broken off.

Conclusion: no event reaches a caller twice. A gap can't be seen, since identifiers increase by any step.

--- a/router/relay/events.go
+++ b/router/relay/events.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"slices"
+	"strconv"
 )
 
 // maxEvent is the maximum size of one event of a stream, in bytes.
@@ -80,6 +81,17 @@
 	return len(name) > 0 && !bytes.ContainsFunc(name, func(r rune) bool { return (r < 'a' || r > 'z') && r != '-' && r != '_' })
 }
 
+// follows reports whether an event may come after another one. Identifiers that are
+// numbers increase.
+func follows(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	m, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != last
+	}
+	return n > m
+}
+
 // identifier returns the value of the event's id field, or "".
 func identifier(event []byte) string {
 	for line := range bytes.Lines(event) {
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -482,6 +482,8 @@
 		{"document of an error", changed("{\"error\": \"internal\"}\n\n", none)},
 		{"head of an error", changed(head, none)},
 		{"whole error", changed(head+"internal error\n\n", none)},
+		{"events from the first", changed(one+two+three, none)},
+		{"events from before", changed("id: 0\ndata: z\n\n"+one+two+three, none)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -502,7 +504,7 @@
 // TestErrorInsideStreamIsNotPassedOn covers a runner that writes an error into its own
 // stream.
 func TestErrorInsideStreamIsNotPassedOn(t *testing.T) {
-	for _, odd := range []string{"HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n", "internal error\n\n"} {
+	for _, odd := range []string{"HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n", "internal error\n\n", one} {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			w := serveCall(t, "/stream/1", &fakeRunners{responses: []response{streamOf(one+two+odd, false)}}, &fakePieces{}, nil)
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -174,6 +174,9 @@
 		if !events.any {
 			continue
 		}
+		if id != "" && s.lastEventID != "" && (p.route.Resumable || s.eventsSent > 0) && !follows(id, s.lastEventID) {
+			return fault.New(fault.RunnerFailed, "event %q came after %q", id, s.lastEventID)
+		}
 		if !answered {
 			answered = true
 			onFirst()
