Don't take an empty answer without a length for the rest of a stream

Cause: a stream that goes on at another runner was complete once that runner's answer ended, also without any event, since there may be nothing left. An answer without a length ends with its connection, so that one which was broken off at once looked the same.

Ruled out: an empty answer with a length or with its last chunk; it says that nothing is left, and the stream is complete.

Before, TestStartedStreamHoldsOnlyItsEvents failed for end without length and comment and end without length (status 200, not aborted).

Change: an answer without a length has to hold an event.

Conclusion: a stream ends as complete only after an event, or by a runner's word that nothing is left.

--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -81,6 +81,8 @@
 	Sealed bool
 	// Events is set if the body is a stream of server-sent events.
 	Events bool
+	// Unframed is set if the body has no length and ends with its connection.
+	Unframed bool
 	// Close ends the exchange. A runner that still works on the call cancels it.
 	Close func()
 }
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -484,6 +484,8 @@
 		{"whole error", changed(head+"internal error\n\n", none)},
 		{"events from the first", changed(one+two+three, none)},
 		{"events from before", changed("id: 0\ndata: z\n\n"+one+two+three, none)},
+		{"end without length", changed("", func(a *relay.Answer) { a.Unframed = true })},
+		{"comment and end without length", changed(": wait\n\n", func(a *relay.Answer) { a.Unframed = true })},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -159,7 +159,7 @@
 	for answered := false; ; {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
-			if !events.any && !s.headerSent {
+			if !events.any && (!s.headerSent || a.Unframed) {
 				return fault.New(fault.RunnerFailed, "the stream has no event")
 			}
 			p.status, p.events = http.StatusOK, s.eventsSent
