Send nothing to runners that say that they leave or want a pause

New on the platform's pages: a runner that is about to stop says so in all its answers, and one that turns a call away with 503 may add for how long it wants nothing from this instance. Neither was read: calls went on to such a runner until its description changed, or at once.

Ruled out: counting it as a failure. The backoff of runners that fail only moves them to the end of the list, so that calls reach them when others are busy or were tried.

Both are checked again directly before a call is written. Answers of another runner at the address and answers to other calls say nothing.

--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -59,7 +59,7 @@
 	now := s.clk.Now()
 	var list []candidate
 	for _, t := range s.UsableIn(sh) {
-		if !slices.Contains(avoid, t) {
+		if !slices.Contains(avoid, t) && t.PausedFor(now) == 0 {
 			list = append(list, candidate{target: t, cost: cost(t), backedOff: s.backOff && t.inBackoff(now)})
 		}
 	}
--- a/router/target/set.go
+++ b/router/target/set.go
@@ -9,6 +9,7 @@
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/shard"
+	"github.com/hashicorp/go-hclog"
 )
 
 // Set holds the targets of all services and chooses among them.
@@ -16,8 +17,12 @@
 	// Update replaces the targets by those of a newer snapshot. Targets keep their
 	// state while the runner is the same incarnation at the same address.
 	Update(s *inventory.Snapshot)
+	// Observe records what a runner said in an answer. It applies to the incarnation
+	// that the call was sent to.
+	Observe(r *inventory.Runner, n Notice)
 	// Usable returns the targets of a service that accept new calls: those that
-	// aren't draining and whose zone isn't taken out.
+	// aren't draining or leaving and whose zone isn't taken out. Paused ones are among
+	// them.
 	Usable(service string) []*Target
 	// UsableIn returns those of a shard.
 	UsableIn(s shard.Shard) []*Target
@@ -31,12 +36,19 @@
 	// costs more.
 	LeastLoaded(service, zone string, avoid []*Target) *Target
 	// Choose returns the target of a shard with the least cost, or nil. Targets in
-	// avoid are excluded, and targets in backoff come last. If permit is set,
-	// targets without a permit are passed over, and the permit of a cold one is
-	// taken.
+	// avoid and paused ones are excluded, and targets in backoff come last. If permit
+	// is set, targets without a permit are passed over, and the permit of a cold one
+	// is taken.
 	Choose(s shard.Shard, avoid []*Target, permit bool, cost func(*Target) time.Duration) *Target
-	// AcceptsCalls reports whether the target still accepts new calls.
+	// AcceptsCalls reports whether the target still accepts new calls of this
+	// instance.
 	AcceptsCalls(t *Target) bool
+	// Excluded returns the targets of a service that accept no calls of this instance
+	// by their own answers, though their descriptions don't say so.
+	Excluded(service string) []*Target
+	// PausedFor returns for how long all usable targets of a service are paused; zero
+	// if one isn't, or if there are none.
+	PausedFor(service string) time.Duration
 }
 
 // ColdRate returns how many calls per second this instance may send to a cold
@@ -56,10 +68,13 @@
 // true.
 func WithBackoff(on bool) Option { return func(s *set) { s.backOff = on } }
 
+// WithLog sets the log. The default logs nothing.
+func WithLog(log hclog.Logger) Option { return func(s *set) { s.log = log } }
+
 // NewSet returns an empty set. lag is the longest time until a changed runner has
 // published a new description of itself.
 func NewSet(clk clock.Clock, rate ColdRate, lag time.Duration, opts ...Option) Set {
-	s := &set{clk: clk, rate: rate, describeLag: lag, backOff: true}
+	s := &set{clk: clk, rate: rate, describeLag: lag, backOff: true, log: hclog.NewNullLogger(), leaving: make(map[incarnation]time.Time), absentPauses: make(map[incarnation]time.Time)}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -73,9 +88,16 @@
 	describeLag time.Duration
 	// backOff is whether runners that fail are put in backoff.
 	backOff bool
+	log     hclog.Logger
 	// mu serializes updates; readers only load view.
 	mu   sync.Mutex
 	view atomic.Pointer[view]
+	// leaving has the incarnations that said that they are about to stop, and when
+	// they first did.
+	leaving map[incarnation]time.Time
+	// absentPauses has the ends of the pauses of runners whose descriptions were
+	// removed during the pause.
+	absentPauses map[incarnation]time.Time
 }
 
 // view is an immutable index of the targets of a snapshot. Update replaces it.
@@ -84,36 +106,57 @@
 	all      map[string]*Target
 	// usable has the targets that accept new calls, by the whole service and by zone.
 	usable map[shard.Shard][]*Target
+	// leaving has the targets by service that would be usable if they hadn't said that
+	// they are about to stop.
+	leaving map[string][]*Target
 }
 
 func (s *set) Update(next *inventory.Snapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old := s.view.Load()
-	v := &view{snapshot: next, all: make(map[string]*Target, len(next.Runners)), usable: make(map[shard.Shard][]*Target)}
+	all := make(map[string]*Target, len(next.Runners))
 	for id, r := range next.Runners {
 		t := old.all[id]
 		if t == nil || t.runner.Born != r.Born || t.runner.Address != r.Address {
-			t = &Target{runner: r}
+			t = &Target{runner: r, pausedUntil: s.absentPauses[incarnationOf(r)]}
 		}
 		t.mu.Lock()
 		t.runner = r
 		t.mu.Unlock()
-		v.all[id] = t
-		if !r.Draining && !next.ZonesOut[r.Zone] {
-			for _, sh := range []shard.Shard{shard.Whole(r.Service), {Service: r.Service, Zone: r.Zone}} {
-				v.usable[sh] = append(v.usable[sh], t)
-			}
+		all[id] = t
+	}
+	s.keepPauses(old, all)
+	s.forgetLeaving(next)
+	s.view.Store(s.newView(next, all))
+}
+
+// newView indexes the targets of a snapshot. The caller holds mu.
+func (s *set) newView(snapshot *inventory.Snapshot, all map[string]*Target) *view {
+	v := &view{snapshot: snapshot, all: all, usable: make(map[shard.Shard][]*Target), leaving: make(map[string][]*Target)}
+	for id, r := range snapshot.Runners {
+		t := all[id]
+		if r.Draining || snapshot.ZonesOut[r.Zone] {
+			continue
+		}
+		if _, leaving := s.leaving[incarnationOf(r)]; leaving {
+			v.leaving[r.Service] = append(v.leaving[r.Service], t)
+			continue
+		}
+		for _, sh := range []shard.Shard{shard.Whole(r.Service), {Service: r.Service, Zone: r.Zone}} {
+			v.usable[sh] = append(v.usable[sh], t)
 		}
 	}
-	s.view.Store(v)
+	return v
 }
 
 func (s *set) Usable(service string) []*Target { return s.UsableIn(shard.Whole(service)) }
 
 func (s *set) UsableIn(sh shard.Shard) []*Target { return s.view.Load().usable[sh] }
 
-func (s *set) AcceptsCalls(t *Target) bool { return slices.Contains(s.Usable(t.Runner().Service), t) }
+func (s *set) AcceptsCalls(t *Target) bool {
+	return t.PausedFor(s.clk.Now()) == 0 && slices.Contains(s.Usable(t.Runner().Service), t)
+}
 
 func (s *set) Find(id string) *Target { return s.view.Load().all[id] }
 
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -26,6 +26,8 @@
 	// new description.
 	suspectRevision int64
 	suspectSince    time.Time
+	// pausedUntil is until when the runner takes no calls of this instance.
+	pausedUntil time.Time
 }
 
 // Runner returns the newest description of the runner.
