Refuse calls to a paused service at once, with the end of the pause

Cause: a call to a service whose runners had all asked for a pause was refused with the usual delay of 200 ms or a second, and came back too early, again and again. A call with stages had them run first, for nothing.

Before: TestCallsToPausedServiceAreRefusedAtOnce, "1.000 != 2.500" for all six routes, and for the staged one its stages run; TestRefusedCallLearnsOfThePause, "0.200 != 1.500".

Change: if all usable runners are paused, the refusal has the end of the first pause as the time to retry after. Before the stages a call is refused if the pause leaves no time for its answer. Retries and streams that go on pass over paused runners and those that leave.

Conclusion: such calls are neither held nor called back too early. The time is that of this instance; another one may be served sooner.

--- a/router/relay/plain.go
+++ b/router/relay/plain.go
@@ -132,9 +132,9 @@
 	case p.ctx.Err() != nil:
 		return x.contextFault(p, run)
 	case run == fault.NotRun && last.answer == nil && last.err == nil:
-		return fault.New(fault.NoRunner, "no runner of %q takes calls", p.service)
+		return x.withPause(p, fault.New(fault.NoRunner, "no runner of %q takes calls", p.service))
 	case run == fault.NotRun:
-		return fault.New(fault.Overloaded, "no runner of %q accepted the call", p.service)
+		return x.withPause(p, fault.New(fault.Overloaded, "no runner of %q accepted the call", p.service))
 	}
 	return fault.Wrap(fault.OutcomeUnknown, errOrUnsealed(last.err), "no usable answer of %q", p.service).WithOutcome(run)
 }
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -106,6 +106,11 @@
 	budget relay.RetryBudget
 	// connect, if set, is called while the connection to a runner is opened.
 	connect func(d relay.Dispatch)
+	// prepare, if set, is called with the targets before the call. observe, if set,
+	// is called with them at each answer.
+	prepare func(set target.Set)
+	observe func(set target.Set, d relay.Dispatch)
+	set     target.Set
 }
 
 func (f *fakeRunners) Send(ctx context.Context, _ *relay.Call, d relay.Dispatch) (*relay.Answer, error) {
@@ -118,6 +123,9 @@
 	a := f.responses[min(len(f.given), len(f.responses)-1)]
 	f.given = append(f.given, a)
 	f.sent = append(f.sent, d)
+	if f.observe != nil {
+		f.observe(f.set, d)
+	}
 	return a.do(ctx)
 }
 
@@ -154,10 +162,13 @@
 	made      []stage.Order
 	freed     []string
 	mu        sync.Mutex
+	// takes is the duration of a stage.
+	takes time.Duration
 }
 
-func (f *fakePieces) Make(_ context.Context, o stage.Order) []stage.Result {
+func (f *fakePieces) Make(ctx context.Context, o stage.Order) []stage.Result {
 	f.made = append(f.made, o)
+	_ = clock.System().Sleep(ctx, f.takes)
 	out := make([]stage.Result, o.Pieces)
 	for i := range out {
 		out[i] = stage.Result{Handle: fmt.Sprintf("%d.%d", o.Stage, i), Runner: "maker"}
@@ -232,6 +243,10 @@
 	}
 	current.Advance(s)
 	current.Confirm(clock.System().Now())
+	f.set = set
+	if f.prepare != nil {
+		f.prepare(set)
+	}
 	budget := f.budget
 	if budget == nil {
 		budget = retry.New(nil)
@@ -516,6 +531,91 @@
 	}
 }
 
+// pauseAll has all runners of the service pause, the first for d, the others longer.
+func pauseAll(d time.Duration) func(set target.Set) {
+	return func(set target.Set) {
+		for i, t := range set.Usable("s") {
+			set.Observe(t.Runner(), target.Notice{Pause: d + time.Duration(i)*time.Second})
+		}
+	}
+}
+
+// TestCallsToPausedServiceAreRefusedAtOnce checks that a call which no runner takes now
+// isn't held until its deadline, and that its caller learns when to come back.
+func TestCallsToPausedServiceAreRefusedAtOnce(t *testing.T) {
+	for _, path := range []string{"/safe/1", "/once/1", "/single/1", "/stream/1", "/resumable/1", "/staged/1"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeRunners{responses: []response{good}, prepare: pauseAll(2500 * time.Millisecond)}
+				p, start := &fakePieces{}, time.Now()
+				w := serveCall(t, path, f, p, nil)
+				is.Equal(w.Code, http.StatusServiceUnavailable)
+				is.Equal(w.Header().Get("Retry-After"), "2.500")
+				is.Equal(time.Since(start), time.Duration(0))
+				is.Equal(len(f.sent), 0)
+				is.Equal(len(p.made), 0) // no stage is run in vain
+			})
+		})
+	}
+}
+
+// TestPauseThatEndsDuringTheStagesRefusesNoCall has all engines pause for less time
+// than the stages of the call take.
+func TestPauseThatEndsDuringTheStagesRefusesNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeRunners{responses: []response{streamOf(one, false)}, prepare: pauseAll(100 * time.Millisecond)}
+		p := &fakePieces{takes: 300 * time.Millisecond}
+		is.Equal(serveCall(t, "/staged/1", f, p, nil).Code, http.StatusOK)
+	})
+}
+
+// TestRefusedCallLearnsOfThePause has each runner refuse the call and ask for a pause.
+func TestRefusedCallLearnsOfThePause(t *testing.T) {
+	for _, path := range []string{"/once/1", "/stream/1"} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := &fakeRunners{responses: []response{full}, observe: func(set target.Set, d relay.Dispatch) {
+				pauseAll(1500 * time.Millisecond)(set)
+			}}
+			w := serveCall(t, path, f, &fakePieces{}, nil)
+			is.Equal(w.Code, http.StatusServiceUnavailable)
+			is.Equal(w.Header().Get("Retry-After"), "1.500")
+			is.Equal(len(f.sent), 1) // the others have paused meanwhile
+		})
+	}
+}
+
+// TestStreamIsNotResumedAtRunnersThatTakeNoCalls has all runners but one leave or
+// pause while a stream is sent, which then breaks off.
+func TestStreamIsNotResumedAtRunnersThatTakeNoCalls(t *testing.T) {
+	for _, notice := range []target.Notice{{Leaving: true}, {Pause: time.Minute}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			first, left := "", ""
+			f := &fakeRunners{responses: []response{streamOf(one, true), streamOf(two, false)}}
+			f.observe = func(set target.Set, d relay.Dispatch) {
+				if first != "" {
+					return
+				}
+				first = d.Runner.ID
+				for _, t := range set.Usable("s") {
+					switch id := t.Runner().ID; {
+					case id == first:
+					case left == "":
+						left = id
+					default:
+						set.Observe(t.Runner(), notice)
+					}
+				}
+			}
+			is.Equal(serveCall(t, "/resumable/1", f, &fakePieces{}, nil).Body.String(), one+two)
+			is.Equal(f.sent[1].Runner.ID, left)
+		})
+	}
+}
+
 func TestStalledStreamResumesAtAnotherRunner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -25,6 +25,9 @@
 
 // stream serves a call that is answered by events.
 func (x *relay) stream(w http.ResponseWriter, p *callPlan) error {
+	if err := x.checkPause(p); err != nil {
+		return err
+	}
 	res, err := x.runStages(p)
 	defer res.release()
 	if err != nil {
@@ -221,9 +224,9 @@
 	case p.ctx.Err() != nil:
 		return x.contextFault(p, run)
 	case last == nil:
-		return fault.New(fault.NoRunner, "no runner of %q takes calls", p.service)
+		return x.withPause(p, fault.New(fault.NoRunner, "no runner of %q takes calls", p.service))
 	case run == fault.NotRun:
-		return fault.Wrap(fault.Overloaded, last, "no runner of %q accepted the call", p.service)
+		return x.withPause(p, fault.Wrap(fault.Overloaded, last, "no runner of %q accepted the call", p.service))
 	}
 	return fault.Wrap(fault.OutcomeUnknown, last, "no usable answer of %q", p.service).WithOutcome(run)
 }
