Have owners place calls at engines that take them from the requester

Cause: the engine of a prompt is chosen by the owner of the service's placement, which doesn't hear that an engine leaves or wants a pause from another instance. That instance then refused the choice, told the owner that the call had ended, and chose by its own calls alone: the owner no longer counted the call, and prompts lost their engine.

Ruled out: a call sent to such an engine; the choice is checked by the requester, and again before the write.

Before, TestOwnerAvoidsEnginesThatTakeNoCallsOfTheRequester: other placement.tell != other placement.engine

Change: requests to the owner list the engines that take no calls of the requester among those to avoid. This counts against neither the attempts nor the retry budget of the call.

Conclusion: one request to the owner, as before, and the owner tracks the call.

--- a/router/placement/placer_test.go
+++ b/router/placement/placer_test.go
@@ -222,6 +222,32 @@
 	})
 }
 
+// TestOwnerAvoidsEnginesThatTakeNoCallsOfTheRequester has engines leave or pause by
+// answers that only the requesting instance got. The owner must place the calls at
+// others, and track them.
+func TestOwnerAvoidsEnginesThatTakeNoCallsOfTheRequester(t *testing.T) {
+	for name, notice := range map[string]target.Notice{"leaving": {Leaving: true}, "paused": {Pause: time.Minute}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				other, self := newFixture(t, 4, "other"), newFixture(t, 4, "other")
+				m, peer := &fakeMesh{handlers: map[string]instance.Handler{}}, &fakeMesh{handlers: map[string]instance.Handler{}}
+				_ = sharedPlacer(other, "other", peer)
+				m.peer = peer
+				p := sharedPlacer(self, "self", m)
+				for _, id := range []string{"e0", "e1", "e2"} {
+					self.set.Observe(self.set.Find(id).Runner(), notice)
+				}
+				for i := range 20 {
+					place := p.Place(t.Context(), request(fmt.Sprint(i), fmt.Sprint("s", i), 10_000))
+					is.Equal(place.Target().Runner().ID, "e3")
+					is.Equal(m.calls[len(m.calls)-1], "other placement.engine") // no end is reported, so that the owner tracks it
+				}
+			})
+		})
+	}
+}
+
 // TestPlaceBound checks that a choice among many engines makes a bounded number
 // of allocations, which grows no faster than the number of engines.
 func TestPlaceBound(t *testing.T) {
--- a/router/placement/shared.go
+++ b/router/placement/shared.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -93,7 +94,7 @@
 		ID: r.ID, Shard: r.Shard, Prompt: r.Prompt, Zone: r.Zone, InputBytes: r.InputBytes,
 		UntilMicros: r.Deadline.Sub(s.clk.Now()).Microseconds(),
 	}
-	for _, t := range r.Avoid {
+	for _, t := range slices.Concat(s.targets.Excluded(r.Shard.Service), r.Avoid) {
 		b.Avoid = append(b.Avoid, t.Runner().ID)
 	}
 	var out placedBody
--- a/router/target/notice.go
+++ b/router/target/notice.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"slices"
 	"time"
 
 	"cicadawell.dev/router/inventory"
@@ -104,10 +105,10 @@
 
 func (s *set) Excluded(service string) []*Target {
 	v, now := s.view.Load(), s.clk.Now()
-	excluded := v.leaving[service]
+	excluded := slices.Clone(v.leaving[service])
 	for _, t := range v.usable[shard.Whole(service)] {
 		if t.PausedFor(now) > 0 {
-			excluded = append(excluded[:len(excluded):len(excluded)], t)
+			excluded = append(excluded, t)
 		}
 	}
 	return excluded
