Send no batches to runners that want a pause

Cause: a pool knew only its own backoff of 60 ms after a refused batch, and sent the next one to a runner that had asked for a longer pause. Requests about results and free memory went to it too.

Ruled out: runners that leave; pools take their runners from the targets that accept calls (the case "leaving" of the test passed before).

Before: TestRunnersThatTakeNoCallsGetNoBatches/paused: batches within the second TestPiecesDontWaitForPausesBeyondTheirDeadline: "" != late TestForecastsCountPauses: not refused TestPausedRunnersAreNotAskedToFreeResults: 2 != 0

Change: paused runners get no batch until the end of their pause, forecasts count the others only, and results are freed after the pause. If all are paused, pieces that could only be late are given up at once, and reservations are refused with the wait until the first pause ends.

Conclusion: the pause holds for all requests of this instance; a call is refused before its stages rather than in the middle.

--- a/router/stage/forecast.go
+++ b/router/stage/forecast.go
@@ -1,6 +1,10 @@
 package stage
 
-import "time"
+import (
+	"time"
+
+	"cicadawell.dev/router/target"
+)
 
 // pendingOrder is a reserved order that has not arrived yet.
 type pendingOrder struct {
@@ -48,11 +52,16 @@
 		}
 	}
 	fullBatchTime := asm.batchTime(limits.MaxPieces)
-	perSecond := fillRatio * float64(len(targets)*limits.Slots*limits.MaxPieces) / fullBatchTime.Seconds()
+	pause := shortestPause(targets, now)
+	working := len(targets)
+	if pause == 0 {
+		working = countWorking(targets, now)
+	}
+	perSecond := fillRatio * float64(working*limits.Slots*limits.MaxPieces) / fullBatchTime.Seconds()
 	if p.rules.MeasuredThroughput {
 		perSecond = p.throughput.estimate(now, perSecond)
 	}
-	wait := time.Duration(float64(piecesAhead) / perSecond * float64(time.Second))
+	wait := pause + time.Duration(float64(piecesAhead)/perSecond*float64(time.Second))
 	// Runners may complete less than their batch limits allow if result memory or
 	// inputs are lacking. The longest wait in the queue exceeds the computed one
 	// then.
@@ -66,6 +75,17 @@
 	return Forecast{Refused: tooLate && wait > fullBatchTime, Wait: wait}
 }
 
+// countWorking counts the runners that aren't paused.
+func countWorking(targets []*target.Target, now time.Time) int {
+	n := 0
+	for _, t := range targets {
+		if t.PausedFor(now) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Reserve reserves a place in the queue for an order unless it would be late.
 func (p *Pool) Reserve(a Reservation) Forecast {
 	p.mu.Lock()
--- a/router/stage/pool.go
+++ b/router/stage/pool.go
@@ -137,9 +137,9 @@
 	}
 	now := p.clk.Now()
 	a := assembler{now: now, limits: limits}
-	p.drop(Late, a.missesDeadline)
+	p.drop(Late, assembler{now: now.Add(shortestPause(targets, now)), limits: limits}.missesDeadline)
 	idle := slices.DeleteFunc(slices.Clone(targets), func(t *target.Target) bool {
-		return p.inFlight[t] >= limits.Slots || now.Before(p.backoffUntil[t])
+		return p.inFlight[t] >= limits.Slots || now.Before(p.backoffUntil[t]) || t.PausedFor(now) > 0
 	})
 	candidates := make([]idleRunner, len(idle))
 	for i, t := range idle {
@@ -176,6 +176,15 @@
 	}
 }
 
+// shortestPause returns the time until one of the runners isn't paused.
+func shortestPause(targets []*target.Target, now time.Time) time.Duration {
+	shortest := targets[0].PausedFor(now)
+	for _, t := range targets[1:] {
+		shortest = min(shortest, t.PausedFor(now))
+	}
+	return shortest
+}
+
 // dropLateOrders drops the pieces of late calls while others that are on time
 // are queued. The late ones would not be run, and their inputs occupy result
 // memory that the previous stage needs. The caller holds mu.
@@ -244,7 +253,7 @@
 	expected := limits.CallTime + time.Duration(len(batch))*limits.PieceTime
 	ctx, cancel := context.WithTimeout(p.ctx, time.Duration(1+limits.Queue)*expected+batchTimeoutMargin)
 	defer cancel()
-	usable := func() bool { return slices.Contains(p.targets(), t) }
+	usable := func() bool { return slices.Contains(p.targets(), t) && t.PausedFor(p.clk.Now()) == 0 }
 	results, refused, err := p.runners.Run(ctx, t.Runner(), usable, timed)
 	p.log.Info("batch", "service", p.shard.Service, "runner", t.Runner().ID, "zone", t.Runner().Zone, "pieces", len(batch), "requests", callIDs(batch),
 		"waitedMillis", now.Sub(batch[0].enqueuedAt).Milliseconds(), "tookMillis", p.clk.Now().Sub(now).Milliseconds(), "viewMillis", snapshotAge.Milliseconds(), "refused", refused, "error", err)
@@ -304,7 +313,7 @@
 func (p *Pool) queryMemory(t *target.Target, limits *routing.Batches) {
 	now := p.clk.Now()
 	r := p.memoryOf(t)
-	if now.Sub(r.queriedAt) < memoryQueryInterval {
+	if now.Sub(r.queriedAt) < memoryQueryInterval || t.PausedFor(now) > 0 {
 		return
 	}
 	r.queriedAt = now
--- a/router/stage/pool_test.go
+++ b/router/stage/pool_test.go
@@ -42,6 +42,9 @@
 	// hang blocks batches until they are cancelled.
 	hang    bool
 	results int
+	// observe, if set, is called at each answer. set has the targets.
+	observe func(r *inventory.Runner)
+	set     target.Set
 }
 
 // drainRunner marks a runner as draining in a new snapshot.
@@ -67,6 +70,9 @@
 	b.calledRunners = append(b.calledRunners, r.ID)
 	fail, refuse := b.fail[r.ID], b.refuse[r.ID]
 	b.mu.Unlock()
+	if b.observe != nil {
+		b.observe(r)
+	}
 	if refuse {
 		return nil, true, errors.New("full")
 	}
@@ -126,7 +132,7 @@
 	set := target.NewSet(clock.System(), func(string, float64) float64 { return 1 }, time.Second)
 	current.Subscribe(set.Update)
 	current.Advance(s)
-	b.current = current
+	b.current, b.set = current, set
 	return NewPools(clock.System(), rules, current, set, b, hclog.NewNullLogger())
 }
 
--- a/router/stage/pools.go
+++ b/router/stage/pools.go
@@ -160,6 +160,12 @@
 		if t == nil {
 			continue
 		}
+		if t.PausedFor(s.clk.Now()) > 0 {
+			s.mu.Lock()
+			s.toFree[id] = append(s.toFree[id], handles...)
+			s.mu.Unlock()
+			continue
+		}
 		group.Go(func() { s.freeOn(ctx, t, handles) })
 	}
 	group.Wait()
