--- a/router/stage/pause_test.go
+++ b/router/stage/pause_test.go
@@ -56,6 +56,25 @@
 	}
 }
 
+func TestNoBatchToRunnerThatPausesDuringConnect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &fakeRunners{}
+		paused := ""
+		b.connect = func(r *inventory.Runner) {
+			if paused == "" {
+				paused = r.ID
+				b.set.Observe(r, target.Notice{Pause: time.Minute})
+			}
+		}
+		w := testPools(t, b, 2)
+		defer startPools(t, w)()
+		is.Equal(countMade(w.Make(t.Context(), testOrder("a", 2, 2*time.Second, 3*time.Second))), 2)
+		is.Equal(len(b.calledRunners), 1)
+		is.True(b.calledRunners[0] != paused)
+	})
+}
+
 // TestPiecesDontWaitForPausesBeyondTheirDeadline has all runners pause.
 func TestPiecesDontWaitForPausesBeyondTheirDeadline(t *testing.T) {
 	for _, c := range []struct{ pause, took time.Duration }{
--- a/router/stage/pool_test.go
+++ b/router/stage/pool_test.go
@@ -42,7 +42,9 @@
 	// hang blocks batches until they are cancelled.
 	hang    bool
 	results int
-	// observe, if set, is called at each answer. set has the targets.
+	// connect, if set, is called while the connection to a runner is opened, observe
+	// at each answer. set has the targets.
+	connect func(r *inventory.Runner)
 	observe func(r *inventory.Runner)
 	set     target.Set
 }
@@ -62,6 +64,9 @@
 	if r.ID == b.drainsOnConnect {
 		drainRunner(b.current, r.ID)
 	}
+	if b.connect != nil {
+		b.connect(r)
+	}
 	if !usable() {
 		return nil, true, errors.New("draining")
 	}
