--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -290,6 +290,13 @@
 		if n := f.reached(); n > 3 {
 			rt.Fatalf("sent to %d runners", n)
 		}
+		tried := make(map[string]bool)
+		for _, d := range f.sent {
+			if tried[d.Runner.ID] {
+				rt.Fatalf("sent to %s twice", d.Runner.ID)
+			}
+			tried[d.Runner.ID] = true
+		}
 		if once && slices.Contains([]int{408, 421, 429, 503}, w.Code) && f.runs() > 0 {
 			rt.Fatalf("answered %d though it ran", w.Code)
 		}
