--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -110,6 +110,11 @@
 	connect func(d relay.Dispatch)
 	// callerGone has all writes to the caller fail.
 	callerGone bool
+	// prepare, if set, is called with the targets before the call. observe, if set,
+	// is called with them at each answer.
+	prepare func(set target.Set)
+	observe func(set target.Set, d relay.Dispatch)
+	set     target.Set
 }
 
 // goneCaller fails all writes.
@@ -127,6 +132,9 @@
 	a := f.responses[min(len(f.given), len(f.responses)-1)]
 	f.given = append(f.given, a)
 	f.sent = append(f.sent, d)
+	if f.observe != nil {
+		f.observe(f.set, d)
+	}
 	return a.do(ctx)
 }
 
@@ -165,10 +173,13 @@
 	// cancel, if set, is called while pieces are made, which are abandoned then.
 	cancel func()
 	mu     sync.Mutex
+	// takes is the duration of a stage.
+	takes time.Duration
 }
 
-func (f *fakePieces) Make(_ context.Context, o stage.Order) []stage.Result {
+func (f *fakePieces) Make(ctx context.Context, o stage.Order) []stage.Result {
 	f.made = append(f.made, o)
+	_ = clock.System().Sleep(ctx, f.takes)
 	out := make([]stage.Result, o.Pieces)
 	for i := range out {
 		out[i] = stage.Result{Handle: fmt.Sprintf("%d.%d", o.Stage, i), Runner: "maker"}
@@ -263,6 +274,10 @@
 	}
 	current.Advance(s)
 	current.Confirm(clock.System().Now())
+	f.set = set
+	if f.prepare != nil {
+		f.prepare(set)
+	}
 	budget := f.budget
 	if budget == nil {
 		budget = retry.New(nil)
@@ -310,6 +325,13 @@
 		if n := f.reached(); n > 3 {
 			rt.Fatalf("sent to %d runners", n)
 		}
+		tried := make(map[string]bool)
+		for _, d := range f.sent {
+			if tried[d.Runner.ID] {
+				rt.Fatalf("sent to %s twice", d.Runner.ID)
+			}
+			tried[d.Runner.ID] = true
+		}
 		if once && slices.Contains([]int{408, 421, 429, 503}, w.Code) && f.runs() > 0 {
 			rt.Fatalf("answered %d though it ran", w.Code)
 		}
@@ -492,6 +514,152 @@
 	}
 }
 
+// TestStartedStreamHoldsOnlyItsEvents covers answers to a stream that broke off after
+// its first event. The caller must get neither a part of them, nor a stream that
+// seems complete.
+func TestStartedStreamHoldsOnlyItsEvents(t *testing.T) {
+	const head = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n"
+	changed := func(body string, change func(a *relay.Answer)) response {
+		return response{"changed", true, answerWith(http.StatusOK, body, func(a *relay.Answer) {
+			a.Events = true
+			change(a)
+		})}
+	}
+	none := func(*relay.Answer) {}
+	for _, c := range []struct {
+		name string
+		odd  response
+	}{
+		{"error", failing},
+		{"refusal", full},
+		{"error of the type of streams", changed(two, func(a *relay.Answer) { a.Status = http.StatusInternalServerError })},
+		{"client error of the type of streams", changed(two, func(a *relay.Answer) { a.Status = http.StatusConflict })},
+		{"success without events", good},
+		{"unsealed events", changed(two, func(a *relay.Answer) { a.Sealed = false })},
+		{"text of an error", changed("internal error\n\n", none)},
+		{"text of an error without an end", changed("internal error", none)},
+		{"document of an error", changed("{\"error\": \"internal\"}\n\n", none)},
+		{"head of an error", changed(head, none)},
+		{"whole error", changed(head+"internal error\n\n", none)},
+		{"events from the first", changed(one+two+three, none)},
+		{"events from before", changed("id: 0\ndata: z\n\n"+one+two+three, none)},
+		{"end without length", changed("", func(a *relay.Answer) { a.Unframed = true })},
+		{"comment and end without length", changed(": wait\n\n", func(a *relay.Answer) { a.Unframed = true })},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeRunners{responses: []response{streamOf(one, true), c.odd, streamOf(two+three, false)}}
+				w := serveCall(t, "/resumable/1", f, &fakePieces{}, nil)
+				is.Equal(w.Code, 200)
+				is.Equal(w.Body.String(), one+two+three)
+				f = &fakeRunners{responses: []response{streamOf(one, true), c.odd}}
+				w = serveCall(t, "/resumable/1", f, &fakePieces{}, nil)
+				is.Equal(w.Code, -200)
+				is.Equal(w.Body.String(), one)
+			})
+		})
+	}
+}
+
+// TestErrorInsideStreamIsNotPassedOn covers a runner that writes an error into its own
+// stream.
+func TestErrorInsideStreamIsNotPassedOn(t *testing.T) {
+	for _, odd := range []string{"HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n", "internal error\n\n", one} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := serveCall(t, "/stream/1", &fakeRunners{responses: []response{streamOf(one+two+odd, false)}}, &fakePieces{}, nil)
+			is.Equal(w.Code, -200)
+			is.Equal(w.Body.String(), one+two)
+		})
+	}
+}
+
+// pauseAll has all runners of the service pause, the first for d, the others longer.
+func pauseAll(d time.Duration) func(set target.Set) {
+	return func(set target.Set) {
+		for i, t := range set.Usable("s") {
+			set.Observe(t.Runner(), target.Notice{Pause: d + time.Duration(i)*time.Second})
+		}
+	}
+}
+
+// TestCallsToPausedServiceAreRefusedAtOnce checks that a call which no runner takes now
+// isn't held until its deadline, and that its caller learns when to come back.
+func TestCallsToPausedServiceAreRefusedAtOnce(t *testing.T) {
+	for _, path := range []string{"/safe/1", "/once/1", "/single/1", "/stream/1", "/resumable/1", "/staged/1"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeRunners{responses: []response{good}, prepare: pauseAll(2500 * time.Millisecond)}
+				p, start := &fakePieces{}, time.Now()
+				w := serveCall(t, path, f, p, nil)
+				is.Equal(w.Code, http.StatusServiceUnavailable)
+				is.Equal(w.Header().Get("Retry-After"), "2.500")
+				is.Equal(time.Since(start), time.Duration(0))
+				is.Equal(len(f.sent), 0)
+				is.Equal(len(p.made), 0) // no stage is run in vain
+			})
+		})
+	}
+}
+
+// TestPauseThatEndsDuringTheStagesRefusesNoCall has all engines pause for less time
+// than the stages of the call take.
+func TestPauseThatEndsDuringTheStagesRefusesNoCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := &fakeRunners{responses: []response{streamOf(one, false)}, prepare: pauseAll(100 * time.Millisecond)}
+		p := &fakePieces{takes: 300 * time.Millisecond}
+		is.Equal(serveCall(t, "/staged/1", f, p, nil).Code, http.StatusOK)
+	})
+}
+
+// TestRefusedCallLearnsOfThePause has each runner refuse the call and ask for a pause.
+func TestRefusedCallLearnsOfThePause(t *testing.T) {
+	for _, path := range []string{"/once/1", "/stream/1"} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := &fakeRunners{responses: []response{full}, observe: func(set target.Set, d relay.Dispatch) {
+				pauseAll(1500 * time.Millisecond)(set)
+			}}
+			w := serveCall(t, path, f, &fakePieces{}, nil)
+			is.Equal(w.Code, http.StatusServiceUnavailable)
+			is.Equal(w.Header().Get("Retry-After"), "1.500")
+			is.Equal(len(f.sent), 1) // the others have paused meanwhile
+		})
+	}
+}
+
+// TestStreamIsNotResumedAtRunnersThatTakeNoCalls has all runners but one leave or
+// pause while a stream is sent, which then breaks off.
+func TestStreamIsNotResumedAtRunnersThatTakeNoCalls(t *testing.T) {
+	for _, notice := range []target.Notice{{Leaving: true}, {Pause: time.Minute}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			first, left := "", ""
+			f := &fakeRunners{responses: []response{streamOf(one, true), streamOf(two, false)}}
+			f.observe = func(set target.Set, d relay.Dispatch) {
+				if first != "" {
+					return
+				}
+				first = d.Runner.ID
+				for _, t := range set.Usable("s") {
+					switch id := t.Runner().ID; {
+					case id == first:
+					case left == "":
+						left = id
+					default:
+						set.Observe(t.Runner(), notice)
+					}
+				}
+			}
+			is.Equal(serveCall(t, "/resumable/1", f, &fakePieces{}, nil).Body.String(), one+two)
+			is.Equal(f.sent[1].Runner.ID, left)
+		})
+	}
+}
+
 func TestStalledStreamResumesAtAnotherRunner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -44,6 +44,9 @@
 
 // stream serves a call that is answered by events.
 func (x *relay) stream(w http.ResponseWriter, p *callPlan) error {
+	if err := x.checkPause(p); err != nil {
+		return err
+	}
 	res, err := x.runStages(p)
 	defer res.release()
 	if err != nil {
@@ -225,7 +228,7 @@
 	for answered := false; ; {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
-			if !events.any && !s.headerSent {
+			if !events.any && (!s.headerSent || a.Unframed) {
 				return fault.New(fault.RunnerFailed, "the stream has no event")
 			}
 			p.status, p.events = http.StatusOK, s.eventsSent
@@ -240,6 +243,9 @@
 		if !events.any {
 			continue
 		}
+		if id != "" && s.lastEventID != "" && (p.route.Resumable || s.eventsSent > 0) && !follows(id, s.lastEventID) {
+			return fault.New(fault.RunnerFailed, "event %q came after %q", id, s.lastEventID)
+		}
 		if !answered {
 			answered = true
 			onFirst()
@@ -285,9 +291,9 @@
 	case p.ctx.Err() != nil:
 		return x.contextFault(p, run)
 	case last == nil:
-		return fault.New(fault.NoRunner, "no runner of %q takes calls", p.service)
+		return x.withPause(p, fault.New(fault.NoRunner, "no runner of %q takes calls", p.service))
 	case run == fault.NotRun:
-		return fault.Wrap(fault.Overloaded, last, "no runner of %q accepted the call", p.service)
+		return x.withPause(p, fault.Wrap(fault.Overloaded, last, "no runner of %q accepted the call", p.service))
 	}
 	return fault.Wrap(fault.OutcomeUnknown, last, "no usable answer of %q", p.service).WithOutcome(run)
 }
--- a/router/stage/pool_test.go
+++ b/router/stage/pool_test.go
@@ -42,6 +42,11 @@
 	// hang blocks batches until they are cancelled.
 	hang    bool
 	results int
+	// connect, if set, is called while the connection to a runner is opened, observe
+	// at each answer. set has the targets.
+	connect func(r *inventory.Runner)
+	observe func(r *inventory.Runner)
+	set     target.Set
 }
 
 // drainRunner marks a runner as draining in a new snapshot.
@@ -59,6 +64,9 @@
 	if r.ID == b.drainsOnConnect {
 		drainRunner(b.current, r.ID)
 	}
+	if b.connect != nil {
+		b.connect(r)
+	}
 	if !usable() {
 		return nil, true, errors.New("draining")
 	}
@@ -67,6 +75,9 @@
 	b.calledRunners = append(b.calledRunners, r.ID)
 	fail, refuse := b.fail[r.ID], b.refuse[r.ID]
 	b.mu.Unlock()
+	if b.observe != nil {
+		b.observe(r)
+	}
 	if refuse {
 		return nil, true, errors.New("full")
 	}
@@ -126,7 +137,7 @@
 	set := target.NewSet(clock.System(), func(string, float64) float64 { return 1 }, time.Second)
 	current.Subscribe(set.Update)
 	current.Advance(s)
-	b.current = current
+	b.current, b.set = current, set
 	return NewPools(clock.System(), rules, current, set, b, hclog.NewNullLogger())
 }
 
