Refuse calls with prompt parts that crash engines

Nothing connected the crashes: an instance saw a broken connection, put the engine in backoff and tried the next one.

Ruled out: that retries alone are the cause. Most crashes are first attempts, at other instances. The logs with the parts of each call show that the calls break off after the headers and before the first event, all with one part in the middle of the prompt, whose first part sound calls share; nothing else is at more than two crashes.

Package quarantine collects the calls that were in flight without an event when a connection broke, at two owners, and decides without I/O which parts explain the crashes. A decision is one key in the store, which all instances read by their watch. Calls are checked before any work and before each attempt.

--- a/ctl/timeline/cause.go
+++ b/ctl/timeline/cause.go
@@ -69,6 +69,8 @@
 		return t.noCapacityCause(end)
 	case fault.StaleConfiguration, fault.NotReady:
 		return "the instance couldn't know whether its configuration is the newest: " + end.text("error")
+	case fault.Quarantined:
+		return "its prompt is in quarantine: " + end.text("error") + t.attemptsText()
 	case fault.DeadlineTooShort, fault.DeadlineExceeded:
 		return "its time was over: " + end.text("error") + t.slowestPartText() + t.attemptsText()
 	case fault.OutcomeUnknown, fault.RunnerFailed:
--- a/fleet/fault/kind.go
+++ b/fleet/fault/kind.go
@@ -79,6 +79,8 @@
 	NoRunner Kind = "noRunner"
 	// RunnerFailed is an idempotent stage whose attempts all failed.
 	RunnerFailed Kind = "runnerFailed"
+	// Quarantined is a call whose prompt has parts that crash runners.
+	Quarantined Kind = "quarantined"
 	// HomeUnsettled is a key or runner whose home, the instance responsible
 	// for it, is not agreed or cannot be reached at present.
 	HomeUnsettled Kind = "homeUnsettled"
@@ -153,6 +155,7 @@
 	DeadlineExceeded:   {http.StatusGatewayTimeout, Unknown, retrySoon},
 	NoRunner:           {http.StatusServiceUnavailable, NotRun, retryLater},
 	RunnerFailed:       {http.StatusBadGateway, Unknown, retrySoon},
+	Quarantined:        {http.StatusServiceUnavailable, NotRun, retryTakeover},
 	HomeUnsettled:      {http.StatusServiceUnavailable, NotRun, retryTakeover},
 	OutcomeUnknown:     {http.StatusBadGateway, Unknown, 0},
 	StaleConfiguration: {http.StatusServiceUnavailable, NotRun, retrySoon},
@@ -169,7 +172,7 @@
 		BadRequest, TooLarge, HeaderTooLarge, SlowCaller, CallerGone, Unauthenticated, Forbidden,
 		UnknownPipeline, UnknownRoute, BadDeadline, BadKey, KeyConflict, NotFound,
 		Overloaded, TeamLimit, Preempted, DeadlineTooShort, DeadlineExceeded,
-		NoRunner, RunnerFailed, HomeUnsettled, OutcomeUnknown, StaleConfiguration, NotReady,
+		NoRunner, RunnerFailed, Quarantined, HomeUnsettled, OutcomeUnknown, StaleConfiguration, NotReady,
 		Conflict, HistoryGone, StoreUnavailable, Internal,
 	}
 }
--- a/router/inventory/change.go
+++ b/router/inventory/change.go
@@ -29,6 +29,10 @@
 	// whose registration has ended.
 	Instance        *Instance
 	RemovedInstance string
+	// Quarantine is a quarantine in force. EndedQuarantine is the identifier of one
+	// that has ended.
+	Quarantine      *Quarantine
+	EndedQuarantine string
 }
 
 // Source reads the store.
@@ -48,7 +52,7 @@
 	next := &Snapshot{
 		Table: s.Table, Revision: max(s.Revision, revision),
 		Runners: clone(s.Runners), ZonesOut: clone(s.ZonesOut), ReturnedZones: clone(s.ReturnedZones), Instances: clone(s.Instances),
-		HeldRemovals: clone(s.HeldRemovals),
+		HeldRemovals: clone(s.HeldRemovals), Quarantines: clone(s.Quarantines),
 	}
 	for _, c := range changes {
 		next.apply(c)
@@ -82,6 +86,19 @@
 		s.Instances[c.Instance.Name] = *c.Instance
 	case c.RemovedInstance != "":
 		delete(s.Instances, c.RemovedInstance)
+	case c.Quarantine != nil:
+		s.applyQuarantine(c)
+	case c.EndedQuarantine != "":
+		delete(s.Quarantines, c.EndedQuarantine)
+	}
+}
+
+// maxQuarantines bounds the quarantines of a snapshot. Further ones are ignored.
+const maxQuarantines = 256
+
+func (s *Snapshot) applyQuarantine(c Change) {
+	if _, known := s.Quarantines[c.Quarantine.ID]; known || len(s.Quarantines) < maxQuarantines {
+		s.Quarantines[c.Quarantine.ID] = c.Quarantine
 	}
 }
 
--- a/router/inventory/exchange.go
+++ b/router/inventory/exchange.go
@@ -121,6 +121,8 @@
 	ZonesOut  []string         `json:"zonesOut,omitempty"`
 	ZonesBack []wireZoneReturn `json:"zonesBack,omitempty"`
 	Instances []Instance       `json:"instances,omitempty"`
+	// Quarantines is missing in the answers of older builds.
+	Quarantines []wireQuarantine `json:"quarantines,omitempty"`
 }
 
 // wireRunner is the wire form of a runner's description. ColdMicros is the rest
@@ -141,6 +143,13 @@
 	AgoMicros int64  `json:"agoMicros"`
 }
 
+// wireQuarantine is the wire form of a quarantine. AgoMicros is the time since the
+// answering instance read it.
+type wireQuarantine struct {
+	Quarantine
+	AgoMicros int64 `json:"agoMicros"`
+}
+
 func (e *exchange) Run(ctx context.Context) error {
 	var group sync.WaitGroup
 	if e.leads != nil {
@@ -255,6 +264,9 @@
 		wire.LapsedAt = s.HeldRemovals[id]
 		resp.Runners = append(resp.Runners, wire)
 	}
+	for _, q := range s.Quarantines {
+		resp.Quarantines = append(resp.Quarantines, newWireQuarantine(q, now))
+	}
 	return resp
 }
 
@@ -280,12 +292,23 @@
 	return &out
 }
 
+func newWireQuarantine(q *Quarantine, now time.Time) wireQuarantine {
+	return wireQuarantine{Quarantine: *q, AgoMicros: now.Sub(q.SeenAt).Microseconds()}
+}
+
+// quarantine converts the quarantine, as if this instance had read it itself.
+func (q wireQuarantine) quarantine(now time.Time) *Quarantine {
+	out := q.Quarantine
+	out.SeenAt = now.Add(-micros(q.AgoMicros))
+	return &out
+}
+
 // snapshot converts the response, with the given configuration if it has none.
 func (resp getResponse) snapshot(table *routing.Table, now time.Time) (*Snapshot, error) {
 	s := &Snapshot{
 		Table: table, Revision: resp.Revision, Runners: make(map[string]*Runner, len(resp.Runners)),
 		ZonesOut: make(map[string]bool), ReturnedZones: make(map[string]ZoneReturn), Instances: make(map[string]Instance),
-		HeldRemovals: make(map[string]int64),
+		HeldRemovals: make(map[string]int64), Quarantines: make(map[string]*Quarantine),
 	}
 	if resp.Config != nil {
 		t, err := routing.NewTable(*resp.Config)
@@ -309,5 +332,8 @@
 	for _, i := range resp.Instances {
 		s.Instances[i.Name] = i
 	}
+	for _, q := range resp.Quarantines {
+		s.applyQuarantine(Change{Quarantine: q.quarantine(now)})
+	}
 	return s, nil
 }
--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -350,6 +350,18 @@
 			out = append(out, Change{Revision: revision, RemovedInstance: name})
 		}
 	}
+	return append(out, impliedEnds(old, list, revision)...)
+}
+
+// impliedEnds returns the ends of the quarantines that a complete list no longer
+// contains.
+func impliedEnds(old *Snapshot, list []Change, revision int64) []Change {
+	var out []Change
+	for id := range old.Quarantines {
+		if !slices.ContainsFunc(list, func(c Change) bool { return c.Quarantine != nil && c.Quarantine.ID == id }) {
+			out = append(out, Change{Revision: revision, EndedQuarantine: id})
+		}
+	}
 	return out
 }
 
@@ -374,6 +386,10 @@
 			f.log.Info("instance gone", "instance", c.RemovedInstance, "revision", c.Revision)
 		case c.Instance != nil:
 			f.log.Info("instance seen", "instance", c.Instance.Name, "zone", c.Instance.Zone, "revision", c.Revision)
+		case c.Quarantine != nil:
+			f.log.Warn("prompt parts in quarantine", "quarantine", c.Quarantine.ID, "service", c.Quarantine.Service, "parts", c.Quarantine.Parts, "revision", c.Revision)
+		case c.EndedQuarantine != "":
+			f.log.Info("quarantine ended", "quarantine", c.EndedQuarantine, "revision", c.Revision)
 		}
 	}
 }
--- a/router/inventory/lead.go
+++ b/router/inventory/lead.go
@@ -21,12 +21,15 @@
 	AgoMicros    int64           `json:"agoMicros,omitempty"`
 	Instance     *Instance       `json:"instance,omitempty"`
 	InstanceGone string          `json:"instanceGone,omitempty"`
+	// Quarantine and QuarantineOver are unknown to older builds, which ignore them.
+	Quarantine     *wireQuarantine `json:"quarantine,omitempty"`
+	QuarantineOver string          `json:"quarantineOver,omitempty"`
 }
 
 func newWireChange(c Change, now time.Time) wireChange {
 	wire := wireChange{
 		Revision: c.Revision, RunnerGone: c.RemovedRunner, ZoneOut: c.ZoneOut, ZoneBack: c.ReturnedZone,
-		Instance: c.Instance, InstanceGone: c.RemovedInstance,
+		Instance: c.Instance, InstanceGone: c.RemovedInstance, QuarantineOver: c.EndedQuarantine,
 	}
 	switch {
 	case c.Table != nil:
@@ -37,6 +40,9 @@
 		wire.Runner = &r
 	case c.ReturnedZone != "":
 		wire.AgoMicros = now.Sub(c.SeenAt).Microseconds()
+	case c.Quarantine != nil:
+		q := newWireQuarantine(c.Quarantine, now)
+		wire.Quarantine = &q
 	}
 	return wire
 }
@@ -48,6 +54,7 @@
 		c := Change{
 			Revision: wire.Revision, RemovedRunner: wire.RunnerGone, ZoneOut: wire.ZoneOut, ReturnedZone: wire.ZoneBack,
 			Instance: wire.Instance, RemovedInstance: wire.InstanceGone, SeenAt: now.Add(-micros(wire.AgoMicros)),
+			EndedQuarantine: wire.QuarantineOver,
 		}
 		if wire.Config != nil {
 			table, err := routing.NewTable(*wire.Config)
@@ -59,6 +66,9 @@
 		if wire.Runner != nil {
 			c.Runner = wire.Runner.runner(now)
 		}
+		if wire.Quarantine != nil {
+			c.Quarantine = wire.Quarantine.quarantine(now)
+		}
 		out = append(out, c)
 	}
 	return out, nil
--- a/router/inventory/snapshot.go
+++ b/router/inventory/snapshot.go
@@ -61,6 +61,21 @@
 	SeenAt time.Time
 }
 
+// Quarantine is a set of prompt parts of a service that crash its runners. Calls
+// whose prompts have all of the parts are refused.
+type Quarantine struct {
+	ID      string
+	Service string
+	// Parts are the identifiers of the parts, sorted.
+	Parts []string
+	// Evidence is the time from the first crash to the decision.
+	Evidence time.Duration
+	// SeenAt is when this instance read the quarantine.
+	SeenAt time.Time
+	// Revision is the store's revision of the quarantine.
+	Revision int64
+}
+
 // Snapshot is the view of the fleet at one revision. It is immutable.
 type Snapshot struct {
 	// Table is nil until a configuration is known.
@@ -78,6 +93,8 @@
 	ReturnedZones map[string]ZoneReturn
 	// Instances is keyed by name.
 	Instances map[string]Instance
+	// Quarantines is keyed by identifier.
+	Quarantines map[string]*Quarantine
 	// Revision is the store's revision up to which the snapshot is complete.
 	Revision int64
 }
--- a/router/policy/policy.go
+++ b/router/policy/policy.go
@@ -48,13 +48,15 @@
 	ZoneStoreReaders bool `json:"storeLeads"`
 	// TargetBackoff avoids runners that fail or are slow for a backoff period.
 	TargetBackoff bool `json:"setAside"`
+	// PromptQuarantine refuses calls whose prompts have parts that crash runners.
+	PromptQuarantine bool `json:"quarantine"`
 }
 
 // Default enables all decisions.
 func Default() Policy {
 	return Policy{
 		StageOwners: true, ZoneShards: true, Reservations: true, MeasuredThroughput: true, FinishStartedFirst: true, DropLateOrders: true, CheckResultMemory: true, ResultZoneAffinity: true,
-		PlacementOwners: true, PromptCacheAffinity: true, PromptHashing: true, ResumeStalled: true, ZoneStoreReaders: true, TargetBackoff: true,
+		PlacementOwners: true, PromptCacheAffinity: true, PromptHashing: true, ResumeStalled: true, ZoneStoreReaders: true, TargetBackoff: true, PromptQuarantine: true,
 	}
 }
 
--- /dev/null
+++ b/router/quarantine/guard.go
@@ -0,0 +1,454 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/owner"
+	"cicadawell.dev/router/target"
+	"github.com/hashicorp/go-hclog"
+)
+
+// methodReport reports crashes and answers to an owner of the evidence.
+const methodReport = "quarantine.report"
+
+const (
+	// ownerKey is the key by which the owners of the evidence are chosen.
+	ownerKey = "quarantine"
+	// ownerCount is the number of instances that collect the evidence, so that it
+	// survives the loss of one.
+	ownerCount = 2
+	// maxDeliveries bounds the instances to which a report is sent until ownerCount
+	// have it.
+	maxDeliveries = 4
+	// reportTimeout bounds the delivery of a report to one instance.
+	reportTimeout = 300 * time.Millisecond
+	// reportInterval is the minimum time between two reports of an instance.
+	reportInterval = 50 * time.Millisecond
+	// maxReported bounds the suspects, and the parts with answers, of a report.
+	maxReported = 64
+	// recentlyAnswered is the time after an answer in which a part isn't suspected.
+	recentlyAnswered = 2 * time.Second
+	// answeredInterval is the minimum time between two reports of the same part's
+	// answers.
+	answeredInterval = time.Second
+	// storeTimeout bounds one write to the store. firstBackoff is the time between two,
+	// which doubles after each failure, up to lastBackoff.
+	storeTimeout = 500 * time.Millisecond
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = time.Second
+	// readDelay is the time after which a write to the store is in the snapshot. It is
+	// repeated otherwise.
+	readDelay = 2 * time.Second
+	// maxInForce is the number of quarantines above which no more are written.
+	maxInForce = 64
+)
+
+// Store keeps the quarantines in force. A quarantine ends after its life.
+type Store interface {
+	Put(ctx context.Context, q inventory.Quarantine, life time.Duration) error
+	Remove(ctx context.Context, id string) error
+}
+
+// Guard refuses calls by the quarantines in force, and collects the evidence for
+// new ones.
+type Guard interface {
+	// Blocked reports whether a call must not be sent to a runner, and for how long.
+	Blocked(service string, p target.Prompt) (time.Duration, bool)
+	// Answered records that a runner has begun to answer a call.
+	Answered(service string, p target.Prompt)
+	// Crashed records that the connection to a runner broke before the answer to a
+	// call began.
+	Crashed(r *inventory.Runner, p target.Prompt)
+	// Run sends reports and writes quarantines until ctx ends.
+	Run(ctx context.Context) error
+}
+
+// NewGuard returns the guard of an instance.
+func NewGuard(clk clock.Clock, self string, current *inventory.Current, owners owner.Finder, mesh instance.Mesh, store Store, log hclog.Logger) Guard {
+	g := &guard{
+		clk: clk, self: self, current: current, owners: owners, mesh: mesh, store: store, log: log, answers: newAnswers(),
+		detector: NewDetector(), written: make(map[string]time.Time), withdrawn: make(map[string]inventory.Quarantine),
+		answered: make(map[partKey]struct{}), reported: make(map[partKey]time.Time), removed: make(map[string]time.Time), toSend: make(chan struct{}, 1), toDecide: make(chan struct{}, 1),
+	}
+	g.rules.Store(&rules{})
+	mesh.Handle(methodReport, g.serveReport)
+	current.Subscribe(g.update)
+	return g
+}
+
+// rules is an immutable index of the quarantines in force, by service.
+type rules map[string][]*inventory.Quarantine
+
+type guard struct {
+	clk     clock.Clock
+	self    string
+	current *inventory.Current
+	owners  owner.Finder
+	mesh    instance.Mesh
+	store   Store
+	log     hclog.Logger
+	rules   atomic.Pointer[rules]
+	answers *answers
+	// toSend and toDecide wake up the loops of Run. Their buffers hold one value.
+	toSend, toDecide chan struct{}
+
+	outbox sync.Mutex
+	// suspects and answered are still to be reported. reported has the times at which
+	// parts with answers were reported last.
+	suspects []Suspect
+	answered map[partKey]struct{}
+	reported map[partKey]time.Time
+
+	// mu guards what an owner knows.
+	mu       sync.Mutex
+	detector *Detector
+	// written has the quarantines that were written, with the times of the writes.
+	written map[string]time.Time
+	// withdrawn has what is left of the quarantines that are to be replaced, by
+	// identifier. removed has the times at which some were.
+	withdrawn map[string]inventory.Quarantine
+	removed   map[string]time.Time
+}
+
+// report is what an instance has observed.
+type report struct {
+	Suspects []Suspect `json:"suspects,omitempty"`
+	// Answered has parts that are suspected or quarantined and had an answer.
+	Answered []answeredPart `json:"answered,omitempty"`
+}
+
+type answeredPart struct {
+	Service string `json:"service"`
+	Part    string `json:"part"`
+}
+
+// update replaces the rules by those of a snapshot, and reports the parts in new
+// ones that had an answer since the first crash.
+func (g *guard) update(s *inventory.Snapshot) {
+	old := *g.rules.Load()
+	next := make(rules)
+	for _, q := range s.Quarantines {
+		if Validate(q) == nil {
+			next[q.Service] = append(next[q.Service], q)
+		}
+	}
+	if len(old) == 0 && len(next) == 0 {
+		return
+	}
+	g.rules.Store(&next)
+	wake(g.toDecide)
+	for service, list := range next {
+		for _, q := range list {
+			if !slices.Contains(old[service], q) {
+				g.reportAnswered(service, g.answeredParts(q))
+			}
+		}
+	}
+}
+
+// answeredParts returns the parts of a quarantine that had an answer here since the
+// first crash.
+func (g *guard) answeredParts(q *inventory.Quarantine) []string {
+	return g.answers.since(q.Service, q.Parts, q.SeenAt.Add(-q.Evidence))
+}
+
+func (g *guard) Blocked(service string, p target.Prompt) (time.Duration, bool) {
+	list := (*g.rules.Load())[service]
+	if len(list) == 0 {
+		return 0, false
+	}
+	parts := sharedParts(p)
+	for _, q := range list {
+		rest, ok := without(*q, g.answeredParts(q))
+		if ok && containsAll(parts, rest.Parts) {
+			return max(time.Second, q.SeenAt.Add(Life).Sub(g.clk.Now())), true
+		}
+	}
+	return 0, false
+}
+
+func (g *guard) Answered(service string, p target.Prompt) {
+	parts := sharedParts(p)
+	if len(parts) == 0 {
+		return
+	}
+	g.answers.note(service, parts, g.clk.Now())
+	var ruled []string
+	for _, q := range (*g.rules.Load())[service] {
+		for _, part := range q.Parts {
+			if slices.Contains(parts, part) {
+				ruled = append(ruled, part)
+			}
+		}
+	}
+	g.reportAnswered(service, ruled)
+}
+
+func (g *guard) Crashed(r *inventory.Runner, p target.Prompt) {
+	parts := sharedParts(p)
+	answered := g.answers.since(r.Service, parts, g.clk.Now().Add(-recentlyAnswered))
+	parts = slices.DeleteFunc(parts, func(part string) bool { return slices.Contains(answered, part) })
+	if len(parts) == 0 {
+		return
+	}
+	g.outbox.Lock()
+	if len(g.suspects) < maxReported {
+		g.suspects = append(g.suspects, Suspect{Service: r.Service, Runner: r.ID, Born: r.Born, Zone: r.Zone, Parts: parts})
+	}
+	g.outbox.Unlock()
+	wake(g.toSend)
+}
+
+// reportAnswered reports parts that had an answer.
+func (g *guard) reportAnswered(service string, parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	now := g.clk.Now()
+	g.outbox.Lock()
+	maps.DeleteFunc(g.reported, func(_ partKey, at time.Time) bool { return now.Sub(at) >= answeredInterval })
+	for _, p := range parts {
+		k := partKey{service, p}
+		if _, ok := g.reported[k]; !ok && len(g.answered) < maxReported {
+			g.answered[k], g.reported[k] = struct{}{}, now
+		}
+	}
+	g.outbox.Unlock()
+	wake(g.toSend)
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func (g *guard) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() { g.sendReports(ctx) })
+	group.Go(func() { g.keepQuarantines(ctx) })
+	group.Wait()
+	return nil
+}
+
+// sendReports sends what was observed to the owners until ctx ends.
+func (g *guard) sendReports(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.toSend:
+		}
+		g.outbox.Lock()
+		r := report{Suspects: g.suspects}
+		for k := range g.answered {
+			r.Answered = append(r.Answered, answeredPart{Service: k.service, Part: k.part})
+		}
+		g.suspects = nil
+		clear(g.answered)
+		g.outbox.Unlock()
+		g.deliver(ctx, r)
+		_ = g.clk.Sleep(ctx, reportInterval)
+	}
+}
+
+// deliver sends a report to the owners. If one doesn't answer, its successor gets
+// the report.
+func (g *guard) deliver(ctx context.Context, r report) {
+	tried := make(map[string]bool)
+	for delivered := 0; delivered < ownerCount && len(tried) < maxDeliveries && ctx.Err() == nil; {
+		var to string
+		for _, name := range g.owners.Ranked(ownerKey, maxDeliveries) {
+			if !tried[name] {
+				to = name
+				break
+			}
+		}
+		if to == "" {
+			if delivered == 0 && !tried[g.self] {
+				g.accept(g.self, r)
+			}
+			return
+		}
+		tried[to] = true
+		if to == g.self {
+			g.accept(g.self, r)
+			delivered++
+			continue
+		}
+		calling, cancel := context.WithTimeout(ctx, reportTimeout)
+		err := g.mesh.Call(instance.MarkIdempotent(calling), to, methodReport, r, nil)
+		cancel()
+		if err != nil {
+			g.log.Info("owner of the quarantines doesn't answer", "owner", to, "error", err)
+			g.owners.MarkUnavailable(to)
+			continue
+		}
+		delivered++
+	}
+}
+
+func (g *guard) serveReport(_ context.Context, from string, params json.RawMessage) (any, error) {
+	var r report
+	if err := json.Unmarshal(params, &r); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "decode a report").WithField(methodReport)
+	}
+	g.accept(from, r)
+	return nil, nil
+}
+
+// accept adds a report to the evidence of this instance.
+func (g *guard) accept(from string, r report) {
+	now := g.clk.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range r.Suspects[:min(len(r.Suspects), maxReported)] {
+		g.detector.Report(from, s, now)
+		g.log.Info("prompt parts suspected", "service", s.Service, "runner", s.Runner, "zone", s.Zone, "parts", s.Parts, "reporter", from)
+	}
+	inForce := g.current.Load().Quarantines
+	for _, a := range r.Answered[:min(len(r.Answered), maxReported)] {
+		g.detector.Answered(a.Service, []string{a.Part})
+		for _, q := range inForce {
+			if q.Service == a.Service && slices.Contains(q.Parts, a.Part) {
+				g.withdraw(*q, a.Part, now)
+			}
+		}
+	}
+	wake(g.toDecide)
+}
+
+// withdraw takes a part out of a quarantine in force. The caller holds mu.
+func (g *guard) withdraw(q inventory.Quarantine, part string, now time.Time) {
+	if now.Sub(g.removed[q.ID]) < readDelay {
+		return
+	}
+	rest, ok := g.withdrawn[q.ID]
+	if !ok {
+		rest = q
+	}
+	rest, _ = without(rest, []string{part})
+	g.withdrawn[q.ID] = rest
+}
+
+// keepQuarantines writes and removes quarantines until ctx ends.
+func (g *guard) keepQuarantines(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.toDecide:
+		}
+		for backoff := firstBackoff; ctx.Err() == nil; {
+			more, err := g.settleOne(ctx)
+			if !more {
+				break
+			}
+			_ = g.clk.Sleep(ctx, backoff)
+			backoff = min(2*backoff, lastBackoff)
+			if err == nil {
+				backoff = firstBackoff
+			}
+		}
+	}
+}
+
+// settleOne makes one write to the store, and reports whether more may be due.
+func (g *guard) settleOne(ctx context.Context) (more bool, err error) {
+	due, old := g.due()
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	switch {
+	case due != nil:
+		err = g.store.Put(ctx, *due, Life)
+		g.log.Warn("quarantine written", "quarantine", due.ID, "service", due.Service, "parts", due.Parts, "evidenceMillis", due.Evidence.Milliseconds(), "error", err)
+		if err == nil {
+			g.mu.Lock()
+			g.written[due.ID] = g.clk.Now()
+			g.mu.Unlock()
+		}
+	case old != "":
+		err = g.store.Remove(ctx, old)
+		g.log.Info("quarantine withdrawn", "quarantine", old, "error", err)
+		if err == nil {
+			g.mu.Lock()
+			delete(g.withdrawn, old)
+			delete(g.written, old)
+			g.removed[old] = g.clk.Now()
+			g.mu.Unlock()
+		}
+	default:
+		return g.awaitsRead(), nil
+	}
+	return true, err
+}
+
+// due returns a quarantine to write, or the identifier of one to remove.
+func (g *guard) due() (*inventory.Quarantine, string) {
+	now := g.clk.Now()
+	inForce := g.current.Load().Quarantines
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	missing := func(q inventory.Quarantine) bool {
+		_, ok := inForce[q.ID]
+		return !ok && now.Sub(g.written[q.ID]) >= readDelay && len(inForce) < maxInForce
+	}
+	for _, q := range g.decide(inForce, now) {
+		if missing(q) {
+			return &q, ""
+		}
+	}
+	if len(g.withdrawn) == 0 {
+		return nil, ""
+	}
+	id := slices.Min(slices.Collect(maps.Keys(g.withdrawn)))
+	if rest := g.withdrawn[id]; len(rest.Parts) > 0 && missing(rest) {
+		return &rest, ""
+	}
+	return nil, id
+}
+
+// decide returns the quarantines that the evidence calls for, without the parts
+// that had an answer at this instance. The caller holds mu.
+func (g *guard) decide(inForce map[string]*inventory.Quarantine, now time.Time) []inventory.Quarantine {
+	var known []inventory.Quarantine
+	for _, q := range inForce {
+		known = append(known, *q)
+	}
+	for {
+		list := g.detector.Decide(known, now)
+		cleared := false
+		for _, q := range list {
+			if answered := g.answers.since(q.Service, q.Parts, now.Add(-q.Evidence)); len(answered) > 0 {
+				g.detector.Answered(q.Service, answered)
+				cleared = true
+			}
+		}
+		if !cleared {
+			return list
+		}
+	}
+}
+
+// awaitsRead reports whether a write isn't in the snapshot yet, and forgets the
+// others.
+func (g *guard) awaitsRead() bool {
+	now := g.clk.Now()
+	inForce := g.current.Load().Quarantines
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.written, func(id string, at time.Time) bool { return inForce[id] != nil || now.Sub(at) >= 2*readDelay })
+	maps.DeleteFunc(g.removed, func(_ string, at time.Time) bool { return now.Sub(at) >= readDelay })
+	return len(g.written) > 0
+}
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -113,6 +113,27 @@
 	Allow(service string) bool
 }
 
+// Quarantine refuses calls whose prompts have parts that crash runners.
+// quarantine.Guard implements it.
+type Quarantine interface {
+	// Blocked reports whether a call must not be sent to a runner, and for how long.
+	Blocked(service string, p target.Prompt) (time.Duration, bool)
+	// Answered records that a runner has begun to answer a call.
+	Answered(service string, p target.Prompt)
+	// Crashed records that the connection to a runner broke before the answer to a
+	// call began.
+	Crashed(r *inventory.Runner, p target.Prompt)
+}
+
+// noQuarantine refuses no calls.
+type noQuarantine struct{}
+
+func (noQuarantine) Blocked(string, target.Prompt) (time.Duration, bool) { return 0, false }
+
+func (noQuarantine) Answered(string, target.Prompt) {}
+
+func (noQuarantine) Crashed(*inventory.Runner, target.Prompt) {}
+
 // callPlan is a call with its route and the limits from the configuration.
 type callPlan struct {
 	call     *Call
--- a/router/relay/plain.go
+++ b/router/relay/plain.go
@@ -54,6 +54,12 @@
 	var avoid []*target.Target
 	var last attempt
 	for attempts := x.newAttemptLimiter(p); p.ctx.Err() == nil && attempts.next(); {
+		if err := x.checkQuarantine(p); err != nil {
+			if run == fault.NotRun {
+				return err
+			}
+			break
+		}
 		t := x.Targets.LeastLoaded(p.service, x.Zone, avoid)
 		if t == nil {
 			break
@@ -100,9 +106,13 @@
 	a, err := x.send(ctx, p, t, Dispatch{ResumeAfter: p.call.ResumeAfter})
 	stop()
 	if err != nil {
+		x.reportCrash(ctx, t, p, err)
 		cancel()
 		return attempt{err: err}
 	}
+	if usable(a) && !a.NotRun {
+		x.Quarantine.Answered(p.service, p.call.Prompt)
+	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBuffered))
 	if err == nil && len(body) == maxBuffered && usable(a) {
 		return attempt{answer: a, body: body, long: true, cancel: cancel}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"cicadawell.dev/fleet/clock"
@@ -43,8 +45,10 @@
 	Runners Runners
 	// RetryBudget is the budget for sending calls to further runners.
 	RetryBudget RetryBudget
-	Meter       Meter
-	Log         hclog.Logger
+	// Quarantine is optional. Without it no call is refused for its prompt.
+	Quarantine Quarantine
+	Meter      Meter
+	Log        hclog.Logger
 	// Zone is the availability zone of this instance.
 	Zone string
 	// MaxConfigAge is the maximum age of the configuration for calls that need a key;
@@ -64,6 +68,9 @@
 
 // New returns a relay.
 func New(p Parts) Relay {
+	if p.Quarantine == nil {
+		p.Quarantine = noQuarantine{}
+	}
 	return &relay{Parts: p, refresher: sharedRefresh{clk: p.Clock}}
 }
 
@@ -87,9 +94,11 @@
 	ctx, cancel := context.WithTimeout(ctx, p.deadline.Sub(x.Clock.Now()))
 	defer cancel()
 	p.ctx = ctx
-	if p.route.Kind == routing.Streaming {
+	switch err = x.checkQuarantine(p); {
+	case err != nil:
+	case p.route.Kind == routing.Streaming:
 		err = x.stream(w, p)
-	} else {
+	default:
 		err = x.plain(w, p)
 	}
 	kind = ""
@@ -138,6 +147,31 @@
 	return p, nil
 }
 
+// checkQuarantine returns an error if the call must not be sent to a runner because
+// of its prompt.
+func (x *relay) checkQuarantine(p *callPlan) error {
+	left, blocked := x.Quarantine.Blocked(p.service, p.call.Prompt)
+	if !blocked {
+		return nil
+	}
+	return fault.New(fault.Quarantined, "the prompt has parts that crash the runners of %q", p.service).WithRetryAfter(left)
+}
+
+// reportCrash reports the error of an attempt without an answer if it may be due to a
+// crash of the runner: the connection was lost after the call was sent. ctx is the
+// context of the attempt.
+func (x *relay) reportCrash(ctx context.Context, t *target.Target, p *callPlan, err error) {
+	if ctx.Err() != nil || notSent(err) {
+		return
+	}
+	for _, lost := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errTruncatedEvent, errNoEvent} {
+		if errors.Is(err, lost) {
+			x.Quarantine.Crashed(t.Runner(), p.call.Prompt)
+			return
+		}
+	}
+}
+
 // maxDenyAge is the maximum age of a configuration that calls are denied by. It is
 // below the bounds on the time until a newer configuration is applied.
 const maxDenyAge = 1500 * time.Millisecond
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -40,6 +40,12 @@
 	var avoid []*target.Target
 	var last error
 	for attempts := x.newAttemptLimiter(p); p.ctx.Err() == nil && attempts.next(); {
+		if err := x.checkQuarantine(p); err != nil {
+			if run == fault.NotRun && !state.headerSent {
+				return err
+			}
+			break
+		}
 		where := x.placementRequest(p)
 		where.Zone, where.InputBytes, where.Avoid = zone, res.bytes(), avoid
 		place := x.Engines.Place(p.ctx, where)
@@ -105,6 +111,7 @@
 	case errors.As(err, &sendErr) && !sendErr.Sent:
 		return fault.NotRun, err
 	case err != nil:
+		x.reportCrash(ctx, t, p, err)
 		return fault.Unknown, err
 	}
 	defer a.Close()
@@ -117,12 +124,19 @@
 	if !a.Sealed {
 		return fault.Unknown, errUnsealed
 	}
-	return fault.Run, x.passEvents(p, t, s, a, stall, func() {
+	answered := false
+	err = x.passEvents(p, t, s, a, stall, func() {
+		answered = true
 		place.Answered()
+		x.Quarantine.Answered(p.service, p.call.Prompt)
 		for _, f := range p.route.FinalStages() {
 			res.unref(f)
 		}
 	})
+	if !answered {
+		x.reportCrash(ctx, t, p, err)
+	}
+	return fault.Run, err
 }
 
 // passPlainAnswer returns an answer without events to the caller, such as runners
@@ -153,6 +167,8 @@
 	return nil
 }
 
+var errNoEvent error = fault.New(fault.RunnerFailed, "the stream has no event")
+
 // passEvents forwards events as they arrive. It calls onFirst at the first one.
 func (x *relay) passEvents(p *callPlan, t *target.Target, s *streamState, a *Answer, stall *stallWatch, onFirst func()) error {
 	events := newEventReader(a.Body)
@@ -160,7 +176,7 @@
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
 			if !events.any && !s.headerSent {
-				return fault.New(fault.RunnerFailed, "the stream has no event")
+				return errNoEvent
 			}
 			p.status, p.events = http.StatusOK, s.eventsSent
 			return nil
