Tell the part that crashes engines from sound parts beside it

A simulation of the decisions under load (five instances, 18 engines, calls placed at random, owners killed and started) showed two faults of the quarantine: callers with sound prompts would have been refused for ten minutes, and at a high rate of crashes the part was found late.

Cause: crashes in one zone or seen by one instance count as one within 200 ms, but each was compared with the one before it, so that a chain of them was one crash. And of parts at as many crashes, the one with the lower hash was taken.

Ruled out: a shorter quarantine with trial calls. Each trial costs an engine, and at a share of 0.3 the calls at each end break the bound.

Crashes are compared with those that were counted, and are related by the instance only if no other saw them. Of parts at as many crashes, those without earlier answers, at more runners, with more common parts and in more calls come first. A part with earlier answers needs five crashes. A quarantine that another one explains is withdrawn. Plain calls count as answered once their body is there.

Tests of the relay, of the exchange between instances and of entries by other writers pass.

--- a/router/quarantine/detector.go
+++ b/router/quarantine/detector.go
@@ -9,11 +9,13 @@
 )
 
 const (
-	// crashesToConvict is the number of crashes after which parts are quarantined.
-	crashesToConvict = 3
-	// relatedCrashes is the time within which crashes in one zone, or seen by one
-	// instance, count as one: they may be an outage of the zone or of the instance's
-	// network.
+	// minCrashes is the number of crashes after which a part is quarantined, and
+	// minCrashesProven that for a part that had answers before.
+	minCrashes       = 3
+	minCrashesProven = 5
+	// relatedCrashes is the time within which crashes in one zone, or seen by the same
+	// instance alone, count as one: they may be an outage of the zone or of the
+	// instance's network.
 	relatedCrashes = 200 * time.Millisecond
 	// evidenceLife is how long a crash counts.
 	evidenceLife = 2 * time.Minute
@@ -37,8 +39,10 @@
 	Runner string `json:"runner"`
 	Born   int64  `json:"born"`
 	Zone   string `json:"zone"`
-	// Parts are the shared parts of the call's prompt.
-	Parts []string `json:"parts"`
+	// Parts are the shared parts of the call's prompt. Proven are those of them that
+	// the reporting instance has seen an answer for before.
+	Parts  []string `json:"parts"`
+	Proven []string `json:"proven,omitempty"`
 }
 
 // Detector finds the parts that crash runners. It counts, for each part, the
@@ -59,8 +63,9 @@
 	at                    time.Time
 	// reporters has the instances that saw the crash.
 	reporters []string
-	// calls has the parts of each suspect.
-	calls [][]string
+	// calls has the parts of each suspect, and proven those that had answers before.
+	calls  [][]string
+	proven []string
 }
 
 type memory struct {
@@ -78,20 +83,36 @@
 	if len(parts) == 0 || s.Service == "" || len(s.Service) > maxServiceBytes {
 		return
 	}
+	d.crashOf(s, now).add(reporter, parts, s.Proven)
+}
+
+// crashOf returns the crash of a suspect's runner, which is new if the suspect is
+// its first.
+func (d *Detector) crashOf(s Suspect, now time.Time) *crash {
 	i := slices.IndexFunc(d.crashes, func(c *crash) bool {
 		return c.runner == s.Runner && c.born == s.Born && c.service == s.Service
 	})
-	if i < 0 {
-		if len(d.crashes) == maxCrashes {
-			d.crashes = slices.Delete(d.crashes, 0, 1)
-		}
-		d.crashes = append(d.crashes, &crash{service: s.Service, runner: s.Runner, born: s.Born, zone: s.Zone, at: now})
-		i = len(d.crashes) - 1
+	if i >= 0 {
+		return d.crashes[i]
+	}
+	if len(d.crashes) == maxCrashes {
+		d.crashes = slices.Delete(d.crashes, 0, 1)
 	}
-	c := d.crashes[i]
+	c := &crash{service: s.Service, runner: s.Runner, born: s.Born, zone: s.Zone, at: now}
+	d.crashes = append(d.crashes, c)
+	return c
+}
+
+// add records the parts of a suspect.
+func (c *crash) add(reporter string, parts, proven []string) {
 	if !slices.Contains(c.reporters, reporter) && len(c.reporters) < maxCalls {
 		c.reporters = append(c.reporters, reporter)
 	}
+	for _, p := range parts {
+		if slices.Contains(proven, p) && !slices.Contains(c.proven, p) {
+			c.proven = append(c.proven, p)
+		}
+	}
 	same := func(call []string) bool { return slices.Equal(call, parts) }
 	if len(c.calls) < maxCalls && !slices.ContainsFunc(c.calls, same) {
 		c.calls = append(c.calls, parts)
@@ -138,27 +159,52 @@
 
 // Decide returns the quarantines that the evidence calls for. known are those in
 // force: parts that are quarantined for one service need only one crash at
-// another.
-func (d *Detector) Decide(known []inventory.Quarantine, now time.Time) []inventory.Quarantine {
+// another. It also returns the identifiers of known quarantines whose crashes are
+// all explained by others that were at more of them.
+func (d *Detector) Decide(known []inventory.Quarantine, now time.Time) (due []inventory.Quarantine, refuted []string) {
 	d.prune(now)
-	known = slices.Clone(known)
-	for _, m := range d.remembered {
-		known = append(known, m.quarantine)
-	}
-	slices.SortFunc(known, func(a, b inventory.Quarantine) int { return cmp.Compare(a.ID, b.ID) })
-	var out []inventory.Quarantine
 	left := slices.Clone(d.crashes)
-	for {
-		found := next(left, known, now)
-		if len(found) == 0 {
-			return out
-		}
+	explain := func(found []inventory.Quarantine) {
 		for _, q := range found {
-			out = append(out, q)
-			d.remember(q, now)
+			due = append(due, q)
 			left = slices.DeleteFunc(left, func(c *crash) bool { return c.service == q.Service && c.has(q.Parts) })
 		}
 	}
+	for found := strongest(left, now); len(found) > 0; found = strongest(left, now) {
+		explain(found)
+	}
+	for _, q := range known {
+		if d.refutes(due, left, q) {
+			refuted = append(refuted, q.ID)
+			delete(d.remembered, q.ID)
+		}
+	}
+	all := slices.Clone(known)
+	for _, m := range d.remembered {
+		all = append(all, m.quarantine)
+	}
+	slices.SortFunc(all, func(a, b inventory.Quarantine) int {
+		return cmp.Or(cmp.Compare(len(a.Parts), len(b.Parts)), cmp.Compare(a.ID, b.ID))
+	})
+	for _, q := range all {
+		if i := slices.IndexFunc(left, func(c *crash) bool { return c.has(q.Parts) }); i >= 0 && !slices.Contains(refuted, q.ID) {
+			explain([]inventory.Quarantine{New(left[i].service, q.Parts, now.Sub(left[i].at))})
+		}
+	}
+	for _, q := range due {
+		d.remember(q, now)
+	}
+	return due, refuted
+}
+
+// refutes reports whether the crashes of a known quarantine, enough to have caused
+// it, are all explained by those that are due.
+func (d *Detector) refutes(due []inventory.Quarantine, left []*crash, q inventory.Quarantine) bool {
+	with := func(crashes []*crash) []*crash {
+		return slices.DeleteFunc(slices.Clone(crashes), func(c *crash) bool { return c.service != q.Service || !c.has(q.Parts) })
+	}
+	same := func(other inventory.Quarantine) bool { return other.ID == q.ID }
+	return !slices.ContainsFunc(due, same) && independent(with(d.crashes)) >= minCrashes && len(with(left)) == 0
 }
 
 // remember keeps a quarantine that was decided.
@@ -168,41 +214,29 @@
 	}
 }
 
-// next returns the quarantine that explains most of the crashes. If several explain
-// as many by different calls, it returns all of them. If none explains enough, it
-// returns a known one that explains any.
-func next(crashes []*crash, known []inventory.Quarantine, now time.Time) []inventory.Quarantine {
-	most := crashesToConvict
+// strongest returns the quarantine of the part that was at most crashes. If several
+// were at as many, in different calls, it returns all of theirs.
+func strongest(crashes []*crash, now time.Time) []inventory.Quarantine {
+	most := 0
 	var list []candidate
 	for _, k := range candidates(crashes) {
 		n := independent(k.crashes)
+		if n < most || n < minCrashes || (n < minCrashesProven && k.proven()) {
+			continue
+		}
 		if n > most {
 			list, most = nil, n
 		}
-		if n == most {
-			list = append(list, k.withQuarantine(now))
-		}
+		list = append(list, k.withQuarantine(now))
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(len(b.quarantine.Parts), len(a.quarantine.Parts)), cmp.Compare(a.quarantine.ID, b.quarantine.ID))
-	})
+	slices.SortFunc(list, candidate.compare)
 	var out []inventory.Quarantine
 	for _, k := range list {
 		if independent(k.unexplained(out)) == most {
 			out = append(out, k.quarantine)
 		}
 	}
-	if len(out) > 0 {
-		return out
-	}
-	for _, q := range known {
-		for _, c := range crashes {
-			if c.has(q.Parts) {
-				return []inventory.Quarantine{New(c.service, q.Parts, now.Sub(c.at))}
-			}
-		}
-	}
-	return nil
+	return out
 }
 
 // candidate is a part of a service's prompts with the crashes at which it was
@@ -214,6 +248,43 @@
 	quarantine inventory.Quarantine
 }
 
+// compare orders candidates at as many crashes by how likely they are the cause:
+// those without earlier answers, at more runners, with more common parts and in
+// more calls first.
+func (k candidate) compare(other candidate) int {
+	rank := func(proven bool) int {
+		if proven {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(
+		cmp.Compare(rank(k.proven()), rank(other.proven())),
+		cmp.Compare(len(other.crashes), len(k.crashes)),
+		cmp.Compare(len(other.quarantine.Parts), len(k.quarantine.Parts)),
+		cmp.Compare(other.calls(), k.calls()),
+		cmp.Compare(k.quarantine.ID, other.quarantine.ID),
+	)
+}
+
+// proven reports whether the part had an answer before one of the crashes.
+func (k candidate) proven() bool {
+	return slices.ContainsFunc(k.crashes, func(c *crash) bool { return slices.Contains(c.proven, k.part) })
+}
+
+// calls counts the suspects with the part.
+func (k candidate) calls() int {
+	n := 0
+	for _, c := range k.crashes {
+		for _, call := range c.calls {
+			if slices.Contains(call, k.part) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // withQuarantine returns the candidate with its quarantine.
 func (k candidate) withQuarantine(now time.Time) candidate {
 	k.quarantine = New(k.service, common(k.crashes, k.part), now.Sub(k.crashes[0].at))
@@ -252,17 +323,17 @@
 
 // independent counts the crashes, with related ones as one.
 func independent(crashes []*crash) int {
-	n := 0
-	for i, c := range crashes {
+	var counted []*crash
+	for _, c := range crashes {
 		related := func(other *crash) bool {
-			return c.at.Sub(other.at) < relatedCrashes && (c.zone == other.zone ||
-				slices.ContainsFunc(c.reporters, func(r string) bool { return slices.Contains(other.reporters, r) }))
+			return c.at.Sub(other.at) < relatedCrashes &&
+				(c.zone == other.zone || (len(c.reporters) == 1 && slices.Equal(c.reporters, other.reporters)))
 		}
-		if !slices.ContainsFunc(crashes[:i], related) {
-			n++
+		if !slices.ContainsFunc(counted, related) {
+			counted = append(counted, c)
 		}
 	}
-	return n
+	return len(counted)
 }
 
 // common returns the parts that all suspects with a part have.
--- a/router/quarantine/detector_test.go
+++ b/router/quarantine/detector_test.go
@@ -29,7 +29,8 @@
 // decided returns the parts of the quarantines that a detector calls for.
 func decided(d *quarantine.Detector, now time.Time, known ...inventory.Quarantine) [][]string {
 	var out [][]string
-	for _, q := range d.Decide(known, now) {
+	list, _ := d.Decide(known, now)
+	for _, q := range list {
 		out = append(out, q.Parts)
 	}
 	return out
@@ -124,6 +125,38 @@
 	is.Equal(decided(d, at(1)), nil)
 }
 
+func TestPartWithEarlierAnswersNeedsFiveCrashes(t *testing.T) {
+	is := is.New(t)
+	d := quarantine.NewDetector()
+	for n := range 5 {
+		is.Equal(decided(d, at(float64(n))), nil)
+		s := suspect(fmt.Sprint("r", n), "x", "old")
+		if n == 1 {
+			s.Proven = []string{"old"}
+		}
+		d.Report("a", s, at(float64(n)))
+	}
+	is.Equal(decided(d, at(5)), [][]string{{"old"}})
+}
+
+func TestQuarantineThatAnotherExplainsIsRefuted(t *testing.T) {
+	is := is.New(t)
+	d := quarantine.NewDetector()
+	for n := range 3 {
+		d.Report("a", suspect(fmt.Sprint("r", n), "x", "one", "dead"), at(float64(n)))
+	}
+	first, _ := d.Decide(nil, at(2))
+	is.Equal(first[0].Parts, []string{"dead", "one"})
+	d.Report("a", suspect("r3", "x", "two", "dead"), at(3))
+	due, refuted := d.Decide(first, at(3))
+	is.Equal(len(due), 1)
+	is.Equal(due[0].Parts, []string{"dead"})
+	is.Equal(refuted, []string{first[0].ID})
+	// A detector that hasn't seen the crashes refutes nothing.
+	_, refuted = quarantine.NewDetector().Decide(first, at(3))
+	is.Equal(refuted, nil)
+}
+
 func TestEvidenceIsForgottenAndQuarantineRemembered(t *testing.T) {
 	is := is.New(t)
 	d := quarantine.NewDetector()
@@ -148,7 +181,7 @@
 	known := quarantine.New("other", []string{"dead"}, time.Second)
 	d.Report("a", suspect("r1", "x", "dead", "shared"), at(0))
 	is.Equal(decided(d, at(0)), nil)
-	list := d.Decide([]inventory.Quarantine{known}, at(0))
+	list, _ := d.Decide([]inventory.Quarantine{known}, at(0))
 	is.Equal(len(list), 1)
 	is.Equal(list[0].Service, "s")
 	is.Equal(list[0].Parts, []string{"dead"})
@@ -164,7 +197,8 @@
 	for n := range 5000 {
 		d.Report(fmt.Sprint("i", n), suspect(fmt.Sprint("r", n), "x", long[n%50:]...), at(float64(n)/1000))
 	}
-	for _, q := range d.Decide(nil, at(5)) {
+	list, _ := d.Decide(nil, at(5))
+	for _, q := range list {
 		is.NoErr(quarantine.Validate(&q))
 	}
 }
@@ -223,7 +257,8 @@
 				since[p]++
 			}
 			found := false
-			for _, q := range d.Decide(nil, now) {
+			list, _ := d.Decide(nil, now)
+			for _, q := range list {
 				for _, p := range q.Parts {
 					if since[p] == 0 {
 						t.Fatalf("%v is quarantined, %q had an answer since", q.Parts, p)
--- a/router/quarantine/guard.go
+++ b/router/quarantine/guard.go
@@ -201,9 +201,10 @@
 	if len(parts) == 0 {
 		return
 	}
+	proven := g.answers.since(r.Service, parts, time.Time{})
 	g.outbox.Lock()
 	if len(g.suspects) < maxReported {
-		g.suspects = append(g.suspects, Suspect{Service: r.Service, Runner: r.ID, Born: r.Born, Zone: r.Zone, Parts: parts})
+		g.suspects = append(g.suspects, Suspect{Service: r.Service, Runner: r.ID, Born: r.Born, Zone: r.Zone, Parts: parts, Proven: proven})
 	}
 	g.outbox.Unlock()
 	wake(g.toSend)
@@ -322,15 +323,15 @@
 		g.detector.Answered(a.Service, []string{a.Part})
 		for _, q := range inForce {
 			if q.Service == a.Service && slices.Contains(q.Parts, a.Part) {
-				g.withdraw(*q, a.Part, now)
+				g.withdraw(*q, now, a.Part)
 			}
 		}
 	}
 	wake(g.toDecide)
 }
 
-// withdraw takes a part out of a quarantine in force. The caller holds mu.
-func (g *guard) withdraw(q inventory.Quarantine, part string, now time.Time) {
+// withdraw takes parts out of a quarantine in force. The caller holds mu.
+func (g *guard) withdraw(q inventory.Quarantine, now time.Time, parts ...string) {
 	if now.Sub(g.removed[q.ID]) < readDelay {
 		return
 	}
@@ -338,7 +339,7 @@
 	if !ok {
 		rest = q
 	}
-	rest, _ = without(rest, []string{part})
+	rest, _ = without(rest, parts)
 	g.withdrawn[q.ID] = rest
 }
 
@@ -427,7 +428,10 @@
 		known = append(known, *q)
 	}
 	for {
-		list := g.detector.Decide(known, now)
+		list, refuted := g.detector.Decide(known, now)
+		for _, id := range refuted {
+			g.withdraw(inventory.Quarantine{ID: id}, now)
+		}
 		cleared := false
 		for _, q := range list {
 			if answered := g.answers.since(q.Service, q.Parts, now.Add(-q.Evidence)); len(answered) > 0 {
--- a/router/relay/plain.go
+++ b/router/relay/plain.go
@@ -110,10 +110,13 @@
 		cancel()
 		return attempt{err: err}
 	}
-	if usable(a) && !a.NotRun {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxBuffered))
+	switch {
+	case err != nil:
+		x.reportCrash(ctx, t, p, err)
+	case usable(a) && !a.NotRun:
 		x.Quarantine.Answered(p.service, p.call.Prompt)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBuffered))
 	if err == nil && len(body) == maxBuffered && usable(a) {
 		return attempt{answer: a, body: body, long: true, cancel: cancel}
 	}
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -104,6 +104,8 @@
 	given []response
 	// budget is the retry budget; nil stands for a new retry.Budget.
 	budget relay.RetryBudget
+	// quarantine is optional.
+	quarantine relay.Quarantine
 	// connect, if set, is called while the connection to a runner is opened.
 	connect func(d relay.Dispatch)
 }
@@ -238,7 +240,7 @@
 	}
 	r := relay.New(relay.Parts{
 		Clock: clock.System(), Timers: clock.SystemTimers(), Current: current, Refresh: func(context.Context) error { return errors.New("away") },
-		Targets: set, Engines: placement.NewLocal(clock.System(), policy.Default(), current, set, hclog.NewNullLogger()), Shards: shard.NewBalancer(clock.System(), current), Pieces: p, Runners: f, Meter: telemetry.NewRelay(), RetryBudget: budget, Log: hclog.NewNullLogger(), Zone: "z", MaxConfigAge: 4 * time.Second, Policy: policy.Default(),
+		Targets: set, Engines: placement.NewLocal(clock.System(), policy.Default(), current, set, hclog.NewNullLogger()), Shards: shard.NewBalancer(clock.System(), current), Pieces: p, Runners: f, Meter: telemetry.NewRelay(), RetryBudget: budget, Quarantine: f.quarantine, Log: hclog.NewNullLogger(), Zone: "z", MaxConfigAge: 4 * time.Second, Policy: policy.Default(),
 		Random: random.NewSeeded(1),
 	})
 	c := &relay.Call{ID: "id", Method: http.MethodPost, Target: path, Path: path, Host: host, Header: http.Header{}, Arrived: clock.System().Now(), Pieces: []int{2, 3}, PieceKey: "k"}
