Let owners that have just started learn of earlier crashes

If both owners of the evidence were replaced between two crashes, as in a roll, the crashes before were forgotten, and the part that crashes engines took as many engines once more until it was found.

A report repeats the latest 16 suspects of its instance with their ages. Owners count a crash once, and a suspect that is older than the latest answer to its part not at all.

TestOwnersThatRestartLearnEarlierCrashes without the repetition:

guard_test.go:257: 0 != 5 --- FAIL: TestOwnersThatRestartLearnEarlierCrashes (0.00s)

Instances that restart forget what they have seen themselves; what only they had seen is lost with both owners.

--- a/router/quarantine/detector.go
+++ b/router/quarantine/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,11 +25,12 @@
 	rememberedFor = time.Hour
 	// maxCrashes, maxCalls and maxCallParts bound the evidence: the crashes, the calls
 	// of each crash and the parts of each call. maxRemembered bounds the quarantines
-	// that are remembered.
+	// that are remembered, maxAnswered the parts that were cleared.
 	maxCrashes    = 256
 	maxCalls      = 32
 	maxCallParts  = 16
 	maxRemembered = 256
+	maxAnswered   = 1024
 )
 
 // Suspect is a call that was in flight at a runner that crashed and that had no
@@ -43,6 +45,8 @@
 	// the reporting instance has seen an answer for before.
 	Parts  []string `json:"parts"`
 	Proven []string `json:"proven,omitempty"`
+	// AgeMillis is the time since the crash.
+	AgeMillis int64 `json:"ageMillis,omitempty"`
 }
 
 // Detector finds the parts that crash runners. It counts, for each part, the
@@ -54,6 +58,9 @@
 	// remembered has the quarantines that this detector decided, with the times until
 	// which they are remembered.
 	remembered map[string]memory
+	// answered has the times of the answers that cleared parts, so that reports that
+	// are repeated later don't count again.
+	answered map[partKey]time.Time
 }
 
 // crash is the crash of one incarnation of a runner.
@@ -74,21 +81,31 @@
 }
 
 // NewDetector returns a detector without evidence.
-func NewDetector() *Detector { return &Detector{remembered: make(map[string]memory)} }
+func NewDetector() *Detector {
+	return &Detector{remembered: make(map[string]memory), answered: make(map[partKey]time.Time)}
+}
 
-// Report records a suspect that an instance has seen.
+// Report records a suspect that an instance has seen. Repeated reports have no
+// effect.
 func (d *Detector) Report(reporter string, s Suspect, now time.Time) {
 	d.prune(now)
-	parts := validParts(s.Parts)
-	if len(parts) == 0 || s.Service == "" || len(s.Service) > maxServiceBytes {
+	if s.Service == "" || len(s.Service) > maxServiceBytes || s.AgeMillis < 0 || s.AgeMillis >= evidenceLife.Milliseconds() {
+		return
+	}
+	at := now.Add(-time.Duration(s.AgeMillis) * time.Millisecond)
+	parts := slices.DeleteFunc(validParts(s.Parts), func(p string) bool {
+		answered, ok := d.answered[partKey{s.Service, p}]
+		return ok && !answered.Before(at)
+	})
+	if len(parts) == 0 {
 		return
 	}
-	d.crashOf(s, now).add(reporter, parts, s.Proven)
+	d.crashOf(s, at).add(reporter, parts, s.Proven)
 }
 
 // crashOf returns the crash of a suspect's runner, which is new if the suspect is
 // its first.
-func (d *Detector) crashOf(s Suspect, now time.Time) *crash {
+func (d *Detector) crashOf(s Suspect, at time.Time) *crash {
 	i := slices.IndexFunc(d.crashes, func(c *crash) bool {
 		return c.runner == s.Runner && c.born == s.Born && c.service == s.Service
 	})
@@ -98,8 +115,12 @@
 	if len(d.crashes) == maxCrashes {
 		d.crashes = slices.Delete(d.crashes, 0, 1)
 	}
-	c := &crash{service: s.Service, runner: s.Runner, born: s.Born, zone: s.Zone, at: now}
-	d.crashes = append(d.crashes, c)
+	c := &crash{service: s.Service, runner: s.Runner, born: s.Born, zone: s.Zone, at: at}
+	next := slices.IndexFunc(d.crashes, func(other *crash) bool { return other.at.After(at) })
+	if next < 0 {
+		next = len(d.crashes)
+	}
+	d.crashes = slices.Insert(d.crashes, next, c)
 	return c
 }
 
@@ -129,7 +150,13 @@
 
 // Answered records that calls with these parts have had an answer, which clears
 // the parts of all earlier evidence.
-func (d *Detector) Answered(service string, parts []string) {
+func (d *Detector) Answered(service string, parts []string, now time.Time) {
+	for _, p := range parts {
+		k := partKey{service, p}
+		if _, ok := d.answered[k]; ok || len(d.answered) < maxAnswered {
+			d.answered[k] = now
+		}
+	}
 	for _, c := range d.crashes {
 		if c.service != service {
 			continue
@@ -377,9 +404,6 @@
 // prune drops evidence that is too old.
 func (d *Detector) prune(now time.Time) {
 	d.crashes = slices.DeleteFunc(d.crashes, func(c *crash) bool { return now.Sub(c.at) >= evidenceLife })
-	for id, m := range d.remembered {
-		if !now.Before(m.until) {
-			delete(d.remembered, id)
-		}
-	}
+	maps.DeleteFunc(d.remembered, func(_ string, m memory) bool { return !now.Before(m.until) })
+	maps.DeleteFunc(d.answered, func(_ partKey, at time.Time) bool { return now.Sub(at) >= evidenceLife })
 }
--- a/router/quarantine/detector_test.go
+++ b/router/quarantine/detector_test.go
@@ -59,7 +59,7 @@
 	is.Equal(decided(d, at(3)), [][]string{{"dead", "shared"}})
 	d.Report("b", suspect("r4", "y", "dead", "other"), at(4))
 	is.Equal(decided(d, at(4)), [][]string{{"dead"}})
-	d.Answered("s", []string{"dead", "shared"})
+	d.Answered("s", []string{"dead", "shared"}, at(5))
 	is.Equal(decided(d, at(5)), nil)
 }
 
@@ -72,7 +72,7 @@
 	}
 	d.Report("b", suspect("r1", "x", "shared"), at(2))
 	is.Equal(decided(d, at(3)), [][]string{{"dead", "shared"}, {"other"}})
-	d.Answered("s", []string{"other"})
+	d.Answered("s", []string{"other"}, at(3))
 	is.Equal(decided(d, at(3)), [][]string{{"dead", "shared"}})
 }
 
@@ -82,8 +82,8 @@
 	for n := range 3 {
 		d.Report("a", suspect(fmt.Sprint("r", n), "x", "dead", "shared"), at(float64(n)))
 	}
-	d.Answered("other", []string{"dead", "shared"}) // says nothing about this service
-	d.Answered("s", []string{"shared"})
+	d.Answered("other", []string{"dead", "shared"}, at(3)) // says nothing about this service
+	d.Answered("s", []string{"shared"}, at(3))
 	is.Equal(decided(d, at(3)), [][]string{{"dead"}})
 }
 
@@ -94,7 +94,7 @@
 		now := at(10 * float64(n))
 		d.Report("a", suspect(fmt.Sprint("r", n), "x", "popular"), now)
 		is.Equal(decided(d, now), nil)
-		d.Answered("s", []string{"popular"})
+		d.Answered("s", []string{"popular"}, now.Add(time.Second))
 	}
 	// Parts at crashes that another part explains aren't quarantined either.
 	d = quarantine.NewDetector()
@@ -175,6 +175,30 @@
 	is.Equal(decided(d, at(8000)), nil)
 }
 
+func TestRepeatedReportsCountOnceAndNotAfterAnAnswer(t *testing.T) {
+	is := is.New(t)
+	d := quarantine.NewDetector()
+	all := []quarantine.Suspect{suspect("r1", "x", "dead"), suspect("r2", "x", "dead"), suspect("r3", "x", "dead")}
+	for i := range all {
+		all[i].AgeMillis = int64(3000 - 1000*i)
+	}
+	for range 3 {
+		d.Report("a", all[0], at(3))
+		d.Report("a", all[1], at(3))
+	}
+	is.Equal(decided(d, at(3)), nil)
+	restarted := quarantine.NewDetector()
+	for _, s := range []quarantine.Suspect{all[2], all[0], all[1]} {
+		restarted.Report("a", s, at(3))
+	}
+	is.Equal(decided(restarted, at(3)), [][]string{{"dead"}})
+	restarted.Answered("s", []string{"dead"}, at(2.5))
+	for _, s := range all {
+		restarted.Report("a", s, at(3))
+	}
+	is.Equal(decided(restarted, at(3)), nil)
+}
+
 func TestOneCrashAtAnotherServiceIsEnough(t *testing.T) {
 	is := is.New(t)
 	d := quarantine.NewDetector()
@@ -238,7 +262,7 @@
 			now := at(float64(n))
 			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
 				part := rapid.SampledFrom(sound).Draw(t, "answered")
-				d.Answered("s", []string{part})
+				d.Answered("s", []string{part}, now)
 				since[part] = 0
 				continue
 			}
--- a/router/quarantine/guard.go
+++ b/router/quarantine/guard.go
@@ -36,6 +36,9 @@
 	reportInterval = 50 * time.Millisecond
 	// maxReported bounds the suspects, and the parts with answers, of a report.
 	maxReported = 64
+	// maxRepeated bounds the earlier suspects that are reported again with new ones, for
+	// owners that have just started.
+	maxRepeated = 16
 	// recentlyAnswered is the time after an answer in which a part isn't suspected.
 	recentlyAnswered = 2 * time.Second
 	// answeredInterval is the minimum time between two reports of the same part's
@@ -103,9 +106,10 @@
 	toSend, toDecide chan struct{}
 
 	outbox sync.Mutex
-	// suspects and answered are still to be reported. reported has the times at which
-	// parts with answers were reported last.
-	suspects []Suspect
+	// suspects and answered are still to be reported. sent has the latest suspects that
+	// were reported, reported the times at which parts with answers were reported last.
+	suspects []seenSuspect
+	sent     []seenSuspect
 	answered map[partKey]struct{}
 	reported map[partKey]time.Time
 
@@ -120,6 +124,12 @@
 	removed   map[string]time.Time
 }
 
+// seenSuspect is a suspect with the time of the crash.
+type seenSuspect struct {
+	Suspect
+	at time.Time
+}
+
 // report is what an instance has observed.
 type report struct {
 	Suspects []Suspect `json:"suspects,omitempty"`
@@ -204,7 +214,8 @@
 	proven := g.answers.since(r.Service, parts, time.Time{})
 	g.outbox.Lock()
 	if len(g.suspects) < maxReported {
-		g.suspects = append(g.suspects, Suspect{Service: r.Service, Runner: r.ID, Born: r.Born, Zone: r.Zone, Parts: parts, Proven: proven})
+		s := Suspect{Service: r.Service, Runner: r.ID, Born: r.Born, Zone: r.Zone, Parts: parts, Proven: proven}
+		g.suspects = append(g.suspects, seenSuspect{Suspect: s, at: g.clk.Now()})
 	}
 	g.outbox.Unlock()
 	wake(g.toSend)
@@ -251,19 +262,39 @@
 			return
 		case <-g.toSend:
 		}
-		g.outbox.Lock()
-		r := report{Suspects: g.suspects}
-		for k := range g.answered {
-			r.Answered = append(r.Answered, answeredPart{Service: k.service, Part: k.part})
-		}
-		g.suspects = nil
-		clear(g.answered)
-		g.outbox.Unlock()
-		g.deliver(ctx, r)
+		g.deliver(ctx, g.takeReport())
 		_ = g.clk.Sleep(ctx, reportInterval)
 	}
 }
 
+// takeReport returns what is to be reported, and earlier suspects if there are new
+// ones.
+func (g *guard) takeReport() report {
+	now := g.clk.Now()
+	g.outbox.Lock()
+	defer g.outbox.Unlock()
+	var r report
+	for k := range g.answered {
+		r.Answered = append(r.Answered, answeredPart{Service: k.service, Part: k.part})
+	}
+	clear(g.answered)
+	if len(g.suspects) == 0 {
+		return r
+	}
+	for _, s := range slices.Concat(g.sent, g.suspects) {
+		answered := g.answers.since(s.Service, s.Parts, s.at)
+		s.Parts = slices.DeleteFunc(slices.Clone(s.Parts), func(p string) bool { return slices.Contains(answered, p) })
+		s.AgeMillis = now.Sub(s.at).Milliseconds()
+		if len(s.Parts) > 0 && now.Sub(s.at) < evidenceLife {
+			r.Suspects = append(r.Suspects, s.Suspect)
+		}
+	}
+	g.sent = append(g.sent, g.suspects...)
+	g.sent = slices.Delete(g.sent, 0, max(0, len(g.sent)-maxRepeated))
+	g.suspects = nil
+	return r
+}
+
 // deliver sends a report to the owners. If one doesn't answer, its successor gets
 // the report.
 func (g *guard) deliver(ctx context.Context, r report) {
@@ -314,13 +345,13 @@
 	now := g.clk.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, s := range r.Suspects[:min(len(r.Suspects), maxReported)] {
+	for _, s := range r.Suspects[:min(len(r.Suspects), maxRepeated+maxReported)] {
 		g.detector.Report(from, s, now)
-		g.log.Info("prompt parts suspected", "service", s.Service, "runner", s.Runner, "zone", s.Zone, "parts", s.Parts, "reporter", from)
+		g.log.Info("prompt parts suspected", "service", s.Service, "runner", s.Runner, "zone", s.Zone, "parts", s.Parts, "agoMillis", s.AgeMillis, "reporter", from)
 	}
 	inForce := g.current.Load().Quarantines
 	for _, a := range r.Answered[:min(len(r.Answered), maxReported)] {
-		g.detector.Answered(a.Service, []string{a.Part})
+		g.detector.Answered(a.Service, []string{a.Part}, now)
 		for _, q := range inForce {
 			if q.Service == a.Service && slices.Contains(q.Parts, a.Part) {
 				g.withdraw(*q, now, a.Part)
@@ -435,7 +466,7 @@
 		cleared := false
 		for _, q := range list {
 			if answered := g.answers.since(q.Service, q.Parts, now.Add(-q.Evidence)); len(answered) > 0 {
-				g.detector.Answered(q.Service, answered)
+				g.detector.Answered(q.Service, answered, now)
 				cleared = true
 			}
 		}
--- a/router/quarantine/guard_test.go
+++ b/router/quarantine/guard_test.go
@@ -235,6 +235,29 @@
 	})
 }
 
+func TestOwnersThatRestartLearnEarlierCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 5)
+		defer f.stop()
+		owners := owner.NewFinder(clock.System(), f.currents["i0"]).Ranked("quarantine", 2)
+		reporter := slices.DeleteFunc(slices.Clone(f.names), func(n string) bool { return slices.Contains(owners, n) })[0]
+		p := prompt("dead", "own")
+		for n := range 3 {
+			f.guards[reporter].Crashed(engine(fmt.Sprint("r", n), "x"), p)
+			pass(time.Second)
+			if n == 1 {
+				for _, name := range owners {
+					f.kill(name)
+					f.start(name)
+				}
+			}
+		}
+		pass(readLag)
+		is.Equal(f.blocked(p), 5)
+	})
+}
+
 func TestInstanceThatAnswersPartWithdrawsIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
