Bound the work of a decision on crashing prompts

Read-through: the evidence is bounded, but the work on it grew with its square. With 256 crashes of 16 calls with 32 parts each (more than instances report after the loss of a zone, as parts with recent answers are left out) one decision took 12 s, in which an owner takes no reports. Parts behind the 16th of a prompt were never suspected.

--- a/router/quarantine/detector.go
+++ b/router/quarantine/detector.go
@@ -27,10 +27,12 @@
 	// of each crash and the parts of each call. maxRemembered bounds the quarantines
 	// that are remembered, maxAnswered the parts that were cleared.
 	maxCrashes    = 256
-	maxCalls      = 32
-	maxCallParts  = 16
+	maxCalls      = 16
+	maxCallParts  = 32
 	maxRemembered = 256
 	maxAnswered   = 1024
+	// maxDecided bounds the quarantines of one decision.
+	maxDecided = 16
 )
 
 // Suspect is a call that was in flight at a runner that crashed and that had no
@@ -197,7 +199,7 @@
 			left = slices.DeleteFunc(left, func(c *crash) bool { return c.service == q.Service && c.has(q.Parts) })
 		}
 	}
-	for found := strongest(left, now); len(found) > 0; found = strongest(left, now) {
+	for found := strongest(left, now); len(found) > 0 && len(due) < maxDecided; found = strongest(left, now) {
 		explain(found)
 	}
 	for _, q := range known {
@@ -248,7 +250,7 @@
 	var list []candidate
 	for _, k := range candidates(crashes) {
 		n := independent(k.crashes)
-		if n < most || n < minCrashes || (n < minCrashesProven && k.proven()) {
+		if n < most || n < minCrashes || (n < minCrashesProven && k.proven) {
 			continue
 		}
 		if n > most {
@@ -257,9 +259,10 @@
 		list = append(list, k.withQuarantine(now))
 	}
 	slices.SortFunc(list, candidate.compare)
+	list = slices.CompactFunc(list, func(a, b candidate) bool { return a.quarantine.ID == b.quarantine.ID })
 	var out []inventory.Quarantine
 	for _, k := range list {
-		if independent(k.unexplained(out)) == most {
+		if len(out) < maxDecided && independent(k.unexplained(out)) == most {
 			out = append(out, k.quarantine)
 		}
 	}
@@ -271,6 +274,10 @@
 type candidate struct {
 	service, part string
 	crashes       []*crash
+	// calls counts the suspects with the part.
+	calls int
+	// proven is set if the part had an answer before one of the crashes.
+	proven bool
 	// quarantine would refuse the calls with the part.
 	quarantine inventory.Quarantine
 }
@@ -279,39 +286,20 @@
 // those without earlier answers, at more runners, with more common parts and in
 // more calls first.
 func (k candidate) compare(other candidate) int {
-	rank := func(proven bool) int {
-		if proven {
-			return 1
-		}
-		return 0
+	switch {
+	case k.proven && !other.proven:
+		return 1
+	case other.proven && !k.proven:
+		return -1
 	}
 	return cmp.Or(
-		cmp.Compare(rank(k.proven()), rank(other.proven())),
 		cmp.Compare(len(other.crashes), len(k.crashes)),
 		cmp.Compare(len(other.quarantine.Parts), len(k.quarantine.Parts)),
-		cmp.Compare(other.calls(), k.calls()),
+		cmp.Compare(other.calls, k.calls),
 		cmp.Compare(k.quarantine.ID, other.quarantine.ID),
 	)
 }
 
-// proven reports whether the part had an answer before one of the crashes.
-func (k candidate) proven() bool {
-	return slices.ContainsFunc(k.crashes, func(c *crash) bool { return slices.Contains(c.proven, k.part) })
-}
-
-// calls counts the suspects with the part.
-func (k candidate) calls() int {
-	n := 0
-	for _, c := range k.crashes {
-		for _, call := range c.calls {
-			if slices.Contains(call, k.part) {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // withQuarantine returns the candidate with its quarantine.
 func (k candidate) withQuarantine(now time.Time) candidate {
 	k.quarantine = New(k.service, common(k.crashes, k.part), now.Sub(k.crashes[0].at))
@@ -332,10 +320,10 @@
 // candidates returns all suspect parts.
 func candidates(crashes []*crash) []candidate {
 	var list []candidate
-	index := make(map[[2]string]int)
+	index := make(map[partKey]int)
 	for _, c := range crashes {
-		for _, part := range c.parts() {
-			key := [2]string{c.service, part}
+		for part, calls := range c.parts() {
+			key := partKey{c.service, part}
 			i, ok := index[key]
 			if !ok {
 				i = len(list)
@@ -343,6 +331,8 @@
 				list = append(list, candidate{service: c.service, part: part})
 			}
 			list[i].crashes = append(list[i].crashes, c)
+			list[i].calls += calls
+			list[i].proven = list[i].proven || slices.Contains(c.proven, part)
 		}
 	}
 	return list
@@ -383,14 +373,13 @@
 	return out
 }
 
-// parts returns the parts of all suspects, each once.
-func (c *crash) parts() []string {
-	var out []string
+// parts returns the parts of all suspects, with the number of suspects that have
+// them.
+func (c *crash) parts() map[string]int {
+	out := make(map[string]int)
 	for _, call := range c.calls {
 		for _, p := range call {
-			if !slices.Contains(out, p) {
-				out = append(out, p)
-			}
+			out[p]++
 		}
 	}
 	return out
