--- /dev/null
+++ b/router/quarantine/detector.go
@@ -0,0 +1,398 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"cicadawell.dev/router/inventory"
+)
+
+const (
+	// minCrashes is the number of crashes after which a part is quarantined, and
+	// minCrashesProven that for a part that had answers before.
+	minCrashes       = 3
+	minCrashesProven = 5
+	// relatedCrashes is the time within which crashes in one zone, or seen by the same
+	// instance alone, count as one: they may be an outage of the zone or of the
+	// instance's network.
+	relatedCrashes = 200 * time.Millisecond
+	// evidenceLife is how long a crash counts.
+	evidenceLife = 2 * time.Minute
+	// rememberedFor is how long parts that were quarantined need only one more crash
+	// to be quarantined again.
+	rememberedFor = time.Hour
+	// maxCrashes, maxCalls and maxCallParts bound the evidence: the crashes, the calls
+	// of each crash and the parts of each call. maxRemembered bounds the quarantines
+	// that are remembered, maxAnswered the parts that were cleared.
+	maxCrashes    = 256
+	maxCalls      = 16
+	maxCallParts  = 32
+	maxRemembered = 256
+	maxAnswered   = 1024
+	// maxDecided bounds the quarantines of one decision.
+	maxDecided = 16
+)
+
+// Suspect is a call that was in flight at a runner that crashed and that had no
+// event of its answer yet.
+type Suspect struct {
+	Service string `json:"service"`
+	// Runner and Born identify the incarnation of the runner.
+	Runner string `json:"runner"`
+	Born   int64  `json:"born"`
+	Zone   string `json:"zone"`
+	// Parts are the shared parts of the call's prompt. Proven are those of them that
+	// the reporting instance has seen an answer for before.
+	Parts  []string `json:"parts"`
+	Proven []string `json:"proven,omitempty"`
+	// AgeMillis is the time since the crash.
+	AgeMillis int64 `json:"ageMillis,omitempty"`
+}
+
+// Detector finds the parts that crash runners. It counts, for each part, the
+// crashes at which calls with it waited for their first event, since the last
+// answer to a call with that part. It is not safe for concurrent use.
+type Detector struct {
+	// crashes is in the order of their times.
+	crashes []*crash
+	// remembered has the quarantines that this detector decided, with the times until
+	// which they are remembered.
+	remembered map[string]memory
+	// answered has the times of the answers that cleared parts, so that reports that
+	// are repeated later don't count again.
+	answered map[partKey]time.Time
+}
+
+// crash is the crash of one incarnation of a runner.
+type crash struct {
+	service, runner, zone string
+	born                  int64
+	at                    time.Time
+	// reporters has the instances that saw the crash.
+	reporters []string
+	// calls has the parts of each suspect, and proven those that had answers before.
+	calls  [][]string
+	proven []string
+}
+
+type memory struct {
+	quarantine inventory.Quarantine
+	until      time.Time
+}
+
+// NewDetector returns a detector without evidence.
+func NewDetector() *Detector {
+	return &Detector{remembered: make(map[string]memory), answered: make(map[partKey]time.Time)}
+}
+
+// Report records a suspect that an instance has seen. Repeated reports have no
+// effect.
+func (d *Detector) Report(reporter string, s Suspect, now time.Time) {
+	d.prune(now)
+	if s.Service == "" || len(s.Service) > maxServiceBytes || s.AgeMillis < 0 || s.AgeMillis >= evidenceLife.Milliseconds() {
+		return
+	}
+	at := now.Add(-time.Duration(s.AgeMillis) * time.Millisecond)
+	parts := slices.DeleteFunc(validParts(s.Parts), func(p string) bool {
+		answered, ok := d.answered[partKey{s.Service, p}]
+		return ok && !answered.Before(at)
+	})
+	if len(parts) == 0 {
+		return
+	}
+	d.crashOf(s, at).add(reporter, parts, s.Proven)
+}
+
+// crashOf returns the crash of a suspect's runner, which is new if the suspect is
+// its first.
+func (d *Detector) crashOf(s Suspect, at time.Time) *crash {
+	i := slices.IndexFunc(d.crashes, func(c *crash) bool {
+		return c.runner == s.Runner && c.born == s.Born && c.service == s.Service
+	})
+	if i >= 0 {
+		return d.crashes[i]
+	}
+	if len(d.crashes) == maxCrashes {
+		d.crashes = slices.Delete(d.crashes, 0, 1)
+	}
+	c := &crash{service: s.Service, runner: s.Runner, born: s.Born, zone: s.Zone, at: at}
+	next := slices.IndexFunc(d.crashes, func(other *crash) bool { return other.at.After(at) })
+	if next < 0 {
+		next = len(d.crashes)
+	}
+	d.crashes = slices.Insert(d.crashes, next, c)
+	return c
+}
+
+// add records the parts of a suspect.
+func (c *crash) add(reporter string, parts, proven []string) {
+	if !slices.Contains(c.reporters, reporter) && len(c.reporters) < maxCalls {
+		c.reporters = append(c.reporters, reporter)
+	}
+	for _, p := range parts {
+		if slices.Contains(proven, p) && !slices.Contains(c.proven, p) {
+			c.proven = append(c.proven, p)
+		}
+	}
+	same := func(call []string) bool { return slices.Equal(call, parts) }
+	if len(c.calls) < maxCalls && !slices.ContainsFunc(c.calls, same) {
+		c.calls = append(c.calls, parts)
+	}
+}
+
+// validParts returns the parts in order, without those that can't be quarantined.
+func validParts(parts []string) []string {
+	parts = slices.DeleteFunc(slices.Clone(parts), func(p string) bool { return p == "" || len(p) > maxPartBytes })
+	slices.Sort(parts)
+	parts = slices.Compact(parts)
+	return parts[:min(len(parts), maxCallParts)]
+}
+
+// Answered records that calls with these parts have had an answer, which clears
+// the parts of all earlier evidence.
+func (d *Detector) Answered(service string, parts []string, now time.Time) {
+	for _, p := range parts {
+		k := partKey{service, p}
+		if _, ok := d.answered[k]; ok || len(d.answered) < maxAnswered {
+			d.answered[k] = now
+		}
+	}
+	for _, c := range d.crashes {
+		if c.service != service {
+			continue
+		}
+		for i, call := range c.calls {
+			c.calls[i] = slices.DeleteFunc(slices.Clone(call), func(p string) bool { return slices.Contains(parts, p) })
+		}
+	}
+	for id, m := range d.remembered {
+		q := m.quarantine
+		if q.Service != service || !slices.ContainsFunc(q.Parts, func(p string) bool { return slices.Contains(parts, p) }) {
+			continue
+		}
+		delete(d.remembered, id)
+		if rest, ok := without(q, parts); ok {
+			d.remembered[rest.ID] = memory{quarantine: rest, until: m.until}
+		}
+	}
+}
+
+// without returns a quarantine without some of its parts, or false if none would
+// be left.
+func without(q inventory.Quarantine, parts []string) (inventory.Quarantine, bool) {
+	rest := slices.DeleteFunc(slices.Clone(q.Parts), func(p string) bool { return slices.Contains(parts, p) })
+	return New(q.Service, rest, q.Evidence), len(rest) > 0
+}
+
+// Decide returns the quarantines that the evidence calls for. known are those in
+// force: parts that are quarantined for one service need only one crash at
+// another. It also returns the identifiers of known quarantines whose crashes are
+// all explained by others that were at more of them.
+func (d *Detector) Decide(known []inventory.Quarantine, now time.Time) (due []inventory.Quarantine, refuted []string) {
+	d.prune(now)
+	left := slices.Clone(d.crashes)
+	explain := func(found []inventory.Quarantine) {
+		for _, q := range found {
+			due = append(due, q)
+			left = slices.DeleteFunc(left, func(c *crash) bool { return c.service == q.Service && c.has(q.Parts) })
+		}
+	}
+	for found := strongest(left, now); len(found) > 0 && len(due) < maxDecided; found = strongest(left, now) {
+		explain(found)
+	}
+	for _, q := range known {
+		if d.refutes(due, left, q) {
+			refuted = append(refuted, q.ID)
+			delete(d.remembered, q.ID)
+		}
+	}
+	all := slices.Clone(known)
+	for _, m := range d.remembered {
+		all = append(all, m.quarantine)
+	}
+	slices.SortFunc(all, func(a, b inventory.Quarantine) int {
+		return cmp.Or(cmp.Compare(len(a.Parts), len(b.Parts)), cmp.Compare(a.ID, b.ID))
+	})
+	for _, q := range all {
+		if i := slices.IndexFunc(left, func(c *crash) bool { return c.has(q.Parts) }); i >= 0 && !slices.Contains(refuted, q.ID) {
+			explain([]inventory.Quarantine{New(left[i].service, q.Parts, now.Sub(left[i].at))})
+		}
+	}
+	for _, q := range due {
+		d.remember(q, now)
+	}
+	return due, refuted
+}
+
+// refutes reports whether the crashes of a known quarantine, enough to have caused
+// it, are all explained by those that are due.
+func (d *Detector) refutes(due []inventory.Quarantine, left []*crash, q inventory.Quarantine) bool {
+	with := func(crashes []*crash) []*crash {
+		return slices.DeleteFunc(slices.Clone(crashes), func(c *crash) bool { return c.service != q.Service || !c.has(q.Parts) })
+	}
+	same := func(other inventory.Quarantine) bool { return other.ID == q.ID }
+	return !slices.ContainsFunc(due, same) && independent(with(d.crashes)) >= minCrashes && len(with(left)) == 0
+}
+
+// remember keeps a quarantine that was decided.
+func (d *Detector) remember(q inventory.Quarantine, now time.Time) {
+	if _, ok := d.remembered[q.ID]; ok || len(d.remembered) < maxRemembered {
+		d.remembered[q.ID] = memory{quarantine: q, until: now.Add(rememberedFor)}
+	}
+}
+
+// strongest returns the quarantine of the part that was at most crashes. If several
+// were at as many, in different calls, it returns all of theirs.
+func strongest(crashes []*crash, now time.Time) []inventory.Quarantine {
+	most := 0
+	var list []candidate
+	for _, k := range candidates(crashes) {
+		n := independent(k.crashes)
+		if n < most || n < minCrashes || (n < minCrashesProven && k.proven) {
+			continue
+		}
+		if n > most {
+			list, most = nil, n
+		}
+		list = append(list, k.withQuarantine(now))
+	}
+	slices.SortFunc(list, candidate.compare)
+	list = slices.CompactFunc(list, func(a, b candidate) bool { return a.quarantine.ID == b.quarantine.ID })
+	var out []inventory.Quarantine
+	for _, k := range list {
+		if len(out) < maxDecided && independent(k.unexplained(out)) == most {
+			out = append(out, k.quarantine)
+		}
+	}
+	return out
+}
+
+// candidate is a part of a service's prompts with the crashes at which it was
+// suspect.
+type candidate struct {
+	service, part string
+	crashes       []*crash
+	// calls counts the suspects with the part.
+	calls int
+	// proven is set if the part had an answer before one of the crashes.
+	proven bool
+	// quarantine would refuse the calls with the part.
+	quarantine inventory.Quarantine
+}
+
+// compare orders candidates at as many crashes by how likely they are the cause:
+// those without earlier answers, at more runners, with more common parts and in
+// more calls first.
+func (k candidate) compare(other candidate) int {
+	switch {
+	case k.proven && !other.proven:
+		return 1
+	case other.proven && !k.proven:
+		return -1
+	}
+	return cmp.Or(
+		cmp.Compare(len(other.crashes), len(k.crashes)),
+		cmp.Compare(len(other.quarantine.Parts), len(k.quarantine.Parts)),
+		cmp.Compare(other.calls, k.calls),
+		cmp.Compare(k.quarantine.ID, other.quarantine.ID),
+	)
+}
+
+// withQuarantine returns the candidate with its quarantine.
+func (k candidate) withQuarantine(now time.Time) candidate {
+	k.quarantine = New(k.service, common(k.crashes, k.part), now.Sub(k.crashes[0].at))
+	return k
+}
+
+// unexplained returns the crashes with a suspect that has the part and that no
+// quarantine refuses.
+func (k candidate) unexplained(by []inventory.Quarantine) []*crash {
+	return slices.DeleteFunc(slices.Clone(k.crashes), func(c *crash) bool {
+		return !slices.ContainsFunc(c.calls, func(call []string) bool {
+			refused := func(q inventory.Quarantine) bool { return q.Service == k.service && containsAll(call, q.Parts) }
+			return slices.Contains(call, k.part) && !slices.ContainsFunc(by, refused)
+		})
+	})
+}
+
+// candidates returns all suspect parts.
+func candidates(crashes []*crash) []candidate {
+	var list []candidate
+	index := make(map[partKey]int)
+	for _, c := range crashes {
+		for part, calls := range c.parts() {
+			key := partKey{c.service, part}
+			i, ok := index[key]
+			if !ok {
+				i = len(list)
+				index[key] = i
+				list = append(list, candidate{service: c.service, part: part})
+			}
+			list[i].crashes = append(list[i].crashes, c)
+			list[i].calls += calls
+			list[i].proven = list[i].proven || slices.Contains(c.proven, part)
+		}
+	}
+	return list
+}
+
+// independent counts the crashes, with related ones as one.
+func independent(crashes []*crash) int {
+	var counted []*crash
+	for _, c := range crashes {
+		related := func(other *crash) bool {
+			return c.at.Sub(other.at) < relatedCrashes &&
+				(c.zone == other.zone || (len(c.reporters) == 1 && slices.Equal(c.reporters, other.reporters)))
+		}
+		if !slices.ContainsFunc(counted, related) {
+			counted = append(counted, c)
+		}
+	}
+	return len(counted)
+}
+
+// common returns the parts that all suspects with a part have.
+func common(crashes []*crash, part string) []string {
+	var out []string
+	for _, c := range crashes {
+		for _, call := range c.calls {
+			if !slices.Contains(call, part) {
+				continue
+			}
+			if out == nil {
+				out = slices.Clone(call)
+			}
+			out = slices.DeleteFunc(out, func(p string) bool { return !slices.Contains(call, p) })
+		}
+	}
+	if len(out) > maxRuleParts {
+		return []string{part}
+	}
+	return out
+}
+
+// parts returns the parts of all suspects, with the number of suspects that have
+// them.
+func (c *crash) parts() map[string]int {
+	out := make(map[string]int)
+	for _, call := range c.calls {
+		for _, p := range call {
+			out[p]++
+		}
+	}
+	return out
+}
+
+// has reports whether one of the suspects has all the parts.
+func (c *crash) has(parts []string) bool {
+	return slices.ContainsFunc(c.calls, func(call []string) bool { return containsAll(call, parts) })
+}
+
+// prune drops evidence that is too old.
+func (d *Detector) prune(now time.Time) {
+	d.crashes = slices.DeleteFunc(d.crashes, func(c *crash) bool { return now.Sub(c.at) >= evidenceLife })
+	maps.DeleteFunc(d.remembered, func(_ string, m memory) bool { return !now.Before(m.until) })
+	maps.DeleteFunc(d.answered, func(_ partKey, at time.Time) bool { return now.Sub(at) >= evidenceLife })
+}
--- a/router/relay/plain.go
+++ b/router/relay/plain.go
@@ -65,6 +65,12 @@
 	s := &plainRun{plan: p, attempts: x.newAttemptLimiter(p)}
 	var last attempt
 	for p.ctx.Err() == nil && s.attempts.next() {
+		if err := x.checkQuarantine(p); err != nil {
+			if run == fault.NotRun {
+				return err
+			}
+			break
+		}
 		t := x.nextRunner(s)
 		if t == nil {
 			break
@@ -108,7 +114,7 @@
 // prepareRunner reports whether the call can continue at another runner, which it
 // chooses.
 func (x *relay) prepareRunner(s *plainRun) bool {
-	if s.standby == nil && x.Targets.HasAlternative(s.plan.service, s.avoid) && s.attempts.reserveNext() {
+	if s.standby == nil && x.checkQuarantine(s.plan) == nil && x.Targets.HasAlternative(s.plan.service, s.avoid) && s.attempts.reserveNext() {
 		s.standby = x.Targets.LeastLoaded(s.plan.service, x.Zone, s.avoid)
 	}
 	return s.standby != nil
@@ -132,10 +138,17 @@
 	a, err := x.send(w.ctx, p, t, Dispatch{ResumeAfter: p.call.ResumeAfter})
 	w.disarm()
 	if err != nil {
+		x.reportCrash(w.ctx, t, p, err)
 		w.stop()
 		return attempt{err: err}
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBuffered))
+	switch {
+	case err != nil:
+		x.reportCrash(w.ctx, t, p, err)
+	case usable(a) && !a.NotRun:
+		x.Quarantine.Answered(p.service, p.call.Prompt)
+	}
 	if err == nil && len(body) == maxBuffered && usable(a) {
 		return attempt{answer: a, body: body, long: true, stop: w.stop}
 	}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -64,6 +64,12 @@
 	run := fault.NotRun
 	var last error
 	for p.ctx.Err() == nil && s.attempts.next() {
+		if err := x.checkQuarantine(p); err != nil {
+			if run == fault.NotRun && !s.state.headerSent {
+				return err
+			}
+			break
+		}
 		place := x.nextEngine(s)
 		if place == nil {
 			break
@@ -115,7 +121,7 @@
 	if s.standby != nil {
 		return true
 	}
-	if s.results.inputs(x.Clock.Now()) != available || !x.Targets.HasAlternative(s.plan.service, s.avoid) || !s.attempts.reserveNext() {
+	if x.checkQuarantine(s.plan) != nil || s.results.inputs(x.Clock.Now()) != available || !x.Targets.HasAlternative(s.plan.service, s.avoid) || !s.attempts.reserveNext() {
 		return false
 	}
 	s.standby = x.place(ctx, s, len(s.avoid))
@@ -174,6 +180,7 @@
 	case errors.As(err, &sendErr) && !sendErr.Sent:
 		return fault.NotRun, err
 	case err != nil:
+		x.reportCrash(stall.ctx, t, p, err)
 		return fault.Unknown, err
 	}
 	defer a.Close()
@@ -186,12 +193,19 @@
 	if !a.Sealed {
 		return fault.Unknown, errUnsealed
 	}
-	return fault.Run, x.passEvents(p, t, s.state, a, stall, func() {
+	answered := false
+	err = x.passEvents(p, t, s.state, a, stall, func() {
+		answered = true
 		place.Answered()
+		x.Quarantine.Answered(p.service, p.call.Prompt)
 		for _, f := range p.route.FinalStages() {
 			s.results.unref(f)
 		}
 	})
+	if !answered {
+		x.reportCrash(stall.ctx, t, p, err)
+	}
+	return fault.Run, err
 }
 
 // passPlainAnswer returns an answer without events to the caller, such as runners
@@ -222,6 +236,8 @@
 	return nil
 }
 
+var errEmptyStream error = fault.New(fault.RunnerFailed, "the stream has no event")
+
 // passEvents forwards events as they arrive. It calls onFirst at the first one.
 func (x *relay) passEvents(p *callPlan, t *target.Target, s *streamState, a *Answer, stall *stallWatch, onFirst func()) error {
 	events := newEventReader(a.Body)
@@ -229,7 +245,7 @@
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
 			if !events.any && (!s.headerSent || a.Unframed) {
-				return fault.New(fault.RunnerFailed, "the stream has no event")
+				return errEmptyStream
 			}
 			p.status, p.events = http.StatusOK, s.eventsSent
 			return nil
