Answer 503 when a stage is abandoned though its caller waits

What callers could see: status 499, which none of them knows, for a call that didn't run. A stage whose pieces were abandoned was refused as if the caller had left; but runStages replaces the error of a call whose own context has ended, so that this one only remains for callers who still wait, such as when the context of the order ended at its owner. Seen in the code; no run showed it.

Before: --- FAIL: TestCallsWhoseStagesFailDontRun/its_owner_left relay_test.go:523: 499 != 503 after: ok.

--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -513,6 +513,7 @@
 		"reserved in vain":    {forecast: stage.Forecast{Refused: true, Wait: 700 * time.Millisecond}},
 		"a piece came late":   {fail: stage.Late},
 		"an input isn't kept": {fail: stage.InputGone},
+		"its owner left":      {fail: stage.Abandoned},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/router/relay/stages.go
+++ b/router/relay/stages.go
@@ -223,11 +223,8 @@
 // stageError returns the error of a call whose stage i failed. The call itself
 // hasn't run then.
 func stageError(f stage.Failure, i int) error {
-	switch f {
-	case stage.Late:
+	if f == stage.Late {
 		return fault.New(fault.DeadlineTooShort, "stage %d can't be made in time", i)
-	case stage.Abandoned:
-		return fault.New(fault.CallerGone, "the caller left during stage %d", i).WithOutcome(fault.NotRun)
 	}
 	return fault.New(fault.Overloaded, "stage %d: %s", i, f)
 }
