--- a/router/relay/events.go
+++ b/router/relay/events.go
@@ -36,9 +36,7 @@
 // didn't end inside an event.
 func (e *eventReader) next() (event []byte, id string, err error) {
 	e.event = e.event[:0]
-	// content is set once the event has a field, known once it has one that the
-	// format defines.
-	content, known := false, false
+	var fields eventFields
 	for begin := 0; ; {
 		part, err := e.r.ReadSlice('\n')
 		e.event = append(e.event, part...)
@@ -48,33 +46,48 @@
 			return nil, "", errEventTooLong
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && (content || begin < len(e.event)):
+		case errors.Is(err, io.EOF) && (fields.any || begin < len(e.event)):
 			return nil, "", errTruncatedEvent
 		case errors.Is(err, io.EOF) && len(e.event) > 0:
 			return e.event, "", nil
 		case err != nil:
 			return nil, "", err
-		case len(line) == 0 && content:
-			if !known {
-				return nil, "", errNoEvent
-			}
+		}
+		complete, valid := fields.add(line)
+		switch {
+		case !valid:
+			return nil, "", errNoEvent
+		case complete:
 			e.any = true
 			return e.event, identifier(e.event), nil
 		}
-		if len(line) > 0 && line[0] != ':' {
-			name, _, _ := bytes.Cut(line, []byte(":"))
-			if !validFieldName(name) {
-				return nil, "", errNoEvent
-			}
-			content, known = true, known || slices.Contains(knownFields, string(name))
-		}
 		begin = len(e.event)
 	}
 }
 
+// eventFields says which fields an event has so far.
+type eventFields struct {
+	// any is set if there is a field, known if there is one that the format defines.
+	any, known bool
+}
+
 // knownFields are the fields that the format of events defines.
 var knownFields = []string{"data", "id", "event", "retry"}
 
+// add adds a line. The event is complete at the first empty line after a field. A
+// line that is no field, and an event without a known field, are invalid.
+func (f *eventFields) add(line []byte) (complete, valid bool) {
+	if len(line) == 0 {
+		return f.any, f.known || !f.any
+	}
+	if line[0] == ':' {
+		return false, true
+	}
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	f.any, f.known = true, f.known || slices.Contains(knownFields, string(name))
+	return false, validFieldName(name)
+}
+
 // validFieldName reports whether a field can have this name. Names in runners'
 // streams are in lower case, unlike the head or the text of an error.
 func validFieldName(name []byte) bool {
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -555,11 +555,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := &fakeRunners{responses: []response{good}, prepare: pauseAll(2500 * time.Millisecond)}
-				p, start := &fakePieces{}, time.Now()
+				p, start := &fakePieces{}, clock.System().Now()
 				w := serveCall(t, path, f, p, nil)
 				is.Equal(w.Code, http.StatusServiceUnavailable)
 				is.Equal(w.Header().Get("Retry-After"), "2.500")
-				is.Equal(time.Since(start), time.Duration(0))
+				is.Equal(clock.System().Now().Sub(start), time.Duration(0))
 				is.Equal(len(f.sent), 0)
 				is.Equal(len(p.made), 0) // no stage is run in vain
 			})
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -162,7 +162,7 @@
 	for answered := false; ; {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
-			if !events.any && (!s.headerSent || a.Unframed) {
+			if !events.any && !s.mayBeComplete(a) {
 				return fault.New(fault.RunnerFailed, "the stream has no event")
 			}
 			p.status, p.events = http.StatusOK, s.eventsSent
@@ -177,8 +177,8 @@
 		if !events.any {
 			continue
 		}
-		if id != "" && s.lastEventID != "" && (p.route.Resumable || s.eventsSent > 0) && !follows(id, s.lastEventID) {
-			return fault.New(fault.RunnerFailed, "event %q came after %q", id, s.lastEventID)
+		if err := s.checkOrder(p, id); err != nil {
+			return err
 		}
 		if !answered {
 			answered = true
@@ -196,6 +196,18 @@
 	}
 }
 
+// mayBeComplete reports whether an answer without events ends the stream. One that
+// has no length may have been broken off.
+func (s *streamState) mayBeComplete(a *Answer) bool { return s.headerSent && !a.Unframed }
+
+// checkOrder returns an error if an event can't come after the last one.
+func (s *streamState) checkOrder(p *callPlan, id string) error {
+	if id == "" || s.lastEventID == "" || (!p.route.Resumable && s.eventsSent == 0) || follows(id, s.lastEventID) {
+		return nil
+	}
+	return fault.New(fault.RunnerFailed, "event %q came after %q", id, s.lastEventID)
+}
+
 // writeEvent sends one event to the caller, after the status and headers if it's the
 // first. A stream that is resumed at another runner keeps the first runner's
 // status and headers.
--- a/router/stage/pool.go
+++ b/router/stage/pool.go
@@ -138,9 +138,7 @@
 	now := p.clk.Now()
 	a := assembler{now: now, limits: limits}
 	p.drop(Late, assembler{now: now.Add(shortestPause(targets, now)), limits: limits}.missesDeadline)
-	idle := slices.DeleteFunc(slices.Clone(targets), func(t *target.Target) bool {
-		return p.inFlight[t] >= limits.Slots || now.Before(p.backoffUntil[t]) || t.PausedFor(now) > 0
-	})
+	idle := p.idle(targets, limits, now)
 	candidates := make([]idleRunner, len(idle))
 	for i, t := range idle {
 		r := p.memoryOf(t)
@@ -176,6 +174,13 @@
 	}
 }
 
+// idle returns the runners that may get a batch now. The caller holds mu.
+func (p *Pool) idle(targets []*target.Target, limits *routing.Batches, now time.Time) []*target.Target {
+	return slices.DeleteFunc(slices.Clone(targets), func(t *target.Target) bool {
+		return p.inFlight[t] >= limits.Slots || now.Before(p.backoffUntil[t]) || t.PausedFor(now) > 0
+	})
+}
+
 // shortestPause returns the time until one of the runners isn't paused.
 func shortestPause(targets []*target.Target, now time.Time) time.Duration {
 	shortest := targets[0].PausedFor(now)
