Let calls outlast a lost path to their runner

Ruled out: no probes at all. Connections of runners that lost power would stay until the deadline of their calls with nothing to end them.

Each exchange is bounded by its call anyway.

--- a/router/link/pool.go
+++ b/router/link/pool.go
@@ -36,6 +36,8 @@
 	dialTimeout       time.Duration
 	idleTimeout       time.Duration
 	maxIdlePerAddress int
+	// probeInterval is the time between the keepalive probes of TCP.
+	probeInterval time.Duration
 }
 
 const (
@@ -47,21 +49,20 @@
 	// defaultDialTimeout allows several round trips. It doesn't cover a lost SYN,
 	// which is retransmitted only after a second.
 	defaultDialTimeout = 700 * time.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveCount detect an unreachable
-	// peer within a few seconds.
-	keepAliveIdle     = time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 3
+	// defaultProbeInterval and probeCount detect an unreachable peer within a few
+	// seconds.
+	defaultProbeInterval = time.Second
+	probeCount           = 3
 )
 
 func defaults() config {
-	return config{clk: clock.System(), dialTimeout: defaultDialTimeout, idleTimeout: defaultIdleTimeout, maxIdlePerAddress: defaultMaxIdlePerAddress}
+	return config{clk: clock.System(), dialTimeout: defaultDialTimeout, idleTimeout: defaultIdleTimeout, maxIdlePerAddress: defaultMaxIdlePerAddress, probeInterval: defaultProbeInterval}
 }
 
 func (c *config) dial(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         c.dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: c.probeInterval, Interval: c.probeInterval, Count: probeCount},
 	}
 	return d.DialContext(ctx, "tcp", address)
 }
@@ -78,6 +79,12 @@
 // WithDialTimeout bounds the dialing of a connection.
 func WithDialTimeout(d time.Duration) Option { return func(c *config) { c.dialTimeout = d } }
 
+// WithProbeInterval sets the time between the keepalive probes of TCP. A connection
+// fails after four such times without the peer.
+func WithProbeInterval(d time.Duration) Option {
+	return func(c *config) { c.probeInterval = d }
+}
+
 // NewPool returns a pool with the package defaults, modified by opts.
 func NewPool(opts ...Option) Pool {
 	p := &pool{config: defaults(), idle: make(map[string][]*conn)}
