Check the inputs again before a stream moves to its standby

A stream whose first event came while the next engine was being chosen kept that engine as its standby, and had its inputs freed. At its next pause it was cancelled for the standby, which answers that the inputs are gone.

Failed before:

TestStreamThatGoesOnDuringTheCheckKeepsItsRunner/with_inputs_that_are_freed_meanwhile

Conclusion: whether a stream has its inputs is asked at each pause.

--- a/router/relay/silence_test.go
+++ b/router/relay/silence_test.go
@@ -281,22 +281,35 @@
 	return true
 }
 
-// pausingTwice is a stream that pauses for 1.7 s and then for 0.6 s.
-func pausingTwice() response {
+// pausingTwice is a stream that pauses after each of two events.
+func pausingTwice(begin string, first, second time.Duration, middle, end string) response {
 	return response{"pausing", true, func(ctx context.Context) (*relay.Answer, error) {
 		a, err := eventAnswer("", false)(ctx)
-		rest := &pausingBody{ctx: ctx, pause: 600 * time.Millisecond, parts: []io.Reader{strings.NewReader(two), strings.NewReader(three)}}
-		a.Body = &pausingBody{ctx: ctx, pause: 1700 * time.Millisecond, parts: []io.Reader{strings.NewReader(one), rest}}
+		rest := &pausingBody{ctx: ctx, pause: second, parts: []io.Reader{strings.NewReader(middle), strings.NewReader(end)}}
+		a.Body = &pausingBody{ctx: ctx, pause: first, parts: []io.Reader{strings.NewReader(begin), rest}}
 		return a, err
 	}}
 }
 
 func TestStreamThatGoesOnDuringTheCheckKeepsItsRunner(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := &fakeRunners{responses: []response{pausingTwice(), streamOf(two, false)}, budget: &slowBudget{}}
-		w := serveCall(t, "/stagedResumable/1", f, &fakePieces{}, func(c *relay.Call, _ *inventory.Current) { c.Pieces = []int{0, 0} })
-		is.Equal(w.Body.String(), one+two+three)
-		is.Equal(len(f.sent), 1)
-	})
+	const long, short = 1700 * time.Millisecond, 600 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		pieces []int
+		stream response
+		body   string
+	}{
+		{"without pieces", []int{0, 0}, pausingTwice(one, long, short, two, three), one + two + three},
+		{"with inputs that are freed meanwhile", []int{2, 3}, pausingTwice("", long, long, one, two), one + two},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeRunners{responses: []response{c.stream, full}, budget: &slowBudget{}}
+				w := serveCall(t, "/stagedResumable/1", f, &fakePieces{}, func(call *relay.Call, _ *inventory.Current) { call.Pieces = c.pieces })
+				is.Equal(w.Body.String(), c.body)
+				is.Equal(len(f.sent), 1)
+			})
+		})
+	}
 }
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -109,10 +109,13 @@
 // prepareStandby reports whether the call can continue at another engine, which it
 // chooses.
 func (x *relay) prepareStandby(ctx context.Context, s *streamRun) bool {
+	if s.results.inputs(x.Clock.Now()) != available {
+		return false
+	}
 	if s.standby != nil {
 		return true
 	}
-	if s.results.inputs(x.Clock.Now()) != available || !x.Targets.HasAlternative(s.plan.service, s.avoid) || !s.attempts.reserveNext() {
+	if !x.Targets.HasAlternative(s.plan.service, s.avoid) || !s.attempts.reserveNext() {
 		return false
 	}
 	s.standby = x.place(ctx, s, len(s.avoid))
