--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"time"
 
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/router/placement"
@@ -61,7 +62,13 @@
 	if x.Policy.ResultZoneAffinity {
 		s.zone = x.resultZone(p, res)
 	}
-	run := fault.NotRun
+	return x.runStream(s)
+}
+
+// runStream sends the call to engines until one completes the stream or no further
+// one may be tried.
+func (x *relay) runStream(s *streamRun) error {
+	p, run := s.plan, fault.NotRun
 	var last error
 	for p.ctx.Err() == nil && s.attempts.next() {
 		if err := x.checkQuarantine(p); err != nil {
@@ -86,13 +93,22 @@
 		if outcome != fault.NotRun {
 			run = outcome
 		}
-		if (run != fault.NotRun && p.atMostOnce()) || s.results.inputs(x.Clock.Now()) == gone || fault.Is(err, fault.CallerGone) {
+		if !s.mayRetry(run, err, x.Clock.Now()) {
 			break
 		}
 	}
 	return x.failStream(p, s.state, run, last)
 }
 
+// mayRetry reports whether the call may go to another engine after an attempt that
+// failed. run is the outcome of all attempts so far.
+func (s *streamRun) mayRetry(run fault.Outcome, err error, now time.Time) bool {
+	if run != fault.NotRun && s.plan.atMostOnce() {
+		return false
+	}
+	return s.results.inputs(now) != gone && !fault.Is(err, fault.CallerGone)
+}
+
 // nextEngine returns the standby or else chooses an engine, or returns nil if there
 // is none.
 func (x *relay) nextEngine(s *streamRun) placement.Place {
@@ -187,6 +203,12 @@
 		return fault.Unknown, err
 	}
 	defer a.Close()
+	return x.passAnswer(s, place, a, stall)
+}
+
+// passAnswer returns the answer of an engine to the caller.
+func (x *relay) passAnswer(s *streamRun, place placement.Place, a *Answer, stall *stallWatch) (fault.Outcome, error) {
+	p, t := s.plan, place.Target()
 	if a.NotRun {
 		return fault.NotRun, fault.New(fault.Overloaded, "runner %q answered %d", t.Runner().ID, a.Status)
 	}
@@ -197,7 +219,7 @@
 		return fault.Unknown, errUnsealed
 	}
 	answered := false
-	err = x.passEvents(p, t, s.state, a, stall, func() {
+	err := x.passEvents(p, t, s.state, a, stall, func() {
 		answered = true
 		place.Answered()
 		x.Quarantine.Answered(p.service, p.call.Prompt)
