Refuse staged calls before their callers abandon the stream

Cause: callers abandon a stream after a gap, also before the first event: 2 s, or 4 times the objective, or 8 times that for gaps. Stages were ordered for the deadline of the call, which is up to three times as late.

Ruled out: pieces that are lost or repeated (the log has one batch for each), and the stop itself: the instances that had the calls weren't stopping.

Before: --- FAIL: TestStagesEndBeforeCallersAbandonTheStream relay_test.go:547: 20s != 2.8s after: ok.

Open: a piece that waits for 3 s while later ones of other calls are made.

--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -128,6 +128,9 @@
 	status, events int
 	// deadline is when the caller's or the route's timeout ends, whichever is first.
 	deadline time.Time
+	// stagesDeadline is when the stages must be made, with the time until the first
+	// event of the answer. It isn't after deadline.
+	stagesDeadline time.Time
 	// ctx ends at the deadline or when the caller disconnects.
 	ctx context.Context
 }
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -137,9 +137,26 @@
 	if !p.deadline.After(x.Clock.Now()) {
 		return nil, fault.New(fault.DeadlineTooShort, "the deadline has passed").WithField("deadline")
 	}
+	p.stagesDeadline = p.deadline
+	if abandoned := c.Arrived.Add(streamPatience(r)); r.Kind == routing.Streaming && abandoned.Before(p.deadline) {
+		p.stagesDeadline = abandoned
+	}
 	return p, nil
 }
 
+// Callers abandon a stream after a gap, also before its first event, that is longer
+// than the largest of a fixed time and of multiples of the route's objectives.
+const (
+	minStreamPatience    = 2 * time.Second
+	objectivesOfPatience = 4
+	gapsOfPatience       = 8
+)
+
+// streamPatience returns how long callers wait for the next event of a stream.
+func streamPatience(r *routing.Route) time.Duration {
+	return max(minStreamPatience, objectivesOfPatience*r.Objective, gapsOfPatience*r.GapObjective)
+}
+
 // maxDenyAge is the maximum age of a configuration that calls are denied by. It is
 // below the bounds on the time until a newer configuration is applied.
 const maxDenyAge = 1500 * time.Millisecond
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -213,13 +213,15 @@
 	}
 	staged := route("staged", routing.Streaming, 1)
 	staged.Stages = []routing.Stage{{Service: "p"}, {Service: "p", After: []int{0}}}
+	patient := staged
+	patient.Name, patient.Prefix, patient.Timeout, patient.Objective = "patient", "/patient/", 20*time.Second, 700*time.Millisecond
 	resumable := route("resumable", routing.Streaming, 3)
 	resumable.Resumable = true
 	closed := route("closed", routing.Idempotent, 2)
 	closed.Open = false
 	return routing.Config{
 		Version:  1,
-		Routes:   []routing.Route{route("safe", routing.Idempotent, 3), route("once", routing.NonIdempotent, 3), route("single", routing.NonIdempotent, 1), route("stream", routing.Streaming, 3), route("brief", routing.Streaming, 1), staged, resumable, closed},
+		Routes:   []routing.Route{route("safe", routing.Idempotent, 3), route("once", routing.NonIdempotent, 3), route("single", routing.NonIdempotent, 1), route("stream", routing.Streaming, 3), route("brief", routing.Streaming, 1), staged, patient, resumable, closed},
 		Services: []routing.Service{{Name: "s"}, {Name: "p", Batches: &routing.Batches{MaxPieces: 4, CallTime: 100 * time.Millisecond, PieceTime: 10 * time.Millisecond}}},
 		Teams:    []routing.Team{{Name: "team", Keys: []string{"key"}}},
 	}
@@ -532,6 +534,21 @@
 	}
 }
 
+// TestStagesEndBeforeCallersAbandonTheStream has a deadline far beyond the time that
+// callers wait for the first event.
+func TestStagesEndBeforeCallersAbandonTheStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &fakePieces{}
+		arrived := clock.System().Now()
+		serveCall(t, "/patient/1", &fakeRunners{responses: []response{streamOf("id: 1\ndata: 1\n\n", false)}}, p, nil)
+		is.Equal(len(p.made), 2)
+		for _, o := range p.made {
+			is.Equal(o.Deadline.Sub(arrived), 2800*time.Millisecond)
+		}
+	})
+}
+
 // addMakers adds forty runners of the service of all stages in each of six zones, so
 // that it is divided by zone.
 func addMakers(_ *relay.Call, current *inventory.Current) {
--- a/router/relay/reserve.go
+++ b/router/relay/reserve.go
@@ -58,7 +58,7 @@
 			sh := x.shardOf(p, s.Service)
 			forecasts[i] = x.Pieces.Reserve(p.ctx, stage.Reservation{
 				ID: orderID(p, i), Shard: sh, Pieces: p.call.Pieces[i], EarliestArrival: starts[i], Rank: p.priority,
-				Deadline: p.deadline, Due: p.call.Arrived.Add(p.route.Objective), MinRemaining: x.timeAfter(p, i),
+				Deadline: p.stagesDeadline, Due: p.call.Arrived.Add(p.route.Objective), MinRemaining: x.timeAfter(p, i),
 			})
 			x.Shards.Report(sh, forecasts[i].Wait)
 			return nil
--- a/router/relay/stages.go
+++ b/router/relay/stages.go
@@ -174,7 +174,7 @@
 		start := x.Clock.Now()
 		o := stage.Order{
 			ID: orderID(p, i), Shard: x.shardOf(p, spec.Service), Pieces: pieces, Call: p.call.ID, Stage: i, Zone: zone, ResultBytes: spec.ResultBytes,
-			Deadline: p.deadline, Due: p.call.Arrived.Add(p.route.Objective), Rank: p.priority, MinRemaining: x.timeAfter(p, i),
+			Deadline: p.stagesDeadline, Due: p.call.Arrived.Add(p.route.Objective), Rank: p.priority, MinRemaining: x.timeAfter(p, i),
 		}
 		if len(spec.After) == 0 {
 			o.Key = p.call.PieceKey
