Give slow writes of quarantines the time that registrations have

A quarantine takes two calls of the store, a lease and a write, and both together had 500 ms. While a store takes 350 ms for a call, no quarantine was ever written. The bound is 800 ms now, as for registrations, which take the same two calls.

TestSlowStoreDelaysQuarantineOnly with 500 ms:

guard_test.go: 0 != 5 --- FAIL: TestSlowStoreDelaysQuarantineOnly

--- a/router/quarantine/guard.go
+++ b/router/quarantine/guard.go
@@ -44,9 +44,9 @@
 	// answeredInterval is the minimum time between two reports of the same part's
 	// answers.
 	answeredInterval = time.Second
-	// storeTimeout bounds one write to the store. firstBackoff is the time between two,
-	// which doubles after each failure, up to lastBackoff.
-	storeTimeout = 500 * time.Millisecond
+	// storeTimeout bounds one write to the store, which takes two calls. firstBackoff is
+	// the time between two, which doubles after each failure, up to lastBackoff.
+	storeTimeout = 800 * time.Millisecond
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = time.Second
 	// readDelay is the time after which a write to the store is in the snapshot. It is
