Ask other instances for answers before parts are quarantined

Cause: an owner knows only the answers that it has passed on itself. Ruled out: that the objection came late or was lost.

Before it writes, an owner asks up to 16 instances whether they have had an answer for one of the parts since the first crash. Those that don't answer within 150 ms are passed over. Repeated suspects are no longer logged.

TestPartWithAnswersAtOtherInstancesIsNotQuarantined before:

guard_test.go:262: 6 != 0 --- FAIL: TestPartWithAnswersAtOtherInstancesIsNotQuarantined (0.00s)

Instances that are not asked object as before.

--- a/router/quarantine/detector.go
+++ b/router/quarantine/detector.go
@@ -87,12 +87,11 @@
 	return &Detector{remembered: make(map[string]memory), answered: make(map[partKey]time.Time)}
 }
 
-// Report records a suspect that an instance has seen. Repeated reports have no
-// effect.
-func (d *Detector) Report(reporter string, s Suspect, now time.Time) {
+// Report records a suspect that an instance has seen, and reports whether it is new.
+func (d *Detector) Report(reporter string, s Suspect, now time.Time) bool {
 	d.prune(now)
 	if s.Service == "" || len(s.Service) > maxServiceBytes || s.AgeMillis < 0 || s.AgeMillis >= evidenceLife.Milliseconds() {
-		return
+		return false
 	}
 	at := now.Add(-time.Duration(s.AgeMillis) * time.Millisecond)
 	parts := slices.DeleteFunc(validParts(s.Parts), func(p string) bool {
@@ -100,9 +99,9 @@
 		return ok && !answered.Before(at)
 	})
 	if len(parts) == 0 {
-		return
+		return false
 	}
-	d.crashOf(s, at).add(reporter, parts, s.Proven)
+	return d.crashOf(s, at).add(reporter, parts, s.Proven)
 }
 
 // crashOf returns the crash of a suspect's runner, which is new if the suspect is
@@ -126,8 +125,8 @@
 	return c
 }
 
-// add records the parts of a suspect.
-func (c *crash) add(reporter string, parts, proven []string) {
+// add records the parts of a suspect, and reports whether they are new.
+func (c *crash) add(reporter string, parts, proven []string) bool {
 	if !slices.Contains(c.reporters, reporter) && len(c.reporters) < maxCalls {
 		c.reporters = append(c.reporters, reporter)
 	}
@@ -137,9 +136,11 @@
 		}
 	}
 	same := func(call []string) bool { return slices.Equal(call, parts) }
-	if len(c.calls) < maxCalls && !slices.ContainsFunc(c.calls, same) {
-		c.calls = append(c.calls, parts)
+	if len(c.calls) >= maxCalls || slices.ContainsFunc(c.calls, same) {
+		return false
 	}
+	c.calls = append(c.calls, parts)
+	return true
 }
 
 // validParts returns the parts in order, without those that can't be quarantined.
--- a/router/quarantine/guard.go
+++ b/router/quarantine/guard.go
@@ -18,8 +18,13 @@
 	"github.com/hashicorp/go-hclog"
 )
 
-// methodReport reports crashes and answers to an owner of the evidence.
-const methodReport = "quarantine.report"
+// Methods that instances call on each other: methodReport reports crashes and answers
+// to an owner of the evidence, methodAnswers asks an instance which parts it has seen
+// an answer for.
+const (
+	methodReport  = "quarantine.report"
+	methodAnswers = "quarantine.answers"
+)
 
 const (
 	// ownerKey is the key by which the owners of the evidence are chosen.
@@ -32,6 +37,10 @@
 	maxDeliveries = 4
 	// reportTimeout bounds the delivery of a report to one instance.
 	reportTimeout = 300 * time.Millisecond
+	// maxAsked bounds the instances that are asked for answers before a quarantine is
+	// written, and askTimeout the time for it.
+	maxAsked   = 16
+	askTimeout = 150 * time.Millisecond
 	// reportInterval is the minimum time between two reports of an instance.
 	reportInterval = 50 * time.Millisecond
 	// maxReported bounds the suspects, and the parts with answers, of a report.
@@ -85,6 +94,7 @@
 	}
 	g.rules.Store(&rules{})
 	mesh.Handle(methodReport, g.serveReport)
+	mesh.Handle(methodAnswers, g.serveAnswers)
 	current.Subscribe(g.update)
 	return g
 }
@@ -142,6 +152,17 @@
 	Part    string `json:"part"`
 }
 
+// answersRequest asks which parts of a service had an answer within a time.
+type answersRequest struct {
+	Service      string   `json:"service"`
+	Parts        []string `json:"parts"`
+	WithinMillis int64    `json:"withinMillis"`
+}
+
+type answersResponse struct {
+	Parts []string `json:"parts,omitempty"`
+}
+
 // update replaces the rules by those of a snapshot, and reports the parts in new
 // ones that had an answer since the first crash.
 func (g *guard) update(s *inventory.Snapshot) {
@@ -346,7 +367,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range r.Suspects[:min(len(r.Suspects), maxRepeated+maxReported)] {
-		g.detector.Report(from, s, now)
+		if !g.detector.Report(from, s, now) {
+			continue
+		}
 		g.log.Info("prompt parts suspected", "service", s.Service, "runner", s.Runner, "zone", s.Zone, "parts", s.Parts, "agoMillis", s.AgeMillis, "reporter", from)
 	}
 	inForce := g.current.Load().Quarantines
@@ -399,6 +422,9 @@
 // settleOne makes one write to the store, and reports whether more may be due.
 func (g *guard) settleOne(ctx context.Context) (more bool, err error) {
 	due, old := g.due()
+	if due != nil && g.refutedByAnswers(ctx, *due) {
+		return true, nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	switch {
@@ -426,6 +452,55 @@
 	return true, err
 }
 
+// refutedByAnswers asks other instances whether parts of a quarantine had an answer
+// since the first crash, and clears the evidence for them. Instances that don't
+// answer in time are passed over.
+func (g *guard) refutedByAnswers(ctx context.Context, q inventory.Quarantine) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req := answersRequest{Service: q.Service, Parts: q.Parts, WithinMillis: q.Evidence.Milliseconds()}
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var answered []string
+	for _, name := range g.owners.Ranked(q.ID, maxAsked) {
+		if name == g.self {
+			continue
+		}
+		group.Go(func() {
+			var resp answersResponse
+			if err := g.mesh.Call(instance.MarkIdempotent(ctx), name, methodAnswers, req, &resp); err != nil {
+				g.log.Debug("instance not asked for answers", "instance", name, "error", err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answered = append(answered, resp.Parts...)
+		})
+	}
+	group.Wait()
+	answered = slices.DeleteFunc(answered, func(p string) bool { return !slices.Contains(q.Parts, p) })
+	if len(answered) == 0 {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.detector.Answered(q.Service, answered, g.clk.Now())
+	if rest, ok := g.withdrawn[q.ID]; ok {
+		g.withdrawn[q.ID], _ = without(rest, answered)
+	}
+	return true
+}
+
+func (g *guard) serveAnswers(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var req answersRequest
+	if err := json.Unmarshal(params, &req); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "decode a question").WithField(methodAnswers)
+	}
+	within := min(max(0, req.WithinMillis), evidenceLife.Milliseconds())
+	at := g.clk.Now().Add(-time.Duration(within) * time.Millisecond)
+	return answersResponse{Parts: g.answers.since(req.Service, req.Parts, at)}, nil
+}
+
 // due returns a quarantine to write, or the identifier of one to remove.
 func (g *guard) due() (*inventory.Quarantine, string) {
 	now := g.clk.Now()
--- a/router/quarantine/guard_test.go
+++ b/router/quarantine/guard_test.go
@@ -173,7 +173,7 @@
 
 func (m mesh) SetAddresses(map[string]string) {}
 
-func (m mesh) Call(ctx context.Context, to, method string, params, _ any) error {
+func (m mesh) Call(ctx context.Context, to, method string, params, result any) error {
 	m.fleet.mu.Lock()
 	h, lost := m.fleet.handlers[to][method], m.fleet.lost[to]
 	m.fleet.messages++
@@ -186,8 +186,14 @@
 	if err != nil {
 		return err
 	}
-	_, err = h(ctx, m.self, data)
-	return err
+	answer, err := h(ctx, m.self, data)
+	if err != nil || result == nil {
+		return err
+	}
+	if data, err = json.Marshal(answer); err != nil {
+		return err
+	}
+	return json.Unmarshal(data, result)
 }
 
 func prompt(parts ...string) target.Prompt {
@@ -240,6 +246,23 @@
 	})
 }
 
+func TestPartWithAnswersAtOtherInstancesIsNotQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 12)
+		defer f.stop()
+		p := prompt("popular", "own")
+		for n := range 9 {
+			f.guards["i0"].Crashed(engine(fmt.Sprint("r", n), "x"), p)
+			pass(time.Second)
+			f.guards["i7"].Answered("s", p)
+			pass(2 * time.Second)
+			is.Equal(f.blocked(p), 0)
+		}
+		is.Equal(f.puts, 0)
+	})
+}
+
 func TestSlowStoreDelaysQuarantineOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
