Find the part that crashes engines among all calls of a busy one

A crash kept the first 16 different calls that waited at the engine. An engine runs up to 64 at once, so that under load the call that crashed it could be missing at each crash, and calls with its part went on reaching engines.

Ruled out: that reports lack the call. An instance reports up to 64 suspects at once.

A crash now keeps 64 calls, and the evidence 4096 of them as before (256 crashes with 16 each); the oldest crashes yield.

--- a/router/quarantine/detector.go
+++ b/router/quarantine/detector.go
@@ -24,10 +24,12 @@
 	// to be quarantined again.
 	rememberedFor = time.Hour
 	// maxCrashes, maxCalls and maxCallParts bound the evidence: the crashes, the calls
-	// of each crash and the parts of each call. maxRemembered bounds the quarantines
-	// that are remembered, maxAnswered the parts that were cleared.
+	// of each crash and the parts of each call. maxAllCalls bounds the calls of all
+	// crashes, of which the oldest yield. maxRemembered bounds the quarantines that are
+	// remembered, maxAnswered the parts that were cleared.
 	maxCrashes    = 256
-	maxCalls      = 16
+	maxCalls      = 64
+	maxAllCalls   = 4096
 	maxCallParts  = 32
 	maxRemembered = 256
 	maxAnswered   = 1024
@@ -103,6 +105,18 @@
 		return
 	}
 	d.crashOf(s, at).add(reporter, parts, s.Proven)
+	for d.callCount() > maxAllCalls {
+		d.crashes = slices.Delete(d.crashes, 0, 1)
+	}
+}
+
+// callCount returns the number of calls in the evidence.
+func (d *Detector) callCount() int {
+	n := 0
+	for _, c := range d.crashes {
+		n += len(c.calls)
+	}
+	return n
 }
 
 // crashOf returns the crash of a suspect's runner, which is new if the suspect is
--- a/router/quarantine/detector_test.go
+++ b/router/quarantine/detector_test.go
@@ -250,6 +250,20 @@
 	}
 }
 
+// TestPartIsFoundAmongAllCallsOfBusyRunners has as many calls wait at each runner as
+// engines run at once, with the one that crashes it reported last.
+func TestPartIsFoundAmongAllCallsOfBusyRunners(t *testing.T) {
+	is := is.New(t)
+	d := quarantine.NewDetector()
+	for n := range 3 {
+		for i := range 63 {
+			d.Report(fmt.Sprint("i", i%5), suspect(fmt.Sprint("r", n), "x", fmt.Sprintf("own%d.%d", n, i)), at(float64(n)))
+		}
+		d.Report("i5", suspect(fmt.Sprint("r", n), "x", "dead"), at(float64(n)))
+	}
+	is.Equal(decided(d, at(3)), [][]string{{"dead"}})
+}
+
 // TestDecisionsProperty plays crashes and answers in any order. What is quarantined
 // was in flight at three crashes without an answer since. A part that crashes each
 // runner is quarantined once no other part was in flight at more crashes.
