Answer requests that are read in part when the product's server shuts down

Callers of the product's own program lost requests at planned stops in the same way as those of the platform's program: http.Server.Shutdown closes a kept connection as idle while a part of the next request's header has been read from it.

Ruled out: requests whose header was read. They were answered before, too; nor can the answers of the operator API be lost to callers, its server is as it was.

The tracking of connections and the shutdown are moved from platform/callers to router/drain, and both servers use them. An answer asks for the connection's close if the server drains when it begins, no longer when its request began: net/http did that by itself in Shutdown. What is cancelled at the end of the grace period is answered with 502; that grace is longer than all deadlines, as the settings ask for.

Before: TestShutdownAnswersRequestsReadInPart/part_of_the_header: unexpected EOF TestShutdownAnswersRequestsReadInPart/one_byte: connection reset by peer Now ok, 10 times with the race detector; TestGracefulShutdownUnder{Streams,Bookings} and TestGracefulStopsLeaveNoCallUnanswered ok.

--- a/router/caller/admit.go
+++ b/router/caller/admit.go
@@ -12,6 +12,7 @@
 
 	"cicadawell.dev/fleet/callerapi"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/drain"
 	"github.com/gin-gonic/gin"
 )
 
@@ -92,6 +93,7 @@
 	if int64(len(data)) > limit {
 		return nil, tooLarge(int64(len(data)), limit)
 	}
+	drain.ConnectionOf(c.Request.Context()).EndRequest()
 	// After a failure the deadline stays set, since the server reads the
 	// rest of the body before it answers.
 	_ = control.SetReadDeadline(time.Time{})
--- a/router/caller/caller_test.go
+++ b/router/caller/caller_test.go
@@ -25,6 +25,7 @@
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/ledger"
 	"cicadawell.dev/router/pipeline"
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 )
 
@@ -114,7 +115,7 @@
 func newServer(f *fakes, options ...caller.Option) caller.Server {
 	return caller.NewServer(caller.Parts{
 		Clock: clock.System(), Readiness: f, Catalog: testCatalog(), Executor: f, Ledger: f,
-		RateLimiter: f, Journal: f, Meter: f, Identifiers: f,
+		RateLimiter: f, Journal: f, Meter: f, Identifiers: f, Log: hclog.NewNullLogger(),
 	}, options...)
 }
 
--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -12,6 +12,7 @@
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/jsonfield"
 	"cicadawell.dev/router/catalog"
+	"cicadawell.dev/router/drain"
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/pipeline"
 	"github.com/gin-gonic/gin"
@@ -53,6 +54,7 @@
 	defer s.inFlight.Add(-1)
 	x := &exchange{requestID: s.Identifiers.NewRequest(), arrived: s.Clock.Now()}
 	c.Header(callerapi.HeaderRequest, x.requestID)
+	drain.ConnectionOf(c.Request.Context()).Handle(x.requestID)
 	release, err := s.admit(c, x)
 	defer release()
 	if err != nil {
@@ -108,6 +110,7 @@
 		return
 	}
 	s.setWriteDeadline(c)
+	s.closeWhenDraining(c)
 	c.Writer.Header()["Content-Type"] = jsonContentType
 	c.Status(http.StatusOK)
 	// A write error means that the caller has disconnected.
@@ -133,6 +136,7 @@
 	e := fault.Of(err)
 	s.recordRefusal(x, e)
 	s.setWriteDeadline(c)
+	s.closeWhenDraining(c)
 	if wait := e.RetryAfter(); wait > 0 {
 		seconds := int64((wait + time.Second - 1) / time.Second)
 		c.Header("Retry-After", strconv.FormatInt(seconds, 10))
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -14,10 +14,12 @@
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/router/catalog"
+	"cicadawell.dev/router/drain"
 	"cicadawell.dev/router/journal"
 	"cicadawell.dev/router/ledger"
 	"cicadawell.dev/router/pipeline"
 	"github.com/gin-gonic/gin"
+	"github.com/hashicorp/go-hclog"
 )
 
 // Limits of the callers' HTTP interface.
@@ -108,6 +110,7 @@
 	Journal     journal.Journal
 	Meter       Meter
 	Identifiers Identifiers
+	Log         hclog.Logger
 }
 
 // Server serves callers.
@@ -120,7 +123,9 @@
 	// connection, and the health check report that the instance is leaving.
 	StartDraining()
 	// Shutdown stops accepting connections and waits for the requests in
-	// flight; it returns an error when ctx ends first.
+	// flight, also for those that are read in part only; it returns an error
+	// when ctx ends first. Shortly before that it cancels the requests, so
+	// that they get an answer.
 	Shutdown(ctx context.Context) error
 	// InFlight returns how many requests are being answered.
 	InFlight() int64
@@ -135,23 +140,25 @@
 	}
 	engine := gin.New()
 	engine.HandleMethodNotAllowed = true
-	engine.Use(s.closeWhenDraining)
+	engine.Use(track)
 	engine.POST(callerapi.PathPipelines+":pipeline", s.serve)
 	engine.GET(callerapi.PathHealth, s.health)
 	engine.NoRoute(s.noRoute)
 	engine.NoMethod(s.noRoute)
-	s.http = &http.Server{
+	s.handler = engine
+	s.drain = drain.NewServer(&http.Server{
 		Handler:           engine,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-	}
+	}, p.Log)
 	return s
 }
 
 type server struct {
 	Parts
-	http         *http.Server
+	handler      http.Handler
+	drain        *drain.Server
 	bodyTimeout  time.Duration
 	writeTimeout time.Duration
 
@@ -163,15 +170,17 @@
 }
 
 // Handler returns the HTTP handler.
-func (s *server) Handler() http.Handler { return s.http.Handler }
+func (s *server) Handler() http.Handler { return s.handler }
 
 // Serve accepts connections until Shutdown.
-func (s *server) Serve(l net.Listener) error {
-	err := s.http.Serve(l)
-	if err == http.ErrServerClosed {
-		return nil
-	}
-	return err
+func (s *server) Serve(l net.Listener) error { return s.drain.Serve(l) }
+
+// track records the begin and the end of a request with its connection.
+func track(c *gin.Context) {
+	conn := drain.ConnectionOf(c.Request.Context())
+	conn.Handle("")
+	c.Next()
+	conn.Answer()
 }
 
 // StartDraining makes each further answer ask the caller to close its
@@ -179,7 +188,7 @@
 func (s *server) StartDraining() { s.draining.Store(true) }
 
 // closeWhenDraining asks the caller to close its connection while this instance
-// is draining.
+// is draining. It is called when an answer begins.
 func (s *server) closeWhenDraining(c *gin.Context) {
 	if s.draining.Load() {
 		c.Header("Connection", "close")
@@ -187,7 +196,11 @@
 }
 
 // Shutdown stops accepting connections and waits for the requests in flight.
-func (s *server) Shutdown(ctx context.Context) error { return s.http.Shutdown(ctx) }
+func (s *server) Shutdown(ctx context.Context) error { return s.drain.Shutdown(ctx, errShutdown) }
+
+// errShutdown is the cause of the cancellation of requests by Shutdown. They may have
+// run.
+var errShutdown = fault.New(fault.OutcomeUnknown, "the instance shuts down")
 
 // InFlight returns how many requests are being answered.
 func (s *server) InFlight() int64 { return s.inFlight.Load() }
@@ -197,6 +210,7 @@
 		s.refuse(c, &exchange{arrived: s.Clock.Now()}, err)
 		return
 	}
+	s.closeWhenDraining(c)
 	c.JSON(http.StatusOK, callerapi.Health{Ready: true, Leaving: s.draining.Load()})
 }
 
--- a/router/caller/stream.go
+++ b/router/caller/stream.go
@@ -80,6 +80,7 @@
 		return
 	}
 	w.started = true
+	w.closeWhenDraining(w.c)
 	w.c.Header("Content-Type", "text/event-stream")
 	w.c.Header("Cache-Control", "no-store")
 	w.c.Status(http.StatusOK)
--- a/platform/callers/connection.go
+++ b/router/drain/connection.go
@@ -1,4 +1,4 @@
-package callers
+package drain
 
 import (
 	"context"
@@ -22,7 +22,7 @@
 	unanswered atomic.Int64
 
 	mu   sync.Mutex
-	open map[*connection]struct{}
+	open map[*Connection]struct{}
 	// draining is set once idle connections are closed. none is closed when no
 	// connection is open after that.
 	draining bool
@@ -30,7 +30,7 @@
 }
 
 func newConnections(log hclog.Logger) *connections {
-	return &connections{log: log, open: make(map[*connection]struct{}), none: make(chan struct{})}
+	return &connections{log: log, open: make(map[*Connection]struct{}), none: make(chan struct{})}
 }
 
 // drain closes the idle connections, and the others when they become idle. The
@@ -63,7 +63,7 @@
 
 // stateChanged is the hook of http.Server for the states of its connections.
 func (s *connections) stateChanged(nc net.Conn, state http.ConnState) {
-	c, ok := nc.(*connection)
+	c, ok := nc.(*Connection)
 	if !ok {
 		return
 	}
@@ -76,15 +76,15 @@
 	}
 }
 
-func (s *connections) add(nc net.Conn) *connection {
-	c := &connection{Conn: nc}
+func (s *connections) add(nc net.Conn) *Connection {
+	c := &Connection{Conn: nc}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[c] = struct{}{}
 	return c
 }
 
-func (s *connections) remove(c *connection) {
+func (s *connections) remove(c *Connection) {
 	s.mu.Lock()
 	delete(s.open, c)
 	if s.draining && len(s.open) == 0 {
@@ -130,9 +130,9 @@
 	return context.WithValue(ctx, connectionKey{}, nc)
 }
 
-// connectionOf returns the connection of a request, or nil if it isn't tracked.
-func connectionOf(ctx context.Context) *connection {
-	c, _ := ctx.Value(connectionKey{}).(*connection)
+// ConnectionOf returns the connection of a request, or nil if it isn't tracked.
+func ConnectionOf(ctx context.Context) *Connection {
+	c, _ := ctx.Value(connectionKey{}).(*Connection)
 	return c
 }
 
@@ -150,8 +150,9 @@
 	read, written int
 }
 
-// connection is a connection of a caller that tracks its current request.
-type connection struct {
+// Connection is a connection of a caller that tracks its current request. Handlers
+// record how far the request is. A nil Connection ignores that.
+type Connection struct {
 	net.Conn
 
 	mu sync.Mutex
@@ -180,7 +181,7 @@
 
 // Read ends an idle connection only between two reads, so that no byte of a request
 // is read from a connection that is then closed.
-func (c *connection) Read(p []byte) (int, error) {
+func (c *Connection) Read(p []byte) (int, error) {
 	for {
 		if c.endsIdle() {
 			return 0, io.EOF
@@ -193,7 +194,7 @@
 	}
 }
 
-func (c *connection) endsIdle() bool {
+func (c *Connection) endsIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.idle && c.closing
@@ -201,7 +202,7 @@
 
 // resumeInterrupted reports whether a read without data ended because it was
 // interrupted, and restores the deadline.
-func (c *connection) resumeInterrupted(err error) bool {
+func (c *Connection) resumeInterrupted(err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.interrupted || !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -212,7 +213,7 @@
 }
 
 // restoreDeadline ends an interruption. The caller holds mu.
-func (c *connection) restoreDeadline() {
+func (c *Connection) restoreDeadline() {
 	if c.interrupted {
 		c.interrupted = false
 		_ = c.Conn.SetReadDeadline(c.readDeadline)
@@ -220,7 +221,7 @@
 }
 
 // SetReadDeadline sets the deadline, once an interruption has ended.
-func (c *connection) SetReadDeadline(t time.Time) error {
+func (c *Connection) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
@@ -231,7 +232,7 @@
 }
 
 // closeWhenIdle makes reading end as soon as the connection is idle.
-func (c *connection) closeWhenIdle() {
+func (c *Connection) closeWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
@@ -242,7 +243,7 @@
 }
 
 // interruptRead makes reading the current request fail with a timeout.
-func (c *connection) interruptRead() {
+func (c *Connection) interruptRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.requestRead {
@@ -253,7 +254,7 @@
 // pastDeadline is a deadline that has passed.
 var pastDeadline = time.Unix(1, 0)
 
-func (c *connection) recordRead(n int, err error) {
+func (c *Connection) recordRead(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -271,7 +272,7 @@
 	}
 }
 
-func (c *connection) Write(p []byte) (int, error) {
+func (c *Connection) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -282,7 +283,7 @@
 
 // recordFailure records which side made reading or writing fail. The caller holds
 // mu.
-func (c *connection) recordFailure(err error) {
+func (c *Connection) recordFailure(err error) {
 	switch {
 	case err == nil || errors.Is(err, net.ErrClosed) || c.failedBy != "":
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -294,15 +295,15 @@
 
 // CloseWrite closes the sending side, if the connection has sides. net/http uses it
 // for answers to requests that it doesn't read to their end.
-func (c *connection) CloseWrite() error {
+func (c *Connection) CloseWrite() error {
 	if nc, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return nc.CloseWrite()
 	}
 	return nil
 }
 
-// handle records that a handler has the current request.
-func (c *connection) handle(request string) {
+// Handle records that a handler has the current request, by its identifier.
+func (c *Connection) Handle(request string) {
 	if c == nil {
 		return
 	}
@@ -311,8 +312,8 @@
 	c.handled, c.request = true, request
 }
 
-// endRequest records that the current request was read to its end.
-func (c *connection) endRequest() {
+// EndRequest records that the current request was read to its end.
+func (c *Connection) EndRequest() {
 	if c == nil {
 		return
 	}
@@ -321,8 +322,8 @@
 	c.requestRead = true
 }
 
-// answer records that the current request has its answer.
-func (c *connection) answer() {
+// Answer records that the current request has its answer.
+func (c *Connection) Answer() {
 	if c == nil {
 		return
 	}
@@ -332,7 +333,7 @@
 }
 
 // becomeIdle records that the connection is kept for the next request.
-func (c *connection) becomeIdle() {
+func (c *Connection) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = c.nextRead == 0
@@ -342,7 +343,7 @@
 
 // unansweredEnd describes the end of a connection on which a request, or a part of
 // one, has no complete answer.
-func (c *connection) unansweredEnd() (connectionEnd, bool) {
+func (c *Connection) unansweredEnd() (connectionEnd, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// Without a handler, what was written is an answer of net/http.
--- /dev/null
+++ b/router/drain/drain.go
@@ -0,0 +1,119 @@
+// Package drain shuts HTTP servers down without dropping requests that were read in
+// part, as http.Server.Shutdown does.
+package drain
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// lastAnswersTime is the part of the time for a shutdown that is reserved for the
+// answers of cancelled calls.
+const lastAnswersTime = 200 * time.Millisecond
+
+// Server is an http.Server with a graceful shutdown.
+type Server struct {
+	http  *http.Server
+	log   hclog.Logger
+	conns *connections
+	// cancelCalls ends the context of all calls.
+	cancelCalls context.CancelCauseFunc
+
+	mu       sync.Mutex
+	shutdown bool
+	// listeners has the listeners that are served; the value is closed when that ends.
+	listeners map[net.Listener]chan struct{}
+}
+
+// Stats describes the connections of a server.
+type Stats struct {
+	// Open is the number of open connections.
+	Open int
+	// Unanswered counts the connections that the server closed although a request on
+	// them had no complete answer.
+	Unanswered int64
+}
+
+// NewServer returns a server for h, whose ConnState, ConnContext and BaseContext it
+// sets. Nothing else may serve or shut down h.
+func NewServer(h *http.Server, log hclog.Logger) *Server {
+	s := &Server{http: h, log: log, conns: newConnections(log), listeners: make(map[net.Listener]chan struct{})}
+	ctx, cancel := context.WithCancelCause(context.Background())
+	s.cancelCalls = cancel
+	h.ConnState, h.ConnContext = s.conns.stateChanged, withConnection
+	h.BaseContext = func(net.Listener) context.Context { return ctx }
+	return s
+}
+
+// Serve accepts connections from l until Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	ended := make(chan struct{})
+	defer close(ended)
+	s.mu.Lock()
+	s.listeners[l] = ended
+	if s.shutdown {
+		_ = l.Close()
+	}
+	s.mu.Unlock()
+	if err := s.http.Serve(&trackingListener{Listener: l, conns: s.conns}); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+// Shutdown stops accepting connections, closes those that are idle, and waits for the
+// calls in flight, also for those that are read in part only. Shortly before the
+// deadline of ctx it cancels them with a cause, so that they get an answer. Handlers
+// should ask callers to close their connections by then.
+func (s *Server) Shutdown(ctx context.Context, cause error) error {
+	s.stopAccepting()
+	drained := s.conns.drain()
+	calls := ctx
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		calls, cancel = context.WithDeadline(ctx, deadline.Add(-lastAnswersTime))
+		defer cancel()
+	}
+	select {
+	case <-drained:
+	case <-calls.Done():
+		s.log.Warn("calls cancelled by the shutdown", "connections", s.conns.count())
+		s.cancelCalls(cause)
+		s.conns.interruptReads()
+		select {
+		case <-drained:
+		case <-ctx.Done():
+		}
+	}
+	select {
+	case <-drained:
+		return s.http.Close()
+	default:
+		return errors.Join(ctx.Err(), s.http.Close())
+	}
+}
+
+// stopAccepting closes the listeners and waits until no connection is accepted any
+// more.
+func (s *Server) stopAccepting() {
+	s.mu.Lock()
+	s.shutdown = true
+	listeners := maps.Clone(s.listeners)
+	s.mu.Unlock()
+	for l, ended := range listeners {
+		_ = l.Close()
+		<-ended
+	}
+}
+
+// Stats returns the state and the counters of the connections.
+func (s *Server) Stats() Stats {
+	return Stats{Open: s.conns.count(), Unanswered: s.conns.unanswered.Load()}
+}
--- a/router/entry/constructors.go
+++ b/router/entry/constructors.go
@@ -233,6 +233,7 @@
 	Journal     journal.Writer
 	Metrics     telemetry.Metrics
 	Identifiers identifiers
+	Log         hclog.Logger
 }
 
 func newCallers(in callersIn) caller.Server {
@@ -246,5 +247,6 @@
 		Journal:     in.Journal,
 		Meter:       callerMeter{metrics: in.Metrics, zone: in.Settings.Zone},
 		Identifiers: in.Identifiers,
+		Log:         in.Log.Named("callers"),
 	})
 }
