Have new owners remember the quarantines that they have seen in force

When a quarantine ends after ten minutes, one more crash renews it, as long as an owner remembers it. Only the owners that had decided it did. If both were replaced meanwhile, as in a rollout, three more crashes were needed, with the calls that reach engines until then.

Ruled out: that an owner learns of it otherwise. Crashes count for two minutes.

Each instance now remembers what it reads, except what answers have refuted, and what is withdrawn before its end.

Before: TestNewOwnerRemembersQuarantineInForce: <nil> != [][]string([[dead]])

--- a/router/quarantine/detector.go
+++ b/router/quarantine/detector.go
@@ -23,6 +23,8 @@
 	// rememberedFor is how long parts that were quarantined need only one more crash
 	// to be quarantined again.
 	rememberedFor = time.Hour
+	// endTolerance is how far before its computed end a quarantine may end by itself.
+	endTolerance = 10 * time.Second
 	// maxCrashes, maxCalls and maxCallParts bound the evidence: the crashes, the calls
 	// of each crash and the parts of each call. maxAllCalls bounds the calls of all
 	// crashes, of which the oldest yield. maxRemembered bounds the quarantines that are
@@ -59,8 +61,8 @@
 type Detector struct {
 	// crashes is in the order of their times.
 	crashes []*crash
-	// remembered has the quarantines that this detector decided, with the times until
-	// which they are remembered.
+	// remembered has the quarantines that this detector decided or has seen in force,
+	// with the times until which they are remembered.
 	remembered map[string]memory
 	// answered has the times of the answers that cleared parts, so that reports that
 	// are repeated later don't count again.
@@ -82,6 +84,8 @@
 type memory struct {
 	quarantine inventory.Quarantine
 	until      time.Time
+	// inForceUntil is when a quarantine that another detector decided ends by itself.
+	inForceUntil time.Time
 }
 
 // NewDetector returns a detector without evidence.
@@ -220,8 +224,11 @@
 		if d.refutes(due, left, q) {
 			refuted = append(refuted, q.ID)
 			delete(d.remembered, q.ID)
+		} else if !d.hasAnswered(q) {
+			d.remember(q, now)
 		}
 	}
+	d.forgetWithdrawn(known, now)
 	all := slices.Clone(known)
 	for _, m := range d.remembered {
 		all = append(all, m.quarantine)
@@ -250,11 +257,37 @@
 	return !slices.ContainsFunc(due, same) && independent(with(d.crashes)) >= minCrashes && len(with(left)) == 0
 }
 
-// remember keeps a quarantine that was decided.
+// hasAnswered reports whether a part of a quarantine had an answer lately.
+func (d *Detector) hasAnswered(q inventory.Quarantine) bool {
+	return slices.ContainsFunc(q.Parts, func(p string) bool {
+		_, ok := d.answered[partKey{q.Service, p}]
+		return ok
+	})
+}
+
+// remember keeps a quarantine that was decided or is in force.
 func (d *Detector) remember(q inventory.Quarantine, now time.Time) {
-	if _, ok := d.remembered[q.ID]; ok || len(d.remembered) < maxRemembered {
-		d.remembered[q.ID] = memory{quarantine: q, until: now.Add(rememberedFor)}
+	m, ok := d.remembered[q.ID]
+	if !ok && len(d.remembered) >= maxRemembered {
+		return
 	}
+	switch {
+	case q.SeenAt.IsZero():
+		m.inForceUntil = time.Time{}
+	case !ok || !m.inForceUntil.IsZero():
+		m.inForceUntil = q.SeenAt.Add(Life)
+	}
+	m.quarantine, m.until = q, now.Add(rememberedFor)
+	d.remembered[q.ID] = m
+}
+
+// forgetWithdrawn drops the quarantines that other detectors decided and that are no
+// longer in force although they haven't ended by themselves.
+func (d *Detector) forgetWithdrawn(known []inventory.Quarantine, now time.Time) {
+	maps.DeleteFunc(d.remembered, func(id string, m memory) bool {
+		inForce := slices.ContainsFunc(known, func(q inventory.Quarantine) bool { return q.ID == id })
+		return !inForce && now.Before(m.inForceUntil.Add(-endTolerance))
+	})
 }
 
 // strongest returns the quarantine of the part that was at most crashes. If several
--- a/router/quarantine/detector_test.go
+++ b/router/quarantine/detector_test.go
@@ -175,6 +175,32 @@
 	is.Equal(decided(d, at(8000)), nil)
 }
 
+// TestNewOwnerRemembersQuarantineInForce has the detector that decided lost before the
+// quarantine ends.
+func TestNewOwnerRemembersQuarantineInForce(t *testing.T) {
+	is := is.New(t)
+	d := quarantine.NewDetector()
+	known := quarantine.New("s", []string{"dead"}, time.Second)
+	known.SeenAt = at(0)
+	is.Equal(decided(d, at(0), known), nil)
+	is.Equal(decided(d, at(600)), nil)
+	d.Report("a", suspect("r1", "x", "dead", "shared"), at(700))
+	is.Equal(decided(d, at(700)), [][]string{{"dead"}})
+	// One that an answer has refuted isn't remembered, even while it is still read.
+	d = quarantine.NewDetector()
+	is.Equal(decided(d, at(0), known), nil)
+	d.Answered("s", []string{"dead"}, at(1))
+	is.Equal(decided(d, at(2), known), nil)
+	d.Report("a", suspect("r1", "x", "dead"), at(700))
+	is.Equal(decided(d, at(700)), nil)
+	// Nor is one that another owner has withdrawn.
+	d = quarantine.NewDetector()
+	is.Equal(decided(d, at(0), known), nil)
+	is.Equal(decided(d, at(60)), nil)
+	d.Report("a", suspect("r1", "x", "dead"), at(700))
+	is.Equal(decided(d, at(700)), nil)
+}
+
 func TestRepeatedReportsCountOnceAndNotAfterAnAnswer(t *testing.T) {
 	is := is.New(t)
 	d := quarantine.NewDetector()
