Tell runners that crash from those that reset connections

Callers with a rare sound part were refused for ten minutes although no prompt crashed anything: three runners that reset a part of their connections, as faulty ones do, were three crashes for each part that had had no answer since. If only one caller uses a part, nothing answers it any more, and nothing withdraws the quarantine.

Ruled out: later answers of the same runner as the sign. It is in backoff for seconds, in which the quarantine is written.

The instance that reports a suspect first opens a connection to the runner, which it keeps for the next call. If the runner accepts it, the parts of the suspect need five crashes, as those that had answers before. A runner that crashes but whose port is still open is therefore found, too, within the bound.

--- a/router/link/exchange_test.go
+++ b/router/link/exchange_test.go
@@ -354,6 +354,19 @@
 	is.Equal(s.connCount, 3)
 }
 
+func TestAcceptedConnectionIsKeptForTheNextExchange(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok\x00")
+	pool := link.NewPool()
+	is.True(pool.Accepts(t.Context(), s.address))
+	is.Equal(describeExchange(t, pool, s.address), "1 OK ok, framed yes")
+	is.Equal(pool.DialCount(), int64(1))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	is.True(!pool.Accepts(t.Context(), l.Addr().String()))
+}
+
 func TestCancelledExchangeKeepsIdleConnections(t *testing.T) {
 	is := is.New(t)
 	const answer = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok\x00"
--- a/router/link/pool.go
+++ b/router/link/pool.go
@@ -18,6 +18,9 @@
 	// closes. Errors are *Error. The context bounds the whole exchange,
 	// including the reading of the body.
 	Exchange(ctx context.Context, address string, req *Request) (*Response, error)
+	// Accepts reports whether an address accepts a connection, which is kept for the
+	// next exchange.
+	Accepts(ctx context.Context, address string) bool
 	// CloseIdle closes the idle connections to an address.
 	CloseIdle(address string)
 	// CloseExpired closes the connections that exceeded their idle timeout.
@@ -147,6 +150,15 @@
 	p.idle[address] = list
 }
 
+func (p *pool) Accepts(ctx context.Context, address string) bool {
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return false
+	}
+	p.putIdle(c)
+	return true
+}
+
 func (p *pool) CloseIdle(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/router/quarantine/detector.go
+++ b/router/quarantine/detector.go
@@ -11,7 +11,7 @@
 
 const (
 	// minCrashes is the number of crashes after which a part is quarantined, and
-	// minCrashesProven that for a part that had answers before.
+	// minCrashesProven that for a part that is proven at one of them.
 	minCrashes       = 3
 	minCrashesProven = 5
 	// relatedCrashes is the time within which crashes in one zone, or seen by the same
@@ -48,7 +48,8 @@
 	Born   int64  `json:"born"`
 	Zone   string `json:"zone"`
 	// Parts are the shared parts of the call's prompt. Proven are those of them that
-	// the reporting instance has seen an answer for before.
+	// the reporting instance has seen an answer for before, or all if the runner still
+	// accepts connections.
 	Parts  []string `json:"parts"`
 	Proven []string `json:"proven,omitempty"`
 	// AgeMillis is the time since the crash.
@@ -76,7 +77,7 @@
 	at                    time.Time
 	// reporters has the instances that saw the crash.
 	reporters []string
-	// calls has the parts of each suspect, and proven those that had answers before.
+	// calls has the parts of each suspect, and proven those that are proven in one.
 	calls  [][]string
 	proven []string
 }
@@ -323,7 +324,7 @@
 	crashes       []*crash
 	// calls counts the suspects with the part.
 	calls int
-	// proven is set if the part had an answer before one of the crashes.
+	// proven is set if the part is proven at one of the crashes.
 	proven bool
 	// quarantine would refuse the calls with the part.
 	quarantine inventory.Quarantine
--- a/router/quarantine/guard.go
+++ b/router/quarantine/guard.go
@@ -49,6 +49,8 @@
 	storeTimeout = 500 * time.Millisecond
 	firstBackoff = 100 * time.Millisecond
 	lastBackoff  = time.Second
+	// probeTimeout bounds the check of a runner that may have crashed.
+	probeTimeout = 200 * time.Millisecond
 	// readDelay is the time after which a write to the store is in the snapshot. It is
 	// repeated otherwise.
 	readDelay = 2 * time.Second
@@ -62,6 +64,19 @@
 	Remove(ctx context.Context, id string) error
 }
 
+// Prober checks runners whose connections broke.
+type Prober interface {
+	// Accepts reports whether a runner accepts connections.
+	Accepts(ctx context.Context, r *inventory.Runner) bool
+}
+
+// Option changes a default of NewGuard.
+type Option func(*guard)
+
+// WithProber has the guard tell runners that crashed from those that only broke a
+// connection. Without it all count as crashed.
+func WithProber(p Prober) Option { return func(g *guard) { g.prober = p } }
+
 // Guard refuses calls by the quarantines in force, and collects the evidence for
 // new ones.
 type Guard interface {
@@ -77,12 +92,15 @@
 }
 
 // NewGuard returns the guard of an instance.
-func NewGuard(clk clock.Clock, self string, current *inventory.Current, owners owner.Finder, mesh instance.Mesh, store Store, log hclog.Logger) Guard {
+func NewGuard(clk clock.Clock, self string, current *inventory.Current, owners owner.Finder, mesh instance.Mesh, store Store, log hclog.Logger, opts ...Option) Guard {
 	g := &guard{
 		clk: clk, self: self, current: current, owners: owners, mesh: mesh, store: store, log: log, answers: newAnswers(),
 		detector: NewDetector(), written: make(map[string]time.Time), withdrawn: make(map[string]inventory.Quarantine),
 		answered: make(map[partKey]struct{}), reported: make(map[partKey]time.Time), removed: make(map[string]time.Time), toSend: make(chan struct{}, 1), toDecide: make(chan struct{}, 1),
 	}
+	for _, opt := range opts {
+		opt(g)
+	}
 	g.rules.Store(&rules{})
 	mesh.Handle(methodReport, g.serveReport)
 	current.Subscribe(g.update)
@@ -99,6 +117,7 @@
 	owners  owner.Finder
 	mesh    instance.Mesh
 	store   Store
+	prober  Prober // may be nil
 	log     hclog.Logger
 	rules   atomic.Pointer[rules]
 	answers *answers
@@ -124,10 +143,11 @@
 	removed   map[string]time.Time
 }
 
-// seenSuspect is a suspect with the time of the crash.
+// seenSuspect is a suspect with its runner and the time of the crash.
 type seenSuspect struct {
 	Suspect
-	at time.Time
+	runner *inventory.Runner
+	at     time.Time
 }
 
 // report is what an instance has observed.
@@ -215,7 +235,7 @@
 	g.outbox.Lock()
 	if len(g.suspects) < maxReported {
 		s := Suspect{Service: r.Service, Runner: r.ID, Born: r.Born, Zone: r.Zone, Parts: parts, Proven: proven}
-		g.suspects = append(g.suspects, seenSuspect{Suspect: s, at: g.clk.Now()})
+		g.suspects = append(g.suspects, seenSuspect{Suspect: s, runner: r, at: g.clk.Now()})
 	}
 	g.outbox.Unlock()
 	wake(g.toSend)
@@ -262,14 +282,43 @@
 			return
 		case <-g.toSend:
 		}
-		g.deliver(ctx, g.takeReport())
+		g.deliver(ctx, g.takeReport(g.acceptingRunners(ctx)))
 		_ = g.clk.Sleep(ctx, reportInterval)
 	}
 }
 
+// acceptingRunners returns the identifiers of the runners of new suspects that accept
+// connections, and so may not have crashed.
+func (g *guard) acceptingRunners(ctx context.Context) map[string]bool {
+	if g.prober == nil {
+		return nil
+	}
+	g.outbox.Lock()
+	runners := make(map[string]*inventory.Runner)
+	for _, s := range g.suspects {
+		runners[s.Runner] = s.runner
+	}
+	g.outbox.Unlock()
+	accepting := make(map[string]bool)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	for id, r := range runners {
+		group.Go(func() {
+			ok := g.prober.Accepts(ctx, r)
+			mu.Lock()
+			defer mu.Unlock()
+			accepting[id] = ok
+		})
+	}
+	group.Wait()
+	return accepting
+}
+
 // takeReport returns what is to be reported, and earlier suspects if there are new
-// ones.
-func (g *guard) takeReport() report {
+// ones. The parts of suspects at runners that accept connections count as proven.
+func (g *guard) takeReport(accepting map[string]bool) report {
 	now := g.clk.Now()
 	g.outbox.Lock()
 	defer g.outbox.Unlock()
@@ -281,6 +330,11 @@
 	if len(g.suspects) == 0 {
 		return r
 	}
+	for i, s := range g.suspects {
+		if accepting[s.Runner] {
+			g.suspects[i].Proven = s.Parts
+		}
+	}
 	for _, s := range slices.Concat(g.sent, g.suspects) {
 		answered := g.answers.since(s.Service, s.Parts, s.at)
 		s.Parts = slices.DeleteFunc(slices.Clone(s.Parts), func(p string) bool { return slices.Contains(answered, p) })
--- a/router/quarantine/guard_test.go
+++ b/router/quarantine/guard_test.go
@@ -39,6 +39,8 @@
 	items    map[string]*inventory.Quarantine
 	revision int64
 	puts     int
+	// accepting has all runners accept connections.
+	accepting bool
 	// failing is the number of writes that get no answer, although every second one
 	// is made.
 	failing int
@@ -72,12 +74,20 @@
 	current := inventory.NewCurrent(clock.System())
 	ctx, cancel := context.WithCancel(f.t.Context())
 	f.currents[name], f.cancels[name] = current, cancel
-	guard := quarantine.NewGuard(clock.System(), name, current, owner.NewFinder(clock.System(), current), mesh{f, name}, f, hclog.NewNullLogger())
+	guard := quarantine.NewGuard(clock.System(), name, current, owner.NewFinder(clock.System(), current), mesh{f, name}, f, hclog.NewNullLogger(), quarantine.WithProber(f))
 	f.guards[name] = guard
 	f.publish(name)
 	f.group.Go(func() { _ = guard.Run(ctx) })
 }
 
+func (f *fleet) Accepts(ctx context.Context, _ *inventory.Runner) bool {
+	if f.accepting {
+		return true
+	}
+	<-ctx.Done()
+	return false
+}
+
 func (f *fleet) kill(name string) {
 	f.mu.Lock()
 	f.lost[name] = true
@@ -285,6 +295,25 @@
 	})
 }
 
+// TestBrokenConnectionsOfRunnersThatAcceptOthersCountLess has three runners reset the
+// connections of a rare sound part.
+func TestBrokenConnectionsOfRunnersThatAcceptOthersCountLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 5)
+		defer f.stop()
+		f.accepting = true
+		p := prompt("rare", "own")
+		for n := range 5 {
+			is.Equal(f.stored(), nil)
+			f.guards["i0"].Crashed(engine(fmt.Sprint("r", n), "x"), p)
+			pass(time.Second)
+		}
+		pass(readLag)
+		is.Equal(f.blocked(p), 5) // a runner that has crashed may accept connections, too
+	})
+}
+
 func TestZoneOutageReportsStayFewAndQuarantineNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
