Answer cancelled calls also when the time for a shutdown is over

Callers would get a closed connection instead of an answer if the shutdown of the server began when its time was over: it cancelled the calls and closed their connections at once. That is so where the grace period isn't longer than the lag of the load balancer, 2.5 s, and the margin of 0.5 s.

Ruled out: that a deregistration that isn't answered uses up the grace period. It has a timeout of its own.

Before: TestCallsAreAnsweredThoughTheTimeForShutdownIsOver: unexpected EOF

--- a/router/drain/drain.go
+++ b/router/drain/drain.go
@@ -70,8 +70,8 @@
 
 // Shutdown stops accepting connections, closes those that are idle, and waits for the
 // calls in flight, also for those that are read in part only. Shortly before the
-// deadline of ctx it cancels them with a cause, so that they get an answer. Handlers
-// should ask callers to close their connections by then.
+// deadline of ctx, or when ctx ends, it cancels them with a cause and waits for their
+// answers. Handlers should ask callers to close their connections by then.
 func (s *Server) Shutdown(ctx context.Context, cause error) error {
 	s.stopAccepting()
 	drained := s.conns.drain()
@@ -83,20 +83,19 @@
 	}
 	select {
 	case <-drained:
+		return s.http.Close()
 	case <-calls.Done():
-		s.log.Warn("calls cancelled by the shutdown", "connections", s.conns.count())
-		s.cancelCalls(cause)
-		s.conns.interruptReads()
-		select {
-		case <-drained:
-		case <-ctx.Done():
-		}
 	}
+	s.log.Warn("calls cancelled by the shutdown", "connections", s.conns.count())
+	s.cancelCalls(cause)
+	s.conns.interruptReads()
+	answers, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastAnswersTime)
+	defer cancel()
 	select {
 	case <-drained:
 		return s.http.Close()
-	default:
-		return errors.Join(ctx.Err(), s.http.Close())
+	case <-answers.Done():
+		return errors.Join(answers.Err(), s.http.Close())
 	}
 }
 
