Don't let an owner with fewer crashes withdraw a quarantine of another

Calls with a deadly part reached engines again for half a second and more after the part was in quarantine. An owner that only knew crashes at which two parts were together decided for both, took the quarantine of the one part that another owner had told from the other as explained by its own, and withdrew it; the two owners went on undoing each other's writes. Owners know different crashes once others were replaced.

Ruled out: lost reports. The owners that withdrew it had taken over after the crashes that told the parts apart.

A quarantine that refuses all calls that one that is due would refuse isn't withdrawn for it, and the one that is due isn't written. Answers withdraw it as before.

--- a/router/quarantine/detector.go
+++ b/router/quarantine/detector.go
@@ -221,15 +221,7 @@
 	for found := strongest(left, now); len(found) > 0 && len(due) < maxDecided; found = strongest(left, now) {
 		explain(found)
 	}
-	for _, q := range known {
-		if d.refutes(due, left, q) {
-			refuted = append(refuted, q.ID)
-			delete(d.remembered, q.ID)
-		} else if !d.hasAnswered(q) {
-			d.remember(q, now)
-		}
-	}
-	d.forgetWithdrawn(known, now)
+	refuted = d.review(known, due, left, now)
 	all := slices.Clone(known)
 	for _, m := range d.remembered {
 		all = append(all, m.quarantine)
@@ -242,20 +234,51 @@
 			explain([]inventory.Quarantine{New(left[i].service, q.Parts, now.Sub(left[i].at))})
 		}
 	}
+	due = withoutCovered(due, known, refuted)
 	for _, q := range due {
 		d.remember(q, now)
 	}
 	return due, refuted
 }
 
+// review returns the identifiers of the known quarantines that are refuted, and
+// remembers the others.
+func (d *Detector) review(known, due []inventory.Quarantine, left []*crash, now time.Time) (refuted []string) {
+	for _, q := range known {
+		if d.refutes(due, left, q) {
+			refuted = append(refuted, q.ID)
+			delete(d.remembered, q.ID)
+		} else if !d.hasAnswered(q) {
+			d.remember(q, now)
+		}
+	}
+	d.forgetWithdrawn(known, now)
+	return refuted
+}
+
+// withoutCovered returns the quarantines that no known one covers that isn't refuted.
+func withoutCovered(due, known []inventory.Quarantine, refuted []string) []inventory.Quarantine {
+	return slices.DeleteFunc(due, func(q inventory.Quarantine) bool {
+		return slices.ContainsFunc(known, func(k inventory.Quarantine) bool {
+			return k.ID != q.ID && covers(k, q) && !slices.Contains(refuted, k.ID)
+		})
+	})
+}
+
+// covers reports whether a quarantine refuses all calls that another one refuses.
+func covers(q, other inventory.Quarantine) bool {
+	return q.Service == other.Service && containsAll(other.Parts, q.Parts)
+}
+
 // refutes reports whether the crashes of a known quarantine, enough to have caused
-// it, are all explained by those that are due.
+// it, are all explained by those that are due. One that covers another that is due may
+// be based on crashes that this detector doesn't know.
 func (d *Detector) refutes(due []inventory.Quarantine, left []*crash, q inventory.Quarantine) bool {
 	with := func(crashes []*crash) []*crash {
 		return slices.DeleteFunc(slices.Clone(crashes), func(c *crash) bool { return c.service != q.Service || !c.has(q.Parts) })
 	}
-	same := func(other inventory.Quarantine) bool { return other.ID == q.ID }
-	return !slices.ContainsFunc(due, same) && independent(with(d.crashes)) >= minCrashes && len(with(left)) == 0
+	covered := func(other inventory.Quarantine) bool { return covers(q, other) }
+	return !slices.ContainsFunc(due, covered) && independent(with(d.crashes)) >= minCrashes && len(with(left)) == 0
 }
 
 // hasAnswered reports whether a part of a quarantine had an answer lately.
--- a/router/quarantine/detector_test.go
+++ b/router/quarantine/detector_test.go
@@ -157,6 +157,26 @@
 	is.Equal(refuted, nil)
 }
 
+// TestOwnerWithFewerCrashesKeepsQuarantineOfAnother has an owner that only knows the
+// crashes at which two parts were together, while another has told them apart.
+func TestOwnerWithFewerCrashesKeepsQuarantineOfAnother(t *testing.T) {
+	is := is.New(t)
+	d := quarantine.NewDetector()
+	for n := range 3 {
+		d.Report("a", suspect(fmt.Sprint("r", n), "x", "other", "dead"), at(float64(n)))
+	}
+	narrow, broad := quarantine.New("s", []string{"dead"}, time.Second), quarantine.New("s", []string{"dead", "other"}, time.Second)
+	due, refuted := d.Decide([]inventory.Quarantine{narrow}, at(2))
+	is.Equal(refuted, nil)
+	is.Equal(len(due), 0) // the one in force refuses the same calls, and more
+	due, refuted = d.Decide([]inventory.Quarantine{narrow, broad}, at(2))
+	is.Equal(refuted, nil)
+	is.Equal(len(due), 0)
+	elsewhere := quarantine.New("t", []string{"dead"}, time.Second)
+	due, _ = d.Decide([]inventory.Quarantine{elsewhere}, at(2))
+	is.Equal(len(due), 1)
+}
+
 func TestEvidenceIsForgottenAndQuarantineRemembered(t *testing.T) {
 	is := is.New(t)
 	d := quarantine.NewDetector()
