--- a/router/quarantine/detector.go
+++ b/router/quarantine/detector.go
@@ -11,7 +11,7 @@
 
 const (
 	// minCrashes is the number of crashes after which a part is quarantined, and
-	// minCrashesProven that for a part that had answers before.
+	// minCrashesProven that for a part that is proven at one of them.
 	minCrashes       = 3
 	minCrashesProven = 5
 	// relatedCrashes is the time within which crashes in one zone, or seen by the same
@@ -23,11 +23,15 @@
 	// rememberedFor is how long parts that were quarantined need only one more crash
 	// to be quarantined again.
 	rememberedFor = time.Hour
+	// endTolerance is how far before its computed end a quarantine may end by itself.
+	endTolerance = 10 * time.Second
 	// maxCrashes, maxCalls and maxCallParts bound the evidence: the crashes, the calls
-	// of each crash and the parts of each call. maxRemembered bounds the quarantines
-	// that are remembered, maxAnswered the parts that were cleared.
+	// of each crash and the parts of each call. maxAllCalls bounds the calls of all
+	// crashes, of which the oldest yield. maxRemembered bounds the quarantines that are
+	// remembered, maxAnswered the parts that were cleared.
 	maxCrashes    = 256
-	maxCalls      = 16
+	maxCalls      = 64
+	maxAllCalls   = 4096
 	maxCallParts  = 32
 	maxRemembered = 256
 	maxAnswered   = 1024
@@ -44,7 +48,8 @@
 	Born   int64  `json:"born"`
 	Zone   string `json:"zone"`
 	// Parts are the shared parts of the call's prompt. Proven are those of them that
-	// the reporting instance has seen an answer for before.
+	// the reporting instance has seen an answer for before, or all if the runner still
+	// accepts connections.
 	Parts  []string `json:"parts"`
 	Proven []string `json:"proven,omitempty"`
 	// AgeMillis is the time since the crash.
@@ -57,8 +62,8 @@
 type Detector struct {
 	// crashes is in the order of their times.
 	crashes []*crash
-	// remembered has the quarantines that this detector decided, with the times until
-	// which they are remembered.
+	// remembered has the quarantines that this detector decided or has seen in force,
+	// with the times until which they are remembered.
 	remembered map[string]memory
 	// answered has the times of the answers that cleared parts, so that reports that
 	// are repeated later don't count again.
@@ -72,7 +77,7 @@
 	at                    time.Time
 	// reporters has the instances that saw the crash.
 	reporters []string
-	// calls has the parts of each suspect, and proven those that had answers before.
+	// calls has the parts of each suspect, and proven those that are proven in one.
 	calls  [][]string
 	proven []string
 }
@@ -80,6 +85,8 @@
 type memory struct {
 	quarantine inventory.Quarantine
 	until      time.Time
+	// inForceUntil is when a quarantine that another detector decided ends by itself.
+	inForceUntil time.Time
 }
 
 // NewDetector returns a detector without evidence.
@@ -101,7 +108,20 @@
 	if len(parts) == 0 {
 		return false
 	}
-	return d.crashOf(s, at).add(reporter, parts, s.Proven)
+	isNew := d.crashOf(s, at).add(reporter, parts, s.Proven)
+	for d.callCount() > maxAllCalls {
+		d.crashes = slices.Delete(d.crashes, 0, 1)
+	}
+	return isNew
+}
+
+// callCount returns the number of calls in the evidence.
+func (d *Detector) callCount() int {
+	n := 0
+	for _, c := range d.crashes {
+		n += len(c.calls)
+	}
+	return n
 }
 
 // crashOf returns the crash of a suspect's runner, which is new if the suspect is
@@ -203,12 +223,7 @@
 	for found := strongest(left, now); len(found) > 0 && len(due) < maxDecided; found = strongest(left, now) {
 		explain(found)
 	}
-	for _, q := range known {
-		if d.refutes(due, left, q) {
-			refuted = append(refuted, q.ID)
-			delete(d.remembered, q.ID)
-		}
-	}
+	refuted = d.review(known, due, left, now)
 	all := slices.Clone(known)
 	for _, m := range d.remembered {
 		all = append(all, m.quarantine)
@@ -221,27 +236,84 @@
 			explain([]inventory.Quarantine{New(left[i].service, q.Parts, now.Sub(left[i].at))})
 		}
 	}
+	due = withoutCovered(due, known, refuted)
 	for _, q := range due {
 		d.remember(q, now)
 	}
 	return due, refuted
 }
 
+// review returns the identifiers of the known quarantines that are refuted, and
+// remembers the others.
+func (d *Detector) review(known, due []inventory.Quarantine, left []*crash, now time.Time) (refuted []string) {
+	for _, q := range known {
+		if d.refutes(due, left, q) {
+			refuted = append(refuted, q.ID)
+			delete(d.remembered, q.ID)
+		} else if !d.hasAnswered(q) {
+			d.remember(q, now)
+		}
+	}
+	d.forgetWithdrawn(known, now)
+	return refuted
+}
+
+// withoutCovered returns the quarantines that no known one covers that isn't refuted.
+func withoutCovered(due, known []inventory.Quarantine, refuted []string) []inventory.Quarantine {
+	return slices.DeleteFunc(due, func(q inventory.Quarantine) bool {
+		return slices.ContainsFunc(known, func(k inventory.Quarantine) bool {
+			return k.ID != q.ID && covers(k, q) && !slices.Contains(refuted, k.ID)
+		})
+	})
+}
+
+// covers reports whether a quarantine refuses all calls that another one refuses.
+func covers(q, other inventory.Quarantine) bool {
+	return q.Service == other.Service && containsAll(other.Parts, q.Parts)
+}
+
 // refutes reports whether the crashes of a known quarantine, enough to have caused
-// it, are all explained by those that are due.
+// it, are all explained by those that are due. One that covers another that is due may
+// be based on crashes that this detector doesn't know.
 func (d *Detector) refutes(due []inventory.Quarantine, left []*crash, q inventory.Quarantine) bool {
 	with := func(crashes []*crash) []*crash {
 		return slices.DeleteFunc(slices.Clone(crashes), func(c *crash) bool { return c.service != q.Service || !c.has(q.Parts) })
 	}
-	same := func(other inventory.Quarantine) bool { return other.ID == q.ID }
-	return !slices.ContainsFunc(due, same) && independent(with(d.crashes)) >= minCrashes && len(with(left)) == 0
+	covered := func(other inventory.Quarantine) bool { return covers(q, other) }
+	return !slices.ContainsFunc(due, covered) && independent(with(d.crashes)) >= minCrashes && len(with(left)) == 0
 }
 
-// remember keeps a quarantine that was decided.
+// hasAnswered reports whether a part of a quarantine had an answer lately.
+func (d *Detector) hasAnswered(q inventory.Quarantine) bool {
+	return slices.ContainsFunc(q.Parts, func(p string) bool {
+		_, ok := d.answered[partKey{q.Service, p}]
+		return ok
+	})
+}
+
+// remember keeps a quarantine that was decided or is in force.
 func (d *Detector) remember(q inventory.Quarantine, now time.Time) {
-	if _, ok := d.remembered[q.ID]; ok || len(d.remembered) < maxRemembered {
-		d.remembered[q.ID] = memory{quarantine: q, until: now.Add(rememberedFor)}
+	m, ok := d.remembered[q.ID]
+	if !ok && len(d.remembered) >= maxRemembered {
+		return
+	}
+	switch {
+	case q.SeenAt.IsZero():
+		m.inForceUntil = time.Time{}
+	case !ok || !m.inForceUntil.IsZero():
+		m.inForceUntil = q.SeenAt.Add(Life)
 	}
+	m.quarantine, m.until = q, now.Add(rememberedFor)
+	d.remembered[q.ID] = m
+}
+
+// forgetWithdrawn drops the quarantines that other detectors decided and that are no
+// longer in force although they haven't ended by themselves.
+func (d *Detector) forgetWithdrawn(known []inventory.Quarantine, now time.Time) {
+	maps.DeleteFunc(d.remembered, func(id string, m memory) bool {
+		inForce := slices.ContainsFunc(known, func(q inventory.Quarantine) bool { return q.ID == id })
+		return !inForce && now.Before(m.inForceUntil.Add(-endTolerance))
+	})
 }
 
 // strongest returns the quarantine of the part that was at most crashes. If several
@@ -277,7 +349,7 @@
 	crashes       []*crash
 	// calls counts the suspects with the part.
 	calls int
-	// proven is set if the part had an answer before one of the crashes.
+	// proven is set if the part is proven at one of the crashes.
 	proven bool
 	// quarantine would refuse the calls with the part.
 	quarantine inventory.Quarantine
--- a/router/quarantine/detector_test.go
+++ b/router/quarantine/detector_test.go
@@ -157,6 +157,26 @@
 	is.Equal(refuted, nil)
 }
 
+// TestOwnerWithFewerCrashesKeepsQuarantineOfAnother has an owner that only knows the
+// crashes at which two parts were together, while another has told them apart.
+func TestOwnerWithFewerCrashesKeepsQuarantineOfAnother(t *testing.T) {
+	is := is.New(t)
+	d := quarantine.NewDetector()
+	for n := range 3 {
+		d.Report("a", suspect(fmt.Sprint("r", n), "x", "other", "dead"), at(float64(n)))
+	}
+	narrow, broad := quarantine.New("s", []string{"dead"}, time.Second), quarantine.New("s", []string{"dead", "other"}, time.Second)
+	due, refuted := d.Decide([]inventory.Quarantine{narrow}, at(2))
+	is.Equal(refuted, nil)
+	is.Equal(len(due), 0) // the one in force refuses the same calls, and more
+	due, refuted = d.Decide([]inventory.Quarantine{narrow, broad}, at(2))
+	is.Equal(refuted, nil)
+	is.Equal(len(due), 0)
+	elsewhere := quarantine.New("t", []string{"dead"}, time.Second)
+	due, _ = d.Decide([]inventory.Quarantine{elsewhere}, at(2))
+	is.Equal(len(due), 1)
+}
+
 func TestEvidenceIsForgottenAndQuarantineRemembered(t *testing.T) {
 	is := is.New(t)
 	d := quarantine.NewDetector()
@@ -175,6 +195,32 @@
 	is.Equal(decided(d, at(8000)), nil)
 }
 
+// TestNewOwnerRemembersQuarantineInForce has the detector that decided lost before the
+// quarantine ends.
+func TestNewOwnerRemembersQuarantineInForce(t *testing.T) {
+	is := is.New(t)
+	d := quarantine.NewDetector()
+	known := quarantine.New("s", []string{"dead"}, time.Second)
+	known.SeenAt = at(0)
+	is.Equal(decided(d, at(0), known), nil)
+	is.Equal(decided(d, at(600)), nil)
+	d.Report("a", suspect("r1", "x", "dead", "shared"), at(700))
+	is.Equal(decided(d, at(700)), [][]string{{"dead"}})
+	// One that an answer has refuted isn't remembered, even while it is still read.
+	d = quarantine.NewDetector()
+	is.Equal(decided(d, at(0), known), nil)
+	d.Answered("s", []string{"dead"}, at(1))
+	is.Equal(decided(d, at(2), known), nil)
+	d.Report("a", suspect("r1", "x", "dead"), at(700))
+	is.Equal(decided(d, at(700)), nil)
+	// Nor is one that another owner has withdrawn.
+	d = quarantine.NewDetector()
+	is.Equal(decided(d, at(0), known), nil)
+	is.Equal(decided(d, at(60)), nil)
+	d.Report("a", suspect("r1", "x", "dead"), at(700))
+	is.Equal(decided(d, at(700)), nil)
+}
+
 func TestRepeatedReportsCountOnceAndNotAfterAnAnswer(t *testing.T) {
 	is := is.New(t)
 	d := quarantine.NewDetector()
@@ -250,6 +296,20 @@
 	}
 }
 
+// TestPartIsFoundAmongAllCallsOfBusyRunners has as many calls wait at each runner as
+// engines run at once, with the one that crashes it reported last.
+func TestPartIsFoundAmongAllCallsOfBusyRunners(t *testing.T) {
+	is := is.New(t)
+	d := quarantine.NewDetector()
+	for n := range 3 {
+		for i := range 63 {
+			d.Report(fmt.Sprint("i", i%5), suspect(fmt.Sprint("r", n), "x", fmt.Sprintf("own%d.%d", n, i)), at(float64(n)))
+		}
+		d.Report("i5", suspect(fmt.Sprint("r", n), "x", "dead"), at(float64(n)))
+	}
+	is.Equal(decided(d, at(3)), [][]string{{"dead"}})
+}
+
 // TestDecisionsProperty plays crashes and answers in any order. What is quarantined
 // was in flight at three crashes without an answer since. A part that crashes each
 // runner is quarantined once no other part was in flight at more crashes.
