Don't cancel a silent stream for a standby that has left

A stream whose engine paused twice was cut in the middle although the engine went on, if an event arrived while the standby was being chosen at the first pause, and the standby left, or was paused, before the second. The standby counted as a place at which the call can continue.

Ruled out: the same for plain calls. They make no progress while a standby is kept.

A standby that accepts no calls any more is dropped, and another one is chosen, or the stream stays where it is.

--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -112,6 +112,8 @@
 	connect func(d relay.Dispatch)
 	// callerGone has all writes to the caller fail.
 	callerGone bool
+	// engines, if set, wraps the placer.
+	engines func(placement.Placer) placement.Placer
 	// prepare, if set, is called with the targets before the call. observe, if set,
 	// is called with them at each answer.
 	prepare func(set target.Set)
@@ -236,6 +238,8 @@
 	staged.Stages = []routing.Stage{{Service: "p"}, {Service: "p", After: []int{0}}}
 	resumable := route("resumable", routing.Streaming, 3)
 	resumable.Resumable = true
+	patient := resumable
+	patient.Name, patient.Prefix, patient.Timeout = "patient", "/patient/", 4*time.Second
 	stagedResumable := route("stagedResumable", routing.Streaming, 3)
 	stagedResumable.Stages, stagedResumable.Resumable, stagedResumable.Timeout = staged.Stages, true, 4*time.Second
 	expiring := stagedResumable
@@ -244,7 +248,7 @@
 	closed.Open = false
 	return routing.Config{
 		Version: 1,
-		Routes:  []routing.Route{route("safe", routing.Idempotent, 3), route("once", routing.NonIdempotent, 3), route("single", routing.NonIdempotent, 1), route("stream", routing.Streaming, 3), route("brief", routing.Streaming, 1), staged, resumable, stagedResumable, expiring, closed},
+		Routes:  []routing.Route{route("safe", routing.Idempotent, 3), route("once", routing.NonIdempotent, 3), route("single", routing.NonIdempotent, 1), route("stream", routing.Streaming, 3), route("brief", routing.Streaming, 1), staged, resumable, patient, stagedResumable, expiring, closed},
 		Services: []routing.Service{
 			{Name: "s"},
 			{Name: "p", Batches: &routing.Batches{MaxPieces: 4, CallTime: 100 * time.Millisecond, PieceTime: 10 * time.Millisecond}},
@@ -280,13 +284,17 @@
 	if f.prepare != nil {
 		f.prepare(set)
 	}
+	var engines placement.Placer = placement.NewLocal(clock.System(), policy.Default(), current, set, hclog.NewNullLogger())
+	if f.engines != nil {
+		engines = f.engines(engines)
+	}
 	budget := f.budget
 	if budget == nil {
 		budget = retry.New(nil)
 	}
 	r := relay.New(relay.Parts{
 		Clock: clock.System(), Timers: clock.SystemTimers(), Current: current, Refresh: func(context.Context) error { return errors.New("away") },
-		Targets: set, Engines: placement.NewLocal(clock.System(), policy.Default(), current, set, hclog.NewNullLogger()), Shards: shard.NewBalancer(clock.System(), current), Pieces: p, Runners: f, Meter: telemetry.NewRelay(), RetryBudget: budget, Quarantine: f.quarantine, Log: hclog.NewNullLogger(), Zone: "z", MaxConfigAge: 4 * time.Second, Policy: policy.Default(),
+		Targets: set, Engines: engines, Shards: shard.NewBalancer(clock.System(), current), Pieces: p, Runners: f, Meter: telemetry.NewRelay(), RetryBudget: budget, Quarantine: f.quarantine, Log: hclog.NewNullLogger(), Zone: "z", MaxConfigAge: 4 * time.Second, Policy: policy.Default(),
 		Random: random.NewSeeded(1),
 	})
 	c := &relay.Call{ID: "id", Method: http.MethodPost, Target: path, Path: path, Host: host, Header: http.Header{}, Arrived: clock.System().Now(), Pieces: []int{2, 3}, PieceKey: "k"}
--- a/router/relay/silence_test.go
+++ b/router/relay/silence_test.go
@@ -16,6 +16,7 @@
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/placement"
 	"cicadawell.dev/router/relay"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -102,6 +103,56 @@
 	}
 }
 
+// slowPlacer takes a while to choose the engine of a second attempt, and reports
+// that.
+type slowPlacer struct {
+	placement.Placer
+	chosen func()
+}
+
+func (s slowPlacer) Place(ctx context.Context, r placement.Request) placement.Place {
+	if !strings.Contains(r.ID, "/") {
+		return s.Placer.Place(ctx, r)
+	}
+	_ = clock.System().Sleep(ctx, 100*time.Millisecond)
+	place := s.Placer.Place(ctx, r)
+	if place != nil {
+		s.chosen()
+	}
+	return place
+}
+
+// TestStreamIsNotCancelledForStandbyThatLeft has a stream go on while its standby is
+// chosen, and pause again after the standby has left.
+func TestStreamIsNotCancelledForStandbyThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var current *inventory.Current
+		f := &fakeRunners{responses: []response{{"pausing", true, func(ctx context.Context) (*relay.Answer, error) {
+			a, err := eventAnswer("", false)(ctx)
+			a.Body = &pausingBody{ctx: ctx, pause: 1550 * time.Millisecond, parts: []io.Reader{strings.NewReader(one), strings.NewReader(two), strings.NewReader(three)}}
+			return a, err
+		}}}}
+		f.engines = func(p placement.Placer) placement.Placer {
+			return slowPlacer{p, func() {
+				s := *current.Load()
+				s.Runners = map[string]*inventory.Runner{}
+				for id, r := range current.Load().Runners {
+					if id == f.sent[0].Runner.ID {
+						s.Runners[id] = r
+					}
+				}
+				s.Revision++
+				current.Advance(&s)
+			}}
+		}
+		w := serveCall(t, "/patient/1", f, &fakePieces{}, func(_ *relay.Call, c *inventory.Current) { current = c })
+		is.Equal(w.Code, http.StatusOK)
+		is.Equal(w.Body.String(), one+two+three)
+		is.Equal(len(f.sent), 1)
+	})
+}
+
 func TestShortPauseOfStreamKeepsItsRunner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -118,9 +118,10 @@
 // prepareStandby reports whether the call can continue at another engine, which it
 // chooses.
 func (x *relay) prepareStandby(ctx context.Context, s *streamRun) bool {
-	if s.standby != nil {
+	if s.standby != nil && x.Targets.AcceptsCalls(s.standby.Target()) {
 		return true
 	}
+	s.dropStandby()
 	if x.checkQuarantine(s.plan) != nil || s.results.inputs(x.Clock.Now()) != available || !x.Targets.HasAlternative(s.plan.service, s.avoid) || !s.attempts.reserveNext() {
 		return false
 	}
