--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -137,9 +137,10 @@
 	if x.checkQuarantine(s.plan) != nil || s.results.inputs(x.Clock.Now()) != available {
 		return false
 	}
-	if s.standby != nil {
+	if s.standby != nil && x.Targets.AcceptsCalls(s.standby.Target()) {
 		return true
 	}
+	s.dropStandby()
 	if !x.Targets.HasAlternative(s.plan.service, s.avoid) || !s.attempts.reserveNext() {
 		return false
 	}
