--- a/router/quarantine/detector.go
+++ b/router/quarantine/detector.go
@@ -70,18 +70,6 @@
 	answered map[partKey]time.Time
 }
 
-// crash is the crash of one incarnation of a runner.
-type crash struct {
-	service, runner, zone string
-	born                  int64
-	at                    time.Time
-	// reporters has the instances that saw the crash.
-	reporters []string
-	// calls has the parts of each suspect, and proven those that are proven in one.
-	calls  [][]string
-	proven []string
-}
-
 type memory struct {
 	quarantine inventory.Quarantine
 	until      time.Time
@@ -145,32 +133,6 @@
 	return c
 }
 
-// add records the parts of a suspect, and reports whether they are new.
-func (c *crash) add(reporter string, parts, proven []string) bool {
-	if !slices.Contains(c.reporters, reporter) && len(c.reporters) < maxCalls {
-		c.reporters = append(c.reporters, reporter)
-	}
-	for _, p := range parts {
-		if slices.Contains(proven, p) && !slices.Contains(c.proven, p) {
-			c.proven = append(c.proven, p)
-		}
-	}
-	same := func(call []string) bool { return slices.Equal(call, parts) }
-	if len(c.calls) >= maxCalls || slices.ContainsFunc(c.calls, same) {
-		return false
-	}
-	c.calls = append(c.calls, parts)
-	return true
-}
-
-// validParts returns the parts in order, without those that can't be quarantined.
-func validParts(parts []string) []string {
-	parts = slices.DeleteFunc(slices.Clone(parts), func(p string) bool { return p == "" || len(p) > maxPartBytes })
-	slices.Sort(parts)
-	parts = slices.Compact(parts)
-	return parts[:min(len(parts), maxCallParts)]
-}
-
 // Answered records that calls with these parts have had an answer, which clears
 // the parts of all earlier evidence.
 func (d *Detector) Answered(service string, parts []string, now time.Time) {
@@ -316,153 +278,6 @@
 	})
 }
 
-// strongest returns the quarantine of the part that was at most crashes. If several
-// were at as many, in different calls, it returns all of theirs.
-func strongest(crashes []*crash, now time.Time) []inventory.Quarantine {
-	most := 0
-	var list []candidate
-	for _, k := range candidates(crashes) {
-		n := independent(k.crashes)
-		if n < most || n < minCrashes || (n < minCrashesProven && k.proven) {
-			continue
-		}
-		if n > most {
-			list, most = nil, n
-		}
-		list = append(list, k.withQuarantine(now))
-	}
-	slices.SortFunc(list, candidate.compare)
-	list = slices.CompactFunc(list, func(a, b candidate) bool { return a.quarantine.ID == b.quarantine.ID })
-	var out []inventory.Quarantine
-	for _, k := range list {
-		if len(out) < maxDecided && independent(k.unexplained(out)) == most {
-			out = append(out, k.quarantine)
-		}
-	}
-	return out
-}
-
-// candidate is a part of a service's prompts with the crashes at which it was
-// suspect.
-type candidate struct {
-	service, part string
-	crashes       []*crash
-	// calls counts the suspects with the part.
-	calls int
-	// proven is set if the part is proven at one of the crashes.
-	proven bool
-	// quarantine would refuse the calls with the part.
-	quarantine inventory.Quarantine
-}
-
-// compare orders candidates at as many crashes by how likely they are the cause:
-// those without earlier answers, at more runners, with more common parts and in
-// more calls first.
-func (k candidate) compare(other candidate) int {
-	switch {
-	case k.proven && !other.proven:
-		return 1
-	case other.proven && !k.proven:
-		return -1
-	}
-	return cmp.Or(
-		cmp.Compare(len(other.crashes), len(k.crashes)),
-		cmp.Compare(len(other.quarantine.Parts), len(k.quarantine.Parts)),
-		cmp.Compare(other.calls, k.calls),
-		cmp.Compare(k.quarantine.ID, other.quarantine.ID),
-	)
-}
-
-// withQuarantine returns the candidate with its quarantine.
-func (k candidate) withQuarantine(now time.Time) candidate {
-	k.quarantine = New(k.service, common(k.crashes, k.part), now.Sub(k.crashes[0].at))
-	return k
-}
-
-// unexplained returns the crashes with a suspect that has the part and that no
-// quarantine refuses.
-func (k candidate) unexplained(by []inventory.Quarantine) []*crash {
-	return slices.DeleteFunc(slices.Clone(k.crashes), func(c *crash) bool {
-		return !slices.ContainsFunc(c.calls, func(call []string) bool {
-			refused := func(q inventory.Quarantine) bool { return q.Service == k.service && containsAll(call, q.Parts) }
-			return slices.Contains(call, k.part) && !slices.ContainsFunc(by, refused)
-		})
-	})
-}
-
-// candidates returns all suspect parts.
-func candidates(crashes []*crash) []candidate {
-	var list []candidate
-	index := make(map[partKey]int)
-	for _, c := range crashes {
-		for part, calls := range c.parts() {
-			key := partKey{c.service, part}
-			i, ok := index[key]
-			if !ok {
-				i = len(list)
-				index[key] = i
-				list = append(list, candidate{service: c.service, part: part})
-			}
-			list[i].crashes = append(list[i].crashes, c)
-			list[i].calls += calls
-			list[i].proven = list[i].proven || slices.Contains(c.proven, part)
-		}
-	}
-	return list
-}
-
-// independent counts the crashes, with related ones as one.
-func independent(crashes []*crash) int {
-	var counted []*crash
-	for _, c := range crashes {
-		related := func(other *crash) bool {
-			return c.at.Sub(other.at) < relatedCrashes &&
-				(c.zone == other.zone || (len(c.reporters) == 1 && slices.Equal(c.reporters, other.reporters)))
-		}
-		if !slices.ContainsFunc(counted, related) {
-			counted = append(counted, c)
-		}
-	}
-	return len(counted)
-}
-
-// common returns the parts that all suspects with a part have.
-func common(crashes []*crash, part string) []string {
-	var out []string
-	for _, c := range crashes {
-		for _, call := range c.calls {
-			if !slices.Contains(call, part) {
-				continue
-			}
-			if out == nil {
-				out = slices.Clone(call)
-			}
-			out = slices.DeleteFunc(out, func(p string) bool { return !slices.Contains(call, p) })
-		}
-	}
-	if len(out) > maxRuleParts {
-		return []string{part}
-	}
-	return out
-}
-
-// parts returns the parts of all suspects, with the number of suspects that have
-// them.
-func (c *crash) parts() map[string]int {
-	out := make(map[string]int)
-	for _, call := range c.calls {
-		for _, p := range call {
-			out[p]++
-		}
-	}
-	return out
-}
-
-// has reports whether one of the suspects has all the parts.
-func (c *crash) has(parts []string) bool {
-	return slices.ContainsFunc(c.calls, func(call []string) bool { return containsAll(call, parts) })
-}
-
 // prune drops evidence that is too old.
 func (d *Detector) prune(now time.Time) {
 	d.crashes = slices.DeleteFunc(d.crashes, func(c *crash) bool { return now.Sub(c.at) >= evidenceLife })
