Show that answers after 60 s are lost

Cause: the server for callers has fixed read and write timeouts of 60 s, whatever the time-outs of the configuration.

--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -82,7 +82,11 @@
 	p.mu.Lock()
 	p.runs[id]++
 	p.mu.Unlock()
-	time.Sleep(p.work)
+	work := p.work
+	if ms, err := strconv.Atoi(r.Header.Get("X-Work-Ms")); err == nil {
+		work = time.Duration(ms) * time.Millisecond
+	}
+	time.Sleep(work)
 	body := answerOf(id)
 	w.Header().Set("Response-Seal", seal(p.id, id))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
