--- a/review/standin/bodies.go
+++ b/review/standin/bodies.go
@@ -10,21 +10,21 @@
 
 const (
 	// bodyBytes is the size of a photo, below max_body_bytes (4,194,304).
-	bodyBytes = 4_000_000
+	bodyBytes = 4_190_000
 	// photoTokens and photoEvents make a review of 0.33 s until its first event and of
 	// 3.2 s in all.
-	photoTokens, photoEvents = 17_000, 30
+	photoTokens, photoEvents = 17_000, 43
 	// usualRate is the reviews a second at an instance, burstFactor what a burst makes of
 	// it for burstTime.
-	usualRate, burstFactor = 6.0, 2.4
-	burstTime              = 5500 * time.Millisecond
+	usualRate, burstFactor = 6.5, 2.4
+	burstTime              = 7 * time.Second
 	// usualTime is the time before the burst, with that until connections are kept, and
 	// after it.
 	usualTime = 12 * time.Second
 	// lossesOfRule is how many requests from kept connections may be lost.
 	lossesOfRule = 3
 	// keptEach is the number of kept connections to an instance.
-	keptEach = 70
+	keptEach = 90
 )
 
 // reviews counts the outcomes of reviews.
@@ -145,6 +145,7 @@
 	}
 	warming.Wait()
 	s.rec.add("%s: %d kept connections", i.name, len(free))
+	next := time.Now()
 	for k := 0; ; k++ {
 		rate := usualRate
 		if at := time.Since(start); trouble && at > usualTime && at < usualTime+burstTime {
@@ -153,8 +154,9 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(float64(time.Second) / rate)):
+		case <-time.After(time.Until(next)):
 		}
+		next = next.Add(time.Duration(float64(time.Second) / rate))
 		select {
 		case c := <-free:
 			s.group.Go(func() {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -63,13 +64,30 @@
 	stopped bool
 }
 
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+// addresses gives out free ports of one loopback address. No connection has that address
+// as its own end by chance, so that a port stays free until its process listens.
+type addresses struct {
+	ip   string
+	used map[string]bool
+}
+
+func newAddresses() *addresses {
+	return &addresses{ip: fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 2+rand.IntN(250)), used: map[string]bool{}}
+}
+
+func (a *addresses) next() (string, error) {
+	for {
+		l, err := net.Listen("tcp", a.ip+":0")
+		if err != nil {
+			return "", err
+		}
+		address := l.Addr().String()
+		_ = l.Close()
+		if !a.used[address] {
+			a.used[address] = true
+			return address, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 func newFleet(rec *record, memoryMB int) (*fleet, error) {
@@ -94,18 +112,25 @@
 
 // addInstances creates instances, one for each zone, and starts them.
 func (f *fleet) addInstances(zones ...string) error {
-	regions := map[string]string{}
+	regions, free := map[string]string{}, newAddresses()
 	var seeds []string
 	for n, z := range zones {
 		regions[z] = "r"
-		i := &instance{fleet: f, name: fmt.Sprintf("edge-%s-%d", z, n+1), zone: z, front: freeAddress(), ready: freeAddress(), control: freeAddress()}
+		i := &instance{fleet: f, name: fmt.Sprintf("edge-%s-%d", z, n+1), zone: z}
+		for _, a := range []*string{&i.front, &i.ready, &i.control} {
+			address, err := free.next()
+			if err != nil {
+				return err
+			}
+			*a = address
+		}
 		seeds = append(seeds, i.control)
 		f.instances = append(f.instances, i)
 	}
 	for _, i := range f.instances {
 		i.settings = filepath.Join(f.dir, i.name+".json")
 		data, err := json.MarshalIndent(map[string]any{
-			"node": i.name, "role": "router", "machine_class": "edge", "serves": []string{"edge", "control_plane"}, "ip": "127.0.0.1",
+			"node": i.name, "role": "router", "machine_class": "edge", "serves": []string{"edge", "control_plane"}, "ip": free.ip,
 			"zone": i.zone, "region": "r", "zones": regions, "listen": map[string]string{"front": i.front, "ready": i.ready, "control": i.control},
 			"internal_port_range": []int{0, 0}, "seeds": seeds[:min(3, len(seeds))], "bootstrap": true, "in_fault_budget": false,
 			"limits":   map[string]any{"cpu_share": 0.8, "cores": 1, "memory_mb": f.memoryMB, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
@@ -156,6 +181,12 @@
 		i.mu.Unlock()
 		if !stopped {
 			time.Sleep(500 * time.Millisecond)
+			i.mu.Lock()
+			stopped = i.stopped
+			i.mu.Unlock()
+			if stopped {
+				return
+			}
 			if err := i.start(); err != nil {
 				i.fleet.rec.add("%s: not started: %v", i.name, err)
 			}
