Let the configuration bound callers instead of fixed limits of a minute

Cause: ReadTimeout and WriteTimeout of net/http, fixed at 60 s and counted from the request, "longer than any caller waits". In the same way headers had 5 s, pauses between requests 60 s, and bodies 60 s, whatever the configuration and the deadline of the call said. Ruled out: the context of the call and the exchange with the runner, which went on for 63 s; the limit on reading, which net/http lifts while a handler runs.

Change: router/drain bounds the time in which a caller takes no piece of its answer, not the answer as a whole. Header and pauses follow the configuration.

--- a/router/drain/connection.go
+++ b/router/drain/connection.go
@@ -17,6 +17,7 @@
 
 // connections tracks the connections of callers.
 type connections struct {
+	options
 	log hclog.Logger
 	// unanswered counts the connections that this instance closed although a request
 	// on them had no complete answer.
@@ -30,8 +31,8 @@
 	none     chan struct{}
 }
 
-func newConnections(log hclog.Logger) *connections {
-	return &connections{log: log, open: make(map[*Connection]struct{}), none: make(chan struct{})}
+func newConnections(o options, log hclog.Logger) *connections {
+	return &connections{options: o, log: log, open: make(map[*Connection]struct{}), none: make(chan struct{})}
 }
 
 // drain closes the idle connections, and the others when they become idle. The
@@ -69,16 +70,18 @@
 		return
 	}
 	switch state {
+	case http.StateActive:
+		c.endHeader()
 	case http.StateIdle:
 		c.becomeIdle()
 	case http.StateClosed, http.StateHijacked:
 		s.remove(c)
-	case http.StateNew, http.StateActive:
+	case http.StateNew:
 	}
 }
 
 func (s *connections) add(nc net.Conn) *Connection {
-	c := &Connection{Conn: nc}
+	c := &Connection{Conn: nc, options: s.options, since: clock.System().Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open[c] = struct{}{}
@@ -199,6 +202,7 @@
 // record how far the request is. A nil Connection ignores that.
 type Connection struct {
 	net.Conn
+	options
 
 	mu sync.Mutex
 	// read and written count the bytes of the current request and of its answer.
@@ -206,9 +210,9 @@
 	// request is the identifier of the current request, or "" until its header was
 	// read.
 	request string
-	// handled is set once a handler has the current request, answered once the
-	// handler has answered it.
-	handled, answered bool
+	// headerRead is set once the header of the current request was read, handled once
+	// a handler has the request, answered once the handler has answered it.
+	headerRead, handled, answered bool
 	// requestRead is set once the body of the current request was read. Bytes that
 	// follow, counted by nextRead, belong to the next request.
 	requestRead bool
@@ -218,8 +222,11 @@
 	// idle is set from an answer to the first byte of the next request, closing once
 	// an idle connection is to be closed.
 	idle, closing bool
-	// readDeadline is the deadline that net/http has set. While interrupted is set,
-	// another one ends the read of the idle connection.
+	// since is when the connection was accepted, became idle, or got the first byte of
+	// the current request, whichever was last.
+	since time.Time
+	// readDeadline is the deadline that net/http or a handler has set, or the zero
+	// time. While interrupted is set, another one ends the read of the idle connection.
 	readDeadline time.Time
 	interrupted  bool
 }
@@ -227,7 +234,7 @@
 // Read ends an idle connection only between two reads, so that no byte of a request
 // is read from a connection that is then closed.
 func (c *Connection) Read(p []byte) (int, error) {
-	if c.endsIdle() {
+	if !c.beginRead() {
 		return 0, io.EOF
 	}
 	n, err := c.Conn.Read(p)
@@ -235,18 +242,44 @@
 	return n, err
 }
 
-func (c *Connection) endsIdle() bool {
+// beginRead sets the deadline of the next read while the connection is idle or waits
+// for a header. It reports whether the connection may be read.
+func (c *Connection) beginRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle && c.closing
+	if c.idle && c.closing {
+		return false
+	}
+	if !c.headerRead {
+		_ = c.Conn.SetReadDeadline(c.currentReadDeadline())
+	}
+	return true
+}
+
+// currentReadDeadline returns the deadline for reading in the current state of the
+// connection, or the zero time. The caller holds mu.
+func (c *Connection) currentReadDeadline() time.Time {
+	if c.headerRead || !c.readDeadline.IsZero() {
+		return c.readDeadline
+	}
+	limits := c.limits()
+	timeout := limits.Header
+	if c.idle {
+		timeout = limits.Idle
+	}
+	if timeout <= 0 {
+		return time.Time{}
+	}
+	return c.since.Add(timeout)
 }
 
-// SetReadDeadline sets the deadline and keeps it for the end of an interruption.
+// SetReadDeadline sets the deadline and keeps it for the end of an interruption. It
+// takes the place of the limits while it isn't zero.
 func (c *Connection) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
-	return c.Conn.SetReadDeadline(t)
+	return c.Conn.SetReadDeadline(c.currentReadDeadline())
 }
 
 // closeWhenIdle makes reading end as soon as the connection is idle.
@@ -276,10 +309,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
-		c.idle = false
+		if c.idle {
+			c.idle, c.since = false, clock.System().Now()
+		}
 		if c.interrupted {
 			c.interrupted = false
-			_ = c.Conn.SetReadDeadline(c.readDeadline)
+			_ = c.Conn.SetReadDeadline(c.currentReadDeadline())
 		}
 	}
 	if c.requestRead {
@@ -293,7 +328,27 @@
 	}
 }
 
+// writeChunkBytes is how much a caller has to read of an answer within the write
+// timeout. Answers of any size and duration are written to callers that do.
+const writeChunkBytes = 16 << 10
+
+// Write fails if the caller stops reading. It doesn't bound how long the answer takes
+// as a whole.
 func (c *Connection) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		n, err := c.writeChunk(p[written:min(written+writeChunkBytes, len(p))])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+func (c *Connection) writeChunk(p []byte) (int, error) {
+	if c.writeTimeout > 0 {
+		_ = c.SetWriteDeadline(clock.System().Now().Add(c.writeTimeout))
+	}
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -323,6 +378,13 @@
 	return nil
 }
 
+// endHeader records that the header of the current request was read.
+func (c *Connection) endHeader() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headerRead = true
+}
+
 // Handle records that a handler has the current request, by its identifier.
 func (c *Connection) Handle(request string) {
 	if c == nil {
@@ -357,9 +419,9 @@
 func (c *Connection) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = c.nextRead == 0
+	c.idle, c.since = c.nextRead == 0, clock.System().Now()
 	c.read, c.nextRead, c.written = c.nextRead, 0, 0
-	c.request, c.handled, c.answered, c.requestRead, c.failedBy = "", false, false, false, ""
+	c.request, c.headerRead, c.handled, c.answered, c.requestRead, c.failedBy = "", false, false, false, false, ""
 }
 
 // unansweredEnd describes the end of a connection on which a request, or a part of
--- a/router/drain/drain.go
+++ b/router/drain/drain.go
@@ -18,6 +18,29 @@
 // answers of cancelled calls.
 const lastAnswersTime = 200 * time.Millisecond
 
+// Limits bound how long a caller may take. Zero means no limit.
+type Limits struct {
+	// Header bounds the time from the first byte of a request, or from the accepting
+	// of its connection, to the end of its header.
+	Header time.Duration
+	// Idle bounds the time from an answer to the first byte of the next request.
+	Idle time.Duration
+}
+
+// Option changes a default of NewServer.
+type Option func(*options)
+
+type options struct {
+	limits       func() Limits
+	writeTimeout time.Duration
+}
+
+// WithLimits sets the source of the limits, which may change at any time.
+func WithLimits(limits func() Limits) Option { return func(o *options) { o.limits = limits } }
+
+// WithWriteTimeout bounds the time in which a caller reads nothing of an answer.
+func WithWriteTimeout(d time.Duration) Option { return func(o *options) { o.writeTimeout = d } }
+
 // Server is an http.Server with a graceful shutdown.
 type Server struct {
 	http  *http.Server
@@ -41,9 +64,14 @@
 }
 
 // NewServer returns a server for h, whose ConnState, ConnContext and BaseContext it
-// sets. Nothing else may serve or shut down h.
-func NewServer(h *http.Server, log hclog.Logger) *Server {
-	s := &Server{http: h, log: log, conns: newConnections(log)}
+// sets. Nothing else may serve or shut down h. Limits and the write timeout take the
+// place of the timeouts of h, which cover a whole exchange however long its call takes.
+func NewServer(h *http.Server, log hclog.Logger, opts ...Option) *Server {
+	o := options{limits: func() Limits { return Limits{} }}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	s := &Server{http: h, log: log, conns: newConnections(o, log)}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	s.cancelCalls = cancel
 	h.ConnState, h.ConnContext = s.conns.stateChanged, withConnection
