Bound the progress of a slow caller in the program router, not its answer

Seen by callers: an answer that takes more than 5 s to read is cut, although docs/CALLERS.md promised 5 s without progress.

Ruled out: a deadline that is left from an earlier answer; net/http clears it. Change: the write timeout of router/drain, which counts from the last progress.

--- a/router/caller/exchange.go
+++ b/router/caller/exchange.go
@@ -109,7 +109,6 @@
 		s.refuse(c, x, fault.Wrap(fault.Internal, err, "encode answer").WithOutcome(fault.Run))
 		return
 	}
-	s.setWriteDeadline(c)
 	s.closeWhenDraining(c)
 	c.Writer.Header()["Content-Type"] = jsonContentType
 	c.Status(http.StatusOK)
@@ -135,7 +134,6 @@
 func (s *server) refuse(c *gin.Context, x *exchange, err error) {
 	e := fault.Of(err)
 	s.recordRefusal(x, e)
-	s.setWriteDeadline(c)
 	s.closeWhenDraining(c)
 	if wait := e.RetryAfter(); wait > 0 {
 		seconds := int64((wait + time.Second - 1) / time.Second)
@@ -144,13 +142,6 @@
 	c.JSON(fault.ResponseOf(e.Kind()).Status, callerapi.ErrorResponse{Request: x.requestID, Error: e.Message()})
 }
 
-// setWriteDeadline bounds the next write, so that a caller that does not read
-// loses its connection.
-func (s *server) setWriteDeadline(c *gin.Context) {
-	// The error is ignored: writers in tests don't support deadlines.
-	_ = http.NewResponseController(c.Writer).SetWriteDeadline(s.Clock.Now().Add(s.writeTimeout))
-}
-
 func encode(v any) ([]byte, error) {
 	data, err := json.Marshal(v)
 	if err != nil {
--- a/router/caller/server.go
+++ b/router/caller/server.go
@@ -38,7 +38,7 @@
 const (
 	// defaultBodyTimeout bounds the delivery of one body.
 	defaultBodyTimeout = 10 * time.Second
-	// defaultWriteTimeout bounds one write to a caller that reads slowly.
+	// defaultWriteTimeout is how long a caller may read nothing of its answer.
 	defaultWriteTimeout = 5 * time.Second
 )
 
@@ -50,7 +50,7 @@
 	return func(s *server) { s.bodyTimeout = d }
 }
 
-// WithWriteTimeout bounds one write to a caller that reads slowly.
+// WithWriteTimeout bounds the time in which a caller reads nothing of its answer.
 func WithWriteTimeout(d time.Duration) Option {
 	return func(s *server) { s.writeTimeout = d }
 }
@@ -151,7 +151,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-	}, p.Log)
+	}, p.Log, drain.WithWriteTimeout(s.writeTimeout))
 	return s
 }
 
--- a/router/caller/stream.go
+++ b/router/caller/stream.go
@@ -60,7 +60,6 @@
 		return err
 	}
 	w.start()
-	w.setWriteDeadline(w.c)
 	event := make([]byte, 0, len(data)+len(name)+16)
 	event = append(event, "event: "...)
 	event = append(event, name...)
