Keep a silent runner until another one has accepted the call

Cause: a silent attempt was cancelled as soon as another runner was chosen, before that one had taken the call. If it was full, the attempts were used up. Ruled out: the deadline, the stop (the same without one) and the engine's own preemption.

Change: the attempt goes on while another runner is asked, and is cancelled once that one has answered or hasn't refused within 200 ms. Progress of the silent runner ends the takeover; its failure doesn't. A caller that doesn't read no longer counts as a silent runner.

--- a/router/relay/attempts.go
+++ b/router/relay/attempts.go
@@ -23,18 +23,19 @@
 	return &attemptLimiter{relay: x, plan: p}
 }
 
-// next reports whether the call may go to one more runner, and counts it as chosen.
+// next reports whether the call may go to one more runner.
 func (t *attemptLimiter) next() bool {
-	if t.selections-t.sends > maxUnreachable || !t.reserve(t.sends) {
-		return false
-	}
-	t.selections++
-	return true
+	return t.selections-t.sends <= maxUnreachable && t.reserve(t.sends)
 }
 
-// reserveNext reports whether the call may go to one more runner after the current
+// reserveNext reports whether the call may go to one more runner beside the current
 // one. A later call of next needs no further retry from the budget then.
-func (t *attemptLimiter) reserveNext() bool { return t.reserve(t.sends + 1) }
+func (t *attemptLimiter) reserveNext() bool {
+	return t.selections-t.sends <= maxUnreachable && t.reserve(t.sends+1)
+}
+
+// recordSelection records that a runner was chosen for the call.
+func (t *attemptLimiter) recordSelection() { t.selections++ }
 
 // reserve reports whether the call may be sent once more after the given number of
 // sends. It takes a retry from the budget if the call has none left.
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -280,7 +280,7 @@
 	case runnerWithdrawn(err):
 	case err != nil && ctx.Err() == nil:
 		t.ConnectionFailed(now)
-	case err != nil && p.ctx.Err() == nil:
+	case errors.Is(context.Cause(ctx), errStalled):
 		t.Failed(now)
 	case err != nil:
 	case a.NotRun || a.Status >= http.StatusInternalServerError || (a.Status < 300 && !a.Sealed):
--- a/router/relay/stall.go
+++ b/router/relay/stall.go
@@ -25,39 +25,49 @@
 // errStalled is the cause of the cancellation of an attempt without progress.
 var errStalled = errors.New("the runner is silent")
 
-// stallWatch is a watchdog that cancels an attempt without progress once the call
-// can continue at another runner. Until then the attempt goes on.
+// takeover has a call go on at another runner in place of a silent one, and reports
+// whether it does. Once that runner has accepted the call it calls giveUp, which
+// cancels the silent attempt, or returns false if there was progress meanwhile. ctx
+// ends with the attempt, and at its next progress.
+type takeover func(ctx context.Context, giveUp func() bool) bool
+
+// stallWatch is a watchdog that tries a takeover when an attempt makes no progress.
+// Until that succeeds the attempt goes on.
 type stallWatch struct {
 	timers clock.Timers
+	// ctx is the context of the attempt.
+	ctx    context.Context
 	cancel context.CancelCauseFunc
-	// prepare reports whether the call can continue at another runner, and reserves
-	// what that takes. It isn't called concurrently.
-	prepare func(ctx context.Context) bool
-	ctx     context.Context
-	// group tracks the running check.
+	// group tracks the running takeover.
 	group sync.WaitGroup
 
 	mu sync.Mutex
+	// takeover is nil until start, and for calls that stay at their runner.
+	takeover takeover
 	// timeout is how long the attempt may currently go without progress.
 	timeout   time.Duration
 	stopTimer func() bool
-	// steps counts the progress, so that a check can tell whether there was any
+	// interrupt ends the running takeover; nil if there is none.
+	interrupt context.CancelFunc
+	// steps counts the progress, so that a takeover can tell whether there was any
 	// meanwhile.
 	steps   int
 	stopped bool
 }
 
-// watch returns the context of one attempt, which ends when the attempt stalls and
-// prepare succeeds. Without prepare it doesn't stall.
-func (x *relay) watch(parent context.Context, timeout time.Duration, prepare func(context.Context) bool) *stallWatch {
+// watch returns a watchdog with the context of one attempt. It doesn't watch before
+// start.
+func (x *relay) watch(parent context.Context) *stallWatch {
 	ctx, cancel := context.WithCancelCause(parent)
-	w := &stallWatch{timers: x.Timers, ctx: ctx, cancel: cancel, prepare: prepare, timeout: timeout}
-	if prepare != nil {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.arm()
-	}
-	return w
+	return &stallWatch{timers: x.Timers, ctx: ctx, cancel: cancel}
+}
+
+// start begins to watch. Without a takeover the attempt never stalls.
+func (w *stallWatch) start(timeout time.Duration, t takeover) {
+	w.mu.Lock()
+	w.takeover = t
+	w.mu.Unlock()
+	w.progress(timeout)
 }
 
 // firstEventTimeout returns how long a stream may take until its first event before
@@ -76,59 +86,91 @@
 	w.stopTimer = w.timers.AfterFunc(w.timeout, func() { w.expired(steps) })
 }
 
-// expired checks whether the call can continue elsewhere, and cancels the attempt if
-// there was no progress meanwhile.
+// expired tries a takeover, and watches on if there is none.
 func (w *stallWatch) expired(steps int) {
 	w.mu.Lock()
-	if w.stopped || w.steps != steps {
+	switch {
+	case w.stopped || w.steps != steps:
+		w.mu.Unlock()
+		return
+	case w.interrupt != nil: // a takeover that was interrupted hasn't returned yet
+		w.arm()
 		w.mu.Unlock()
 		return
 	}
+	ctx, cancel := context.WithCancel(w.ctx)
+	defer cancel()
+	w.interrupt = cancel
 	w.group.Add(1)
 	w.mu.Unlock()
 	defer w.group.Done()
-	ready := w.prepare(w.ctx)
+	taken := w.takeover(ctx, func() bool { return w.giveUp(steps) })
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	switch {
-	case w.stopped || w.steps != steps:
-	case ready:
-		w.cancel(errStalled)
-	default:
+	w.interrupt = nil
+	if !taken && !w.stopped && w.steps == steps {
 		w.arm()
 	}
 }
 
+// giveUp cancels the attempt unless there was progress since the given step.
+func (w *stallWatch) giveUp(steps int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped || w.steps != steps {
+		return false
+	}
+	w.cancel(errStalled)
+	return true
+}
+
 // progress restarts the timer with a new timeout.
 func (w *stallWatch) progress(timeout time.Duration) {
+	w.pause()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.prepare == nil || w.stopped {
+	if w.takeover == nil || w.stopped {
 		return
 	}
-	w.stopTimer()
-	w.steps++
 	w.timeout = timeout
 	w.arm()
 }
 
-// disarm stops the timer. A running check has no effect any more.
-func (w *stallWatch) disarm() {
+// pause records progress and stops watching until the next call of progress.
+func (w *stallWatch) pause() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.steps++
+	w.disarm()
+	if w.interrupt != nil {
+		w.interrupt()
+	}
+}
+
+// settle stops watching an attempt that has failed. A running takeover may still
+// succeed: it waits for that.
+func (w *stallWatch) settle() {
+	w.mu.Lock()
+	w.disarm()
+	w.mu.Unlock()
+	w.group.Wait()
+	w.mu.Lock()
+	w.disarm() // of a takeover that failed
+	w.mu.Unlock()
+}
+
+// disarm stops the timer. The caller holds mu.
+func (w *stallWatch) disarm() {
 	if w.stopTimer != nil {
 		w.stopTimer()
 	}
 }
 
-// stop ends the context of the attempt and waits for a running check.
+// stop ends the context of the attempt and waits for a running takeover.
 func (w *stallWatch) stop() {
 	w.mu.Lock()
 	w.stopped = true
-	if w.stopTimer != nil {
-		w.stopTimer()
-	}
+	w.disarm()
 	w.mu.Unlock()
 	w.cancel(nil)
 	w.group.Wait()
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"cicadawell.dev/fleet/fault"
@@ -19,11 +20,26 @@
 	w http.ResponseWriter
 	// headerSent is set once the status and headers were sent to the caller.
 	headerSent bool
+	// eventsSent counts the events that were sent to the caller.
+	eventsSent int
+
+	mu sync.Mutex
 	// lastEventID is the identifier of the last event that was sent, or that the
 	// caller resumes after.
 	lastEventID string
-	// eventsSent counts the events that were sent to the caller.
-	eventsSent int
+}
+
+// position returns the identifier of the event after which the stream goes on.
+func (s *streamState) position() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastEventID
+}
+
+func (s *streamState) setPosition(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastEventID = id
 }
 
 // streamRun is a call that is answered by events, with what its attempts share.
@@ -38,9 +54,20 @@
 	zone   string
 	// avoid has the engines that were already tried.
 	avoid []*target.Target
-	// standby is the engine at which the call continues if the current one stalls, or
-	// nil. While an attempt runs, only its watchdog uses it.
-	standby placement.Place
+	// standby is the attempt that has taken the call over from a silent one, or nil.
+	// While an attempt runs, only its watchdog uses standby, attempts and avoid.
+	standby *engineAttempt
+}
+
+// engineAttempt is a stream that is sent to one engine.
+type engineAttempt struct {
+	runnerAttempt
+	place placement.Place
+}
+
+func (a *engineAttempt) close() {
+	a.runnerAttempt.close()
+	a.place.Ended()
 }
 
 // stream serves a call that is answered by events.
@@ -77,12 +104,10 @@
 			}
 			break
 		}
-		place := x.nextEngine(s)
-		if place == nil {
+		outcome, err := x.tryEngine(s)
+		if errors.Is(err, errNoEngine) {
 			break
 		}
-		s.avoid = append(s.avoid, place.Target())
-		outcome, err := x.streamFrom(s, place)
 		if err == nil {
 			return nil
 		}
@@ -103,20 +128,53 @@
 // mayRetry reports whether the call may go to another engine after an attempt that
 // failed. run is the outcome of all attempts so far.
 func (s *streamRun) mayRetry(run fault.Outcome, err error, now time.Time) bool {
-	if run != fault.NotRun && s.plan.atMostOnce() {
+	if (run != fault.NotRun && s.plan.atMostOnce()) || fault.Is(err, fault.CallerGone) {
 		return false
 	}
-	return s.results.inputs(now) != gone && !fault.Is(err, fault.CallerGone)
+	return s.standby != nil || s.results.inputs(now) != gone
 }
 
-// nextEngine returns the standby or else chooses an engine, or returns nil if there
-// is none.
-func (x *relay) nextEngine(s *streamRun) placement.Place {
-	if place := s.standby; place != nil {
+var errNoEngine = errors.New("no engine takes the call")
+
+// tryEngine has the standby complete the stream, or else an engine that it chooses. It
+// returns nil if the answer is complete.
+func (x *relay) tryEngine(s *streamRun) (fault.Outcome, error) {
+	if a := s.standby; a != nil {
 		s.standby = nil
-		return place
+		x.watchEngine(s, a)
+		return x.streamFrom(s, a)
+	}
+	place := x.place(s.plan.ctx, s, len(s.avoid))
+	if place == nil {
+		return fault.NotRun, errNoEngine
+	}
+	a := x.newEngineAttempt(s, place)
+	x.watchEngine(s, a)
+	x.openEngine(s, a)
+	return x.streamFrom(s, a)
+}
+
+// watchEngine begins to watch the progress of an attempt.
+func (x *relay) watchEngine(s *streamRun, a *engineAttempt) {
+	var t takeover
+	if x.Policy.ResumeStalled && !s.plan.atMostOnce() {
+		t = func(ctx context.Context, giveUp func() bool) bool { return x.takeOverStream(ctx, s, giveUp) }
+	}
+	a.watch.start(firstEventTimeout(s.plan), t)
+}
+
+func (x *relay) newEngineAttempt(s *streamRun, place placement.Place) *engineAttempt {
+	s.avoid = append(s.avoid, place.Target())
+	s.attempts.recordSelection()
+	return &engineAttempt{runnerAttempt: x.newAttempt(s.plan, place.Target()), place: place}
+}
+
+// openEngine sends the call to the engine of an attempt.
+func (x *relay) openEngine(s *streamRun, a *engineAttempt) {
+	x.open(s.plan, &a.runnerAttempt, Dispatch{Inputs: s.inputs, ResumeAfter: s.state.position()})
+	if notSent(a.err) && !runnerWithdrawn(a.err) && a.watch.ctx.Err() == nil {
+		a.place.Unreachable()
 	}
-	return x.place(s.plan.ctx, s, len(s.avoid))
 }
 
 // place chooses an engine for the n-th attempt of the call, counted from zero, or
@@ -131,27 +189,42 @@
 	return x.Engines.Place(ctx, where)
 }
 
-// prepareStandby reports whether the call can continue at another engine, which it
-// chooses.
-func (x *relay) prepareStandby(ctx context.Context, s *streamRun) bool {
+// takeOverStream has the call go on at another engine once that has accepted it.
+func (x *relay) takeOverStream(ctx context.Context, s *streamRun, giveUp func() bool) bool {
 	if x.checkQuarantine(s.plan) != nil || s.results.inputs(x.Clock.Now()) != available {
 		return false
 	}
-	if s.standby != nil && x.Targets.AcceptsCalls(s.standby.Target()) {
-		return true
-	}
-	s.dropStandby()
 	if !x.Targets.HasAlternative(s.plan.service, s.avoid) || !s.attempts.reserveNext() {
 		return false
 	}
-	s.standby = x.place(ctx, s, len(s.avoid))
-	return s.standby != nil
+	place := x.place(ctx, s, len(s.avoid))
+	if place == nil {
+		return false
+	}
+	if ctx.Err() != nil {
+		place.Ended()
+		return false
+	}
+	a := x.newEngineAttempt(s, place)
+	a.group.Go(func() { x.openEngine(s, a) })
+	if x.awaitAccept(ctx, &a.runnerAttempt, passable) && giveUp() {
+		s.standby = a
+		return true
+	}
+	a.close()
+	if !notSent(a.err) {
+		s.attempts.recordSend()
+	}
+	return false
 }
 
+// passable reports whether the events of an answer can be passed on.
+func passable(a *Answer) bool { return a.Events && a.Sealed && a.Status < 300 }
+
 // dropStandby gives up the standby.
 func (s *streamRun) dropStandby() {
 	if s.standby != nil {
-		s.standby.Ended()
+		s.standby.close()
 		s.standby = nil
 	}
 }
@@ -178,38 +251,33 @@
 	return best
 }
 
-// streamFrom sends the call to one engine and forwards its events. It returns nil
-// if the answer is complete.
-func (x *relay) streamFrom(s *streamRun, place placement.Place) (fault.Outcome, error) {
-	p, t := s.plan, place.Target()
-	ended := t.Begin()
-	defer ended()
-	defer place.Ended()
-	var prepare func(context.Context) bool
-	if x.Policy.ResumeStalled && !p.atMostOnce() {
-		prepare = func(ctx context.Context) bool { return x.prepareStandby(ctx, s) }
-	}
-	stall := x.watch(p.ctx, firstEventTimeout(p), prepare)
-	defer stall.stop()
-	a, err := x.send(stall.ctx, p, t, Dispatch{Inputs: s.inputs, ResumeAfter: s.state.lastEventID})
-	if notSent(err) && !runnerWithdrawn(err) && stall.ctx.Err() == nil {
-		place.Unreachable()
+// streamFrom forwards the events of an attempt. It returns nil if the answer is
+// complete.
+func (x *relay) streamFrom(s *streamRun, a *engineAttempt) (fault.Outcome, error) {
+	defer a.close()
+	<-a.opened
+	outcome, err := x.passOpened(s, a)
+	if err != nil {
+		a.watch.settle()
 	}
+	return outcome, err
+}
+
+func (x *relay) passOpened(s *streamRun, a *engineAttempt) (fault.Outcome, error) {
 	var sendErr *SendError
 	switch {
-	case errors.As(err, &sendErr) && !sendErr.Sent:
-		return fault.NotRun, err
-	case err != nil:
-		x.reportCrash(stall.ctx, t, p, err)
-		return fault.Unknown, err
-	}
-	defer a.Close()
-	return x.passAnswer(s, place, a, stall)
+	case errors.As(a.err, &sendErr) && !sendErr.Sent:
+		return fault.NotRun, a.err
+	case a.err != nil:
+		x.reportCrash(a.watch.ctx, a.target, s.plan, a.err)
+		return fault.Unknown, a.err
+	}
+	return x.passAnswer(s, a)
 }
 
 // passAnswer returns the answer of an engine to the caller.
-func (x *relay) passAnswer(s *streamRun, place placement.Place, a *Answer, stall *stallWatch) (fault.Outcome, error) {
-	p, t := s.plan, place.Target()
+func (x *relay) passAnswer(s *streamRun, ea *engineAttempt) (fault.Outcome, error) {
+	p, t, a := s.plan, ea.target, ea.answer
 	if a.NotRun {
 		return fault.NotRun, fault.New(fault.Overloaded, "runner %q answered %d", t.Runner().ID, a.Status)
 	}
@@ -220,16 +288,16 @@
 		return fault.Unknown, errUnsealed
 	}
 	answered := false
-	err := x.passEvents(p, t, s.state, a, stall, func() {
+	err := x.passEvents(p, s.state, &ea.runnerAttempt, func() {
 		answered = true
-		place.Answered()
+		ea.place.Answered()
 		x.Quarantine.Answered(p.service, p.call.Prompt)
 		for _, f := range p.route.FinalStages() {
 			s.results.unref(f)
 		}
 	})
 	if !answered {
-		x.reportCrash(stall.ctx, t, p, err)
+		x.reportCrash(ea.watch.ctx, t, p, err)
 	}
 	return fault.Run, err
 }
@@ -265,12 +333,12 @@
 var errEmptyStream error = fault.New(fault.RunnerFailed, "the stream has no event")
 
 // passEvents forwards events as they arrive. It calls onFirst at the first one.
-func (x *relay) passEvents(p *callPlan, t *target.Target, s *streamState, a *Answer, stall *stallWatch, onFirst func()) error {
-	events := newEventReader(a.Body)
+func (x *relay) passEvents(p *callPlan, s *streamState, a *runnerAttempt, onFirst func()) error {
+	events := newEventReader(a.answer.Body)
 	for answered := false; ; {
 		event, id, err := events.next()
 		if errors.Is(err, io.EOF) {
-			if !events.any && !s.mayBeComplete(a) {
+			if !events.any && !s.mayBeComplete(a.answer) {
 				return errEmptyStream
 			}
 			p.status, p.events = http.StatusOK, s.eventsSent
@@ -278,29 +346,30 @@
 		}
 		if err != nil {
 			if p.ctx.Err() == nil {
-				t.ConnectionFailed(x.Clock.Now())
+				a.target.ConnectionFailed(x.Clock.Now())
 			}
 			return err
 		}
 		if !events.any {
 			continue
 		}
+		a.watch.pause() // while the caller reads
 		if err := s.checkOrder(p, id); err != nil {
 			return err
 		}
 		if !answered {
 			answered = true
 			onFirst()
-			x.Log.Info("first event", "request", p.call.ID, "runner", t.Runner().ID, "resumed", s.headerSent,
+			x.Log.Info("first event", "request", p.call.ID, "runner", a.target.Runner().ID, "resumed", s.headerSent,
 				"afterMillis", x.Clock.Now().Sub(p.call.Arrived).Milliseconds())
 		}
-		stall.progress(eventTimeout(p))
-		if err := s.writeEvent(a, event); err != nil {
+		if err := s.writeEvent(a.answer, event); err != nil {
 			return fault.Wrap(fault.CallerGone, err, "pass an event on").WithOutcome(fault.Run)
 		}
 		if id != "" {
-			s.lastEventID = id
+			s.setPosition(id)
 		}
+		a.watch.progress(eventTimeout(p))
 	}
 }
 
@@ -310,10 +379,11 @@
 
 // checkOrder returns an error if an event can't come after the last one.
 func (s *streamState) checkOrder(p *callPlan, id string) error {
-	if id == "" || s.lastEventID == "" || (!p.route.Resumable && s.eventsSent == 0) || follows(id, s.lastEventID) {
+	last := s.position()
+	if id == "" || last == "" || (!p.route.Resumable && s.eventsSent == 0) || follows(id, last) {
 		return nil
 	}
-	return fault.New(fault.RunnerFailed, "event %q came after %q", id, s.lastEventID)
+	return fault.New(fault.RunnerFailed, "event %q came after %q", id, last)
 }
 
 // writeEvent sends one event to the caller, after the status and headers if it's the
