Refuse calls that the end of a shutdown may cut

Seen by callers: in a planned stop, bookings whose requests end 5.9 to 7.2 s after SIGTERM are sent on, run, and end in 502 at 7.3 s: nobody knows whether they ran.

Cause: the relay sent on each call whose own deadline hadn't passed; only the server knew when it would cancel the calls. Ruled out: connections that are accepted late (the listener is closed 2.5 s after SIGTERM) and the reserve for the last answers.

Change: a call tells when its instance stops. If it may need longer, by its deadline, the objective of its route and the longest recent calls, it is refused with 503 before anything is sent.

The first 2.5 s, in which the balancer still sends, are as before.

--- a/router/drain/drain.go
+++ b/router/drain/drain.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -49,6 +50,9 @@
 	// cancelCalls ends the context of all calls.
 	cancelCalls context.CancelCauseFunc
 
+	// callsEnd is when the shutdown in progress cancels the calls, or nil.
+	callsEnd atomic.Pointer[time.Time]
+
 	mu        sync.Mutex
 	shutdown  bool
 	listeners []*trackingListener
@@ -100,14 +104,16 @@
 // deadline of ctx, or when ctx ends, it cancels them with a cause and waits for their
 // answers. Handlers should ask callers to close their connections by then.
 func (s *Server) Shutdown(ctx context.Context, cause error) error {
-	s.stopAccepting()
-	drained := s.conns.drain()
 	calls := ctx
 	if deadline, ok := ctx.Deadline(); ok {
+		end := deadline.Add(-lastAnswersTime)
+		s.callsEnd.Store(&end)
 		var cancel context.CancelFunc
-		calls, cancel = context.WithDeadline(ctx, deadline.Add(-lastAnswersTime))
+		calls, cancel = context.WithDeadline(ctx, end)
 		defer cancel()
 	}
+	s.stopAccepting()
+	drained := s.conns.drain()
 	select {
 	case <-drained:
 		return s.http.Close()
@@ -139,6 +145,15 @@
 	}
 }
 
+// CallsEnd returns when the shutdown in progress cancels the calls that still run. ok is
+// false if there is no shutdown, or one without a deadline.
+func (s *Server) CallsEnd() (end time.Time, ok bool) {
+	if p := s.callsEnd.Load(); p != nil {
+		return *p, true
+	}
+	return time.Time{}, false
+}
+
 // Stats returns the state and the counters of the connections.
 func (s *Server) Stats() Stats {
 	return Stats{Open: s.conns.count(), Unanswered: s.conns.unanswered.Load()}
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -32,6 +32,9 @@
 	Arrived time.Time
 	// Timeout is the caller's timeout, or zero if the caller set none.
 	Timeout time.Duration
+	// StopsAt is when the instance stops and cancels its calls, by the relay's clock, or
+	// zero while it isn't about to.
+	StopsAt time.Time
 	Prompt  target.Prompt
 	// MaxOutputTokens is the maximum number of output tokens.
 	MaxOutputTokens int
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -78,6 +78,7 @@
 type relay struct {
 	Parts
 	refresher sharedRefresh
+	durations durations
 }
 
 func (x *relay) Serve(ctx context.Context, w http.ResponseWriter, c *Call) {
@@ -91,7 +92,14 @@
 		return
 	}
 	kind := fault.RunnerFailed // recorded if the answer is aborted by a panic
-	defer func() { x.Meter.Answered(p.route.Name, string(kind), x.Clock.Now().Sub(c.Arrived)) }()
+	defer func() {
+		now := x.Clock.Now()
+		took := now.Sub(c.Arrived)
+		x.Meter.Answered(p.route.Name, string(kind), took)
+		if kind == "" || kind == fault.DeadlineExceeded {
+			x.durations.record(p.route.Name, now, took)
+		}
+	}()
 	ctx, cancel := context.WithTimeout(ctx, p.deadline.Sub(x.Clock.Now()))
 	defer cancel()
 	p.ctx = ctx
@@ -143,9 +151,13 @@
 		timeout = min(timeout, c.Timeout)
 	}
 	p.deadline = c.Arrived.Add(timeout)
-	if !p.deadline.After(x.Clock.Now()) {
+	now := x.Clock.Now()
+	if !p.deadline.After(now) {
 		return nil, fault.New(fault.DeadlineTooShort, "the deadline has passed").WithField("deadline")
 	}
+	if err := x.checkStop(p, now); err != nil {
+		return nil, err
+	}
 	p.stagesDeadline = p.deadline
 	if abandoned := c.Arrived.Add(streamPatience(r)); r.Kind == routing.Streaming && abandoned.Before(p.deadline) {
 		p.stagesDeadline = abandoned
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -112,6 +112,9 @@
 	connect func(d relay.Dispatch)
 	// caller, if set, wraps the caller's side.
 	caller func(http.ResponseWriter) http.ResponseWriter
+	// earlier, if set, is how long another call to the same path takes that is served
+	// before.
+	earlier time.Duration
 	// engines, if set, wraps the placer.
 	engines func(placement.Placer) placement.Placer
 	// prepare, if set, is called with the targets before the call. observe, if set,
@@ -304,6 +307,16 @@
 		Random: random.NewSeeded(1),
 	})
 	c := &relay.Call{ID: "id", Method: http.MethodPost, Target: path, Path: path, Host: host, Header: http.Header{}, Arrived: clock.System().Now(), Pieces: []int{2, 3}, PieceKey: "k"}
+	if f.earlier > 0 {
+		before, responses := *c, f.responses
+		f.responses = []response{{"earlier", true, func(ctx context.Context) (*relay.Answer, error) {
+			_ = clock.System().Sleep(ctx, f.earlier)
+			return streamOf(one, false).do(ctx)
+		}}}
+		r.Serve(ctx, httptest.NewRecorder(), &before)
+		f.responses, f.given, f.sent = responses, nil, nil
+		c.Arrived = clock.System().Now()
+	}
 	if change != nil {
 		change(c, current)
 	}
