Bound the deadline of late requests by the end of a shutdown in the program router

Seen by callers: as on the platform, requests that are read late in a shutdown are begun and cut by its end. Cause: the deadline of a request didn't know the end of the shutdown. Ruled out: the estimates of router/deadline, which refuse what is too short for its deadline, but were told the wrong one. Change: the deadline ends with the calls of the shutdown at the latest. Figures: TestShutdownBoundsTheDeadlineOfRequestsReadLate fails without the line and passes with it. Conclusion: the decision stays where it was; it has the bound now.

--- a/router/caller/admit.go
+++ b/router/caller/admit.go
@@ -47,7 +47,14 @@
 	if err != nil {
 		return release, err
 	}
-	return release, x.parse(c, data)
+	if err := x.parse(c, data); err != nil {
+		return release, err
+	}
+	// What can't be done by the end of a shutdown isn't begun.
+	if end, ok := s.drain.CallsEnd(); ok && end.Before(x.deadline) {
+		x.deadline = end
+	}
+	return release, nil
 }
 
 func bearerKey(r *http.Request) (string, error) {
--- a/router/caller/caller_test.go
+++ b/router/caller/caller_test.go
@@ -44,9 +44,12 @@
 	streamEnd chan error
 	// output, if set, is the output of each answer in place of its input.
 	output json.RawMessage
+	// deadline is that of the last job.
+	deadline time.Time
 }
 
 func (f *fakes) Run(_ context.Context, job pipeline.Job) (callerapi.Response, error) {
+	f.deadline = job.Deadline
 	if job.Stream != nil {
 		if err := job.Stream.Token(runnerapi.Token{Text: "a"}); err != nil {
 			return callerapi.Response{}, err
--- a/router/caller/shutdown_test.go
+++ b/router/caller/shutdown_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/pipe"
 	"github.com/matryer/is"
 )
 
@@ -100,3 +105,39 @@
 		})
 	}
 }
+
+// TestShutdownBoundsTheDeadlineOfRequestsReadLate guards against requests that are begun
+// in a shutdown and cut by its end. The deadline of the pipeline is 1 s.
+func TestShutdownBoundsTheDeadlineOfRequestsReadLate(t *testing.T) {
+	const request = requestHead + "Content-Length: 11\r\n\r\n{\"input\":1}"
+	for _, c := range []struct{ grace, late, left time.Duration }{
+		{2 * time.Second, 1300 * time.Millisecond, 500 * time.Millisecond}, // 200 ms are for the answers
+		{4 * time.Second, 1300 * time.Millisecond, time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f, l := newFakes(), pipe.Listen()
+			s := newServer(f)
+			var group sync.WaitGroup
+			defer group.Wait()
+			group.Go(func() { _ = s.Serve(l) })
+			conn, err := l.Dial()
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			_, err = io.WriteString(conn, request[:30])
+			is.NoErr(err)
+			s.StartDraining()
+			group.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), c.grace)
+				defer cancel()
+				_ = s.Shutdown(ctx)
+			})
+			_ = clock.System().Sleep(t.Context(), c.late)
+			_, err = io.WriteString(conn, request[30:])
+			is.NoErr(err)
+			status, _ := readAnswer(t, conn)
+			is.Equal(status, http.StatusOK)
+			is.Equal(f.deadline.Sub(clock.System().Now()), c.left)
+		})
+	}
+}
