Show that answers cut within their head are no answers

Reported by other operators: a runner stopped in the middle of its answer's head and closed; callers got a 200 with an empty or short body, framed as whole.

Finding: the report doesn't hold here. Conclusion: nothing to fix.

--- a/router/runner/runner_test.go
+++ b/router/runner/runner_test.go
@@ -254,6 +254,30 @@
 	}
 }
 
+// TestAnswerCutAtAnyByteIsNoResult guards against results that are taken from an answer
+// that its runner didn't finish, also within the head.
+func TestAnswerCutAtAnyByteIsNoResult(t *testing.T) {
+	const head = "HTTP/1.1 200 X\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n"
+	const result = `{"attempt":"ATTEMPT","output":"done"}`
+	_, req := newAttempt(t)
+	for contentType, body := range map[string]string{"application/json": result, "text/event-stream": firstToken + endEvent} {
+		body = strings.ReplaceAll(body, "ATTEMPT", req.Attempt)
+		whole := fmt.Sprintf(head, contentType, len(body)) + body
+		for n := range len(whole) + 1 {
+			f := newFakeRunner(t, func(conn net.Conn, _ runnerapi.RunRequest) {
+				_, _ = io.WriteString(conn, whole[:n])
+				_ = conn.Close()
+			})
+			client := runner.NewClient(clock.System())
+			ctx, _ := newAttempt(t)
+			var got tokens
+			_, err := client.Run(ctx, f.Runner, req, limit, &got)
+			is.New(t).Equal(err == nil, n == len(whole))
+			client.Close()
+		}
+	}
+}
+
 func TestStalledStreamIsAborted(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
