Keep one configuration in the history for other instances

Cause: the history keeps 1,024 changes, and a change of the configuration holds the whole table of its version, 1.3 MB in this case. Change: when a newer configuration arrives, earlier changes lose theirs and stay without effect in their place. Conclusion: memory no longer grows with the number of versions.

--- a/router/inventory/history.go
+++ b/router/inventory/history.go
@@ -14,7 +14,8 @@
 }
 
 // history holds the latest changes in the order in which the instance received
-// them. A removal is added when it is received, even if it is held back; nothing
+// them. It has one configuration at most, since configurations are large: a newer one
+// leaves a change without effect in place of the older one. A removal is added when it is received, even if it is held back; nothing
 // is added when it is applied later. It is not safe for concurrent use.
 type history struct {
 	epoch int64
@@ -26,12 +27,25 @@
 // add appends changes.
 func (h *history) add(changes []Change) {
 	h.count += int64(len(changes))
-	h.changes = append(h.changes, changes...)
+	for _, c := range changes {
+		if c.Table != nil {
+			h.dropTables()
+		}
+		h.changes = append(h.changes, c)
+	}
 	if surplus := len(h.changes) - maxHistory; surplus > 0 {
 		h.changes = slices.Delete(h.changes, 0, surplus)
 	}
 }
 
+// dropTables removes the configurations. Who asks for these changes gets the newer one
+// that follows.
+func (h *history) dropTables() {
+	for i := range h.changes {
+		h.changes[i].Table = nil
+	}
+}
+
 // restart begins a new epoch, which invalidates all earlier marks.
 func (h *history) restart() {
 	h.epoch++
--- a/router/inventory/history_test.go
+++ b/router/inventory/history_test.go
@@ -1,9 +1,12 @@
 package inventory
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
+	"cicadawell.dev/router/routing"
 	"github.com/matryer/is"
 )
 
@@ -39,3 +42,46 @@
 	_, ok = h.since(latest)
 	is.True(!ok)
 }
+
+// TestHistoryHoldsOneConfiguration guards against a memory that each change of the
+// configuration fills further, until the process is killed.
+func TestHistoryHoldsOneConfiguration(t *testing.T) {
+	is := is.New(t)
+	h := &history{epoch: 7}
+	begin := h.mark()
+	snapshot := &Snapshot{}
+	for version := range int64(100) {
+		table, err := routing.NewTable(routing.Config{Version: version + 1})
+		is.NoErr(err)
+		h.add([]Change{{Revision: 2 * version, Table: table}, {Revision: 2*version + 1, ZoneOut: fmt.Sprint("z", version)}})
+	}
+	changes, ok := h.since(begin)
+	is.True(ok)
+	is.Equal(len(changes), 200)
+	tables := 0
+	for _, c := range changes {
+		if c.Table != nil {
+			tables++
+		}
+	}
+	is.Equal(tables, 1)
+	snapshot = snapshot.with(changes, 200)
+	is.Equal(snapshot.Table.Version(), int64(100))
+	is.Equal(len(snapshot.ZonesOut), 100)
+}
+
+// TestDroppedConfigurationHasNoEffectAtOtherInstances sends a change whose configuration
+// was dropped to another instance.
+func TestDroppedConfigurationHasNoEffectAtOtherInstances(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	data, err := json.Marshal(getResponse{Changes: []wireChange{newWireChange(Change{Revision: 3}, now)}})
+	is.NoErr(err)
+	var resp getResponse
+	is.NoErr(json.Unmarshal(data, &resp))
+	changes, err := resp.changes(now)
+	is.NoErr(err)
+	is.Equal(len(changes), 1)
+	before := &Snapshot{Revision: 3}
+	is.Equal(before.with(changes, 3), before.with(nil, 3))
+}
