Reset connections of requests that were given up

Cause: an ordinary close leaves what is unsent to the kernel, which sends it once a lost path is back. Ruled out: a stale view of the evacuation and the deadline of the batch. Change: router/link resets the connection of an exchange that ends early; so does router/runner for attempts that run once.

--- a/router/link/conn.go
+++ b/router/link/conn.go
@@ -38,6 +38,17 @@
 
 func (c *conn) close() { _ = c.Close() }
 
+func (c *conn) reset() { Reset(c.Conn) }
+
+// Reset closes a connection and discards what the kernel hasn't sent of a request that
+// was given up. Otherwise it would still send that once a lost path is back.
+func Reset(nc net.Conn) {
+	if tcp, ok := nc.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = nc.Close()
+}
+
 // reusable reports whether the connection is open and has no unread data. Data
 // that arrives between two exchanges belongs to no request.
 func (c *conn) reusable() bool {
--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -85,9 +85,9 @@
 // was read to its end.
 func (a *Response) Close() { a.ex.release() }
 
-// Abort closes the connection at once, even while the body is being read. The
+// Abort resets the connection at once, even while the body is being read. The
 // caller still has to call Close.
-func (a *Response) Abort() { a.ex.conn.close() }
+func (a *Response) Abort() { a.ex.conn.reset() }
 
 // maxInlineWriteBytes is the body size up to which a request is written without
 // a separate goroutine: the send buffer of an idle socket holds that much, so the
@@ -112,7 +112,7 @@
 type exchange struct {
 	pool *pool
 	conn *conn
-	// stop deregisters the callback that closes the connection when the context
+	// stop deregisters the callback that resets the connection when the context
 	// is done.
 	stop func() bool
 	// group tracks the goroutine that writes a long body.
@@ -144,9 +144,9 @@
 		return nil, &Error{Reused: c.used, Err: ErrSendNotAllowed}
 	}
 	ex := &exchange{pool: p, conn: c, written: make(chan error, 1)}
-	// Closing the connection is the only way to interrupt a read, and the runner
-	// cancels the request when its connection closes.
-	ex.stop = context.AfterFunc(ctx, c.close)
+	// Resetting the connection is the only way to interrupt a read, and the runner
+	// cancels the request when its connection ends.
+	ex.stop = context.AfterFunc(ctx, c.reset)
 	ex.send(req)
 	a, err := ex.readHead(req)
 	if err != nil {
@@ -173,10 +173,10 @@
 	ex.group.Go(func() { ex.written <- writeRequest(ex.conn, req) })
 }
 
-// abort closes the connection and waits for the writer.
+// abort resets the connection and waits for the writer.
 func (ex *exchange) abort() {
 	ex.stop()
-	ex.conn.close()
+	ex.conn.reset()
 	ex.group.Wait()
 }
 
@@ -270,14 +270,14 @@
 // response read completely and no data is left unread. Otherwise it closes it.
 func (ex *exchange) release() {
 	ex.once.Do(func() {
-		if !ex.stop() || !ex.body.complete || ex.conn.idleTimeout <= 0 {
+		if !ex.stop() || !ex.body.complete {
 			ex.abort()
 			return
 		}
 		select {
 		case err := <-ex.written:
 			ex.group.Wait()
-			if err != nil || ex.conn.r.Buffered() > 0 {
+			if err != nil || ex.conn.idleTimeout <= 0 || ex.conn.r.Buffered() > 0 {
 				ex.conn.close()
 				return
 			}
--- a/router/link/exchange_test.go
+++ b/router/link/exchange_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -248,6 +249,59 @@
 	group.Wait()
 }
 
+// TestExchangeThatIsGivenUpSendsNothingMore guards against requests that reach a runner
+// long after they were given up: the kernel goes on sending what it holds of a closed
+// connection, but not of one that was reset. The server reads one byte before the
+// end of the exchange.
+func TestExchangeThatIsGivenUpSendsNothingMore(t *testing.T) {
+	for name, answer := range map[string]string{"before the answer": "", "within the answer": "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart"} {
+		for size, body := range map[string]int{"short": 10, "long": 8 << 20} {
+			t.Run(size+" "+name, func(t *testing.T) {
+				is := is.New(t)
+				l, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				defer func() { _ = l.Close() }()
+				begun, given, ended := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+				var group sync.WaitGroup
+				defer group.Wait()
+				group.Go(func() {
+					c, err := l.Accept()
+					if err != nil {
+						ended <- err
+						return
+					}
+					defer func() { _ = c.Close() }()
+					_, _ = io.ReadFull(c, make([]byte, 1))
+					_, _ = io.WriteString(c, answer)
+					close(begun)
+					<-given
+					_, err = io.Copy(io.Discard, c)
+					ended <- err
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				group.Go(func() {
+					<-begun
+					if answer == "" {
+						cancel()
+					}
+				})
+				req := newRequest()
+				req.Method, req.Body, req.MatchResponse = http.MethodPost, make([]byte, body), nil
+				a, err := link.NewPool().Exchange(ctx, l.Addr().String(), req)
+				if answer != "" {
+					is.NoErr(err)
+					a.Close()
+				} else {
+					is.True(errors.Is(err, context.Canceled))
+				}
+				cancel()
+				close(given)
+				is.True(errors.Is(<-ended, syscall.ECONNRESET))
+			})
+		}
+	}
+}
+
 // TestEarlyResponseClosesConnection has a server respond before it reads a long
 // body. It would take a second request on that connection for the rest of the
 // body, so the connection must not be reused.
--- a/router/runner/once.go
+++ b/router/runner/once.go
@@ -25,9 +25,9 @@
 	if err != nil {
 		return none, fault.Wrap(fault.RunnerFailed, err, "connect to runner %s", to.ID).WithOutcome(fault.NotRun)
 	}
-	stop := context.AfterFunc(ctx, func() { closeConn(conn) })
+	stop := context.AfterFunc(ctx, func() { link.Reset(conn) })
 	defer stop()
-	defer closeConn(conn)
+	defer link.Reset(conn)
 	if err := c.setDeadline(ctx, conn); err != nil {
 		return none, err
 	}
@@ -42,7 +42,7 @@
 		return none, fault.Wrap(fault.OutcomeUnknown, err, "no answer from runner %s", to.ID)
 	}
 	received := response{
-		status: resp.StatusCode, header: resp.Header, body: resp.Body, length: resp.ContentLength, closeConn: func() { closeConn(conn) },
+		status: resp.StatusCode, header: resp.Header, body: resp.Body, length: resp.ContentLength, closeConn: func() { link.Reset(conn) },
 	}
 	result, err := c.read(ctx, received, to, req, limit, nil)
 	return result, forbidRetry(err)
@@ -103,6 +103,3 @@
 	}
 	return fault.Wrap(fault.OutcomeUnknown, e, "call that may not be repeated")
 }
-
-// closeConn closes a connection and ignores the error.
-func closeConn(conn net.Conn) { _ = conn.Close() }
--- a/router/runner/runner_test.go
+++ b/router/runner/runner_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -278,6 +279,43 @@
 	}
 }
 
+// TestAttemptThatIsGivenUpSendsNothingMore guards against attempts that reach a runner
+// long after their deadline, with what the kernel holds of a closed connection.
+func TestAttemptThatIsGivenUpSendsNothingMore(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	begun, given, ended := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		conn, err := l.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.ReadFull(conn, make([]byte, 1))
+		close(begun)
+		<-given
+		_, err = io.Copy(io.Discard, conn)
+		ended <- err
+	})
+	ctx, req := newAttempt(t)
+	ctx, cancel := context.WithCancel(ctx)
+	group.Go(func() {
+		<-begun
+		cancel()
+	})
+	client := runner.NewClient(clock.System())
+	defer client.Close()
+	_, err = client.RunOnce(ctx, bundle.Runner{ID: "r1", Address: l.Addr().String()}, req, limit, func() error { return nil })
+	is.True(err != nil)
+	close(given)
+	is.True(errors.Is(<-ended, syscall.ECONNRESET))
+}
+
 func TestStalledStreamIsAborted(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
