Keep a silent engine until another one has begun to answer

Cause: an engine that hadn't refused within 200 ms counted as having taken the call, also when it only had a place in its queue for it. Ruled out: two engines at work. Change: streams wait for the head; if there is none in the time in which a first event is due, or the engine refuses, a further engine is asked. Plain calls keep the 200 ms. Conclusion: a stream moves only to an engine that runs it.

--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -8,11 +8,6 @@
 	"cicadawell.dev/router/target"
 )
 
-// acceptTimeout is how long a runner may take to answer a call until it counts as
-// accepted: a runner that is full refuses at once. It bounds the time for which two
-// runners work on a call.
-const acceptTimeout = 200 * time.Millisecond
-
 // runnerAttempt is a call that is sent to one runner.
 type runnerAttempt struct {
 	target *target.Target
@@ -60,15 +55,17 @@
 	a.ended()
 }
 
-// awaitAccept waits until the runner has accepted or refused the call. good reports
-// whether an answer can be passed on.
-func (x *relay) awaitAccept(ctx context.Context, a *runnerAttempt, good func(*Answer) bool) bool {
+// await waits for the head of the answer. It reports whether there is one before the
+// timeout and before ctx ends.
+func (x *relay) await(ctx context.Context, a *runnerAttempt, timeout time.Duration) bool {
 	select {
 	case <-a.opened:
-		return a.err == nil && !a.answer.NotRun && good(a.answer)
-	case <-x.Clock.After(acceptTimeout):
 		return true
+	case <-x.Clock.After(timeout):
 	case <-ctx.Done():
-		return false
 	}
+	return false
 }
+
+// answered reports whether the attempt has the head of an answer that isn't a refusal.
+func (a *runnerAttempt) answered() bool { return a.isOpen() && a.err == nil && !a.answer.NotRun }
--- a/router/relay/plain.go
+++ b/router/relay/plain.go
@@ -25,6 +25,10 @@
 	// minAttemptTimeout is the lower bound of that timeout. It covers several
 	// round trips and the time queued behind other calls.
 	minAttemptTimeout = 100 * time.Millisecond
+	// acceptTimeout is how long another runner may take to answer until the call counts
+	// as accepted there: a runner that is full refuses at once. It bounds the time for
+	// which two runners work on a call.
+	acceptTimeout = 200 * time.Millisecond
 )
 
 // attempt is the outcome of sending a call to one runner.
@@ -135,23 +139,23 @@
 	a.watch.start(max(attemptTimeoutFactor*s.plan.route.Objective, minAttemptTimeout), t)
 }
 
-// takeOverPlain has the call go on at another runner once that has accepted it.
+// takeOverPlain has the call go on at another runner once one has accepted it.
 func (x *relay) takeOverPlain(ctx context.Context, s *plainRun, giveUp func() bool) bool {
-	if x.checkQuarantine(s.plan) != nil || !x.Targets.HasAlternative(s.plan.service, s.avoid) || !s.attempts.reserveNext() || ctx.Err() != nil {
-		return false
-	}
-	a := x.newPlainAttempt(s)
-	if a == nil {
-		return false
-	}
-	a.group.Go(func() { x.open(s.plan, a, Dispatch{ResumeAfter: s.plan.call.ResumeAfter}) })
-	if x.awaitAccept(ctx, a, usable) && giveUp() {
-		s.standby = a
-		return true
-	}
-	a.close()
-	if !notSent(a.err) {
-		s.attempts.recordSend()
+	for x.checkQuarantine(s.plan) == nil && x.Targets.HasAlternative(s.plan.service, s.avoid) && s.attempts.reserveNext() && ctx.Err() == nil {
+		a := x.newPlainAttempt(s)
+		if a == nil {
+			return false
+		}
+		a.group.Go(func() { x.open(s.plan, a, Dispatch{ResumeAfter: s.plan.call.ResumeAfter}) })
+		accepted := !x.await(ctx, a, acceptTimeout) && ctx.Err() == nil
+		if (accepted || (a.answered() && usable(a.answer))) && giveUp() {
+			s.standby = a
+			return true
+		}
+		a.close()
+		if !notSent(a.err) {
+			s.attempts.recordSend()
+		}
 	}
 	return false
 }
--- a/router/relay/silence_test.go
+++ b/router/relay/silence_test.go
@@ -183,25 +183,56 @@
 	}
 }
 
+// queued answers like r after it has waited for a place.
+func queued(r response, wait time.Duration) response {
+	return response{"queued", true, func(ctx context.Context) (*relay.Answer, error) {
+		if err := clock.System().Sleep(ctx, wait); err != nil {
+			return nil, &relay.SendError{Sent: true, Err: err}
+		}
+		return r.do(ctx)
+	}}
+}
+
+// TestSilentStreamKeepsItsEngineWhileAnotherOneQueuesIt guards against streams that leave
+// a silent engine for the queue of one that is full. Whichever goes on first has it.
+func TestSilentStreamKeepsItsEngineWhileAnotherOneQueuesIt(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		silent, wait time.Duration
+		resumed      string
+	}{
+		{"the silent engine goes on", 2200 * time.Millisecond, 900 * time.Millisecond, ""},
+		{"the other one begins", 3500 * time.Millisecond, 900 * time.Millisecond, two},
+		{"neither in time, then a third one", 10 * time.Second, 10 * time.Second, two},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := &fakeRunners{responses: []response{pausing(one, two, c.silent), queued(streamOf(two, false), c.wait), streamOf(two, false)}}
+				start := clock.System().Now()
+				w := serveCall(t, "/longResumable/1", f, &fakePieces{}, func(call *relay.Call, _ *inventory.Current) {
+					call.Timeout = 0
+				})
+				is.Equal(w.Code, http.StatusOK)
+				is.Equal(w.Body.String(), one+two)
+				is.True(clock.System().Now().Sub(start) <= 5*time.Second)
+			})
+		})
+	}
+}
+
 // TestFailureDuringTakeoverIsNoFailureOfTheCall has the silent runner fail while another
 // one is asked, which accepts late.
 func TestFailureDuringTakeoverIsNoFailureOfTheCall(t *testing.T) {
-	late := func(r response) response {
-		return response{"late", true, func(ctx context.Context) (*relay.Answer, error) {
-			if err := clock.System().Sleep(ctx, 150*time.Millisecond); err != nil {
-				return nil, &relay.SendError{Sent: true, Err: err}
-			}
-			return r.do(ctx)
-		}}
-	}
+	const late = 150 * time.Millisecond
 	for _, c := range []struct {
 		path   string
 		silent response
 		other  response
 		body   string
 	}{
-		{"/longResumable/1", lostAfter(1600 * time.Millisecond), late(streamOf(one, false)), one},
-		{"/safe/1", lostAfter(700 * time.Millisecond), late(good), "answer"},
+		{"/longResumable/1", lostAfter(1600 * time.Millisecond), queued(streamOf(one, false), late), one},
+		{"/safe/1", lostAfter(700 * time.Millisecond), queued(good, late), "answer"},
 	} {
 		t.Run(c.path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -189,33 +189,45 @@
 	return x.Engines.Place(ctx, where)
 }
 
-// takeOverStream has the call go on at another engine once that has accepted it.
+// takeOverStream has the call go on at another engine once one has begun its answer.
 func (x *relay) takeOverStream(ctx context.Context, s *streamRun, giveUp func() bool) bool {
+	for {
+		a := x.nextStandby(ctx, s)
+		if a == nil {
+			return false
+		}
+		a.group.Go(func() { x.openEngine(s, a) })
+		// Engines answer with their first event, so that until then only one of them runs
+		// the call, and this one may still be full.
+		if x.await(ctx, &a.runnerAttempt, firstEventTimeout(s.plan)) && a.answered() && passable(a.answer) && giveUp() {
+			s.standby = a
+			return true
+		}
+		a.close()
+		if !notSent(a.err) {
+			s.attempts.recordSend()
+		}
+	}
+}
+
+// nextStandby returns an attempt at another engine that may take the call over, or nil
+// if there is none.
+func (x *relay) nextStandby(ctx context.Context, s *streamRun) *engineAttempt {
 	if x.checkQuarantine(s.plan) != nil || s.results.inputs(x.Clock.Now()) != available {
-		return false
+		return nil
 	}
 	if !x.Targets.HasAlternative(s.plan.service, s.avoid) || !s.attempts.reserveNext() {
-		return false
+		return nil
 	}
 	place := x.place(ctx, s, len(s.avoid))
 	if place == nil {
-		return false
+		return nil
 	}
 	if ctx.Err() != nil {
 		place.Ended()
-		return false
-	}
-	a := x.newEngineAttempt(s, place)
-	a.group.Go(func() { x.openEngine(s, a) })
-	if x.awaitAccept(ctx, &a.runnerAttempt, passable) && giveUp() {
-		s.standby = a
-		return true
-	}
-	a.close()
-	if !notSent(a.err) {
-		s.attempts.recordSend()
+		return nil
 	}
-	return false
+	return x.newEngineAttempt(s, place)
 }
 
 // passable reports whether the events of an answer can be passed on.
