--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -94,6 +94,10 @@
 // write doesn't block.
 const maxInlineWriteBytes = 8 << 10
 
+// maxCopiedBodyBytes is the body size up to which a request is copied to be written at
+// once. Longer bodies are written from where they are.
+const maxCopiedBodyBytes = 64 << 10
+
 // writeGracePeriod is how long after the end of a response the write of its
 // request may still complete: the goroutine that writes it may not have been
 // scheduled since.
@@ -180,7 +184,7 @@
 	ex.group.Wait()
 }
 
-// writeRequest writes the request with a single system call, so that most
+// writeRequest writes a request that isn't long with a single system call, so that most
 // requests fit in one TCP segment.
 func writeRequest(c *conn, req *Request) error {
 	b := &c.writeBuf
@@ -193,11 +197,17 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
+	long := len(req.Body) > maxCopiedBodyBytes
+	if !long {
+		b.Write(req.Body)
+	}
 	_, err := c.Write(b.Bytes())
 	if b.Cap() > maxInlineWriteBytes {
 		*b = bytes.Buffer{}
 	}
+	if err == nil && long {
+		_, err = c.Write(req.Body)
+	}
 	return err
 }
 
