Count the time until the first byte of a connection as idle

Ruled out: the stop, which counts only connections as idle that had an answer; that is unchanged. Change: the limit on headers begins with the first byte of a request, on each request. Conclusion: callers may open connections before they need them.

--- a/router/drain/connection.go
+++ b/router/drain/connection.go
@@ -222,8 +222,8 @@
 	// idle is set from an answer to the first byte of the next request, closing once
 	// an idle connection is to be closed.
 	idle, closing bool
-	// since is when the connection was accepted, became idle, or got the first byte of
-	// the current request, whichever was last.
+	// since is when the connection began to wait for a request, or got the first byte of
+	// the current one.
 	since time.Time
 	// readDeadline is the deadline that net/http or a handler has set, or the zero
 	// time. While interrupted is set, another one ends the read of the idle connection.
@@ -264,7 +264,7 @@
 	}
 	limits := c.limits()
 	timeout := limits.Header
-	if c.idle {
+	if c.read == 0 {
 		timeout = limits.Idle
 	}
 	if timeout <= 0 {
@@ -309,8 +309,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
-		if c.idle {
-			c.idle, c.since = false, clock.System().Now()
+		c.idle = false
+		if c.read == 0 {
+			c.since = clock.System().Now()
 		}
 		if c.interrupted {
 			c.interrupted = false
--- a/router/drain/drain.go
+++ b/router/drain/drain.go
@@ -21,10 +21,10 @@
 
 // Limits bound how long a caller may take. Zero means no limit.
 type Limits struct {
-	// Header bounds the time from the first byte of a request, or from the accepting
-	// of its connection, to the end of its header.
+	// Header bounds the time from the first byte of a request to the end of its header.
 	Header time.Duration
-	// Idle bounds the time from an answer to the first byte of the next request.
+	// Idle bounds the time until the first byte of a request, from the answer before or
+	// from the accepting of the connection.
 	Idle time.Duration
 }
 
