Show processes over their memory by prompts of many small parts

Cause: the placement keeps an entry for each part of each prompt and engine until their tokens exceed the memory of the engine. Parts of one token need hundreds of thousands of entries for that.

Ruled out: ordinary prompts at the same rate; both processes then have at most 15 MB.

--- a/review/standin-2/prompt_parts.go
+++ b/review/standin-2/prompt_parts.go
@@ -12,7 +12,7 @@
 func promptParts(c *context) (int, error) {
 	var next atomic.Int64
 	mc := memoryCase{
-		engineServices: 4, engines: 12, first: 5 * time.Millisecond, workers: 16, length: 75 * time.Second,
+		engineServices: 8, engines: 8, first: 5 * time.Millisecond, workers: 24, length: 75 * time.Second,
 		header: func(int, int) [][2]string {
 			const parts = 1700
 			var b strings.Builder
