--- a/review/standin-2/memory.go
+++ b/review/standin-2/memory.go
@@ -25,8 +25,20 @@
 	return b
 }
 
-// kerbratSmall is the smallest machine of that sheet.
-var kerbratSmall = limits{CPU: 0.144, MemoryMB: 144, Files: 3075, LinkMbps: 10}
+// kerbratSmall and kerbratLarge are the smallest and the largest machine of that sheet.
+var (
+	kerbratSmall = limits{CPU: 0.144, MemoryMB: 144, Files: 3075, LinkMbps: 10}
+	kerbratLarge = limits{CPU: 0.8, MemoryMB: 536, Files: 10250, LinkMbps: 200}
+)
+
+// kerbratEngines returns the configuration of a model service with the figures of that sheet.
+func kerbratEngines(name string) map[string]any {
+	svc := engineService(name)
+	svc["max_connections"] = 570
+	engine := svc["engine"].(map[string]any)
+	engine["slots"], engine["kv_capacity_tokens"] = 32, 462509
+	return svc
+}
 
 // overseer is the platform's part for the processes: one that exceeds its memory is killed,
 // and one that has ended is started again.
@@ -130,11 +142,7 @@
 	var engines []*engine
 	for s := range mc.engineServices {
 		name := fmt.Sprintf("huvo%da", s+11)
-		svc := engineService(name)
-		svc["max_connections"] = 570
-		svc["engine"].(map[string]any)["slots"] = 32
-		svc["engine"].(map[string]any)["kv_capacity_tokens"] = 462509
-		services = append(services, svc)
+		services = append(services, kerbratEngines(name))
 		routes = append(routes, map[string]any{
 			"name": "r-" + name, "host": host, "prefix": "/" + name + "/", "kind": "streaming", "timeout_ms": 10000, "target_latency_ms": 1300, "priority": 1,
 			"service": name, "max_attempts": 2, "auth_exempt": false, "sticky": true, "resumable": false, "target_gap_ms": 400,
--- a/review/standin-2/part_evictions.go
+++ b/review/standin-2/part_evictions.go
@@ -22,14 +22,14 @@
 	if err != nil {
 		return 0, err
 	}
-	zones := []string{"jhb-north", "jhb-south"}
+	zones := []string{"brest-a", "quimper-b"}
 	names := []string{"huvo11a", "lohu93e"}
 	var services, routes []any
 	for _, name := range names {
-		services = append(services, engineService(name))
+		services = append(services, kerbratEngines(name))
 		routes = append(routes, map[string]any{
-			"name": "r-" + name, "host": host, "prefix": "/" + name + "/", "kind": "streaming", "timeout_ms": routeTimeout.Milliseconds(), "target_latency_ms": 1000, "priority": 1,
-			"service": name, "max_attempts": 2, "auth_exempt": false, "sticky": true, "resumable": false, "target_gap_ms": 250,
+			"name": "r-" + name, "host": host, "prefix": "/" + name + "/", "kind": "streaming", "timeout_ms": routeTimeout.Milliseconds(), "target_latency_ms": 1300, "priority": 1,
+			"service": name, "max_attempts": 2, "auth_exempt": false, "sticky": true, "resumable": false, "target_gap_ms": 400,
 		})
 		for i := range 2 {
 			e, err := startEngine(fmt.Sprintf("i-%s-%d", name, i+1), zones[i%2], nil, rec)
@@ -41,7 +41,7 @@
 		}
 	}
 	st.put("op/config", map[string]any{"version": 7, "limits": clientLimits, "tenants": tenants, "services": services, "routes": routes})
-	c.machines = newMachines(c.dir, st.address, zones, limits{CPU: 0.608, MemoryMB: 414, Files: 6150, LinkMbps: 1500}, baseBounds())
+	c.machines = newMachines(c.dir, st.address, zones, kerbratLarge, kerbratBounds())
 	for _, m := range c.machines {
 		if err := m.start(); err != nil {
 			return 0, err
@@ -113,7 +113,7 @@
 	rec.say("ordinary clients: %s", ordinary.String())
 	rec.say("%d ordinary requests lasted longer than the timeout of their route, %d of them had no answer %v after it", long.Load(), unanswered.Load(), grace)
 	for _, m := range c.machines {
-		rec.say("%s has %d MB of 414 MB", m.name, m.heldBytes()>>20)
+		rec.say("%s has %d MB of %d MB", m.name, m.heldBytes()>>20, kerbratLarge.MemoryMB)
 	}
 	if n := unanswered.Load(); n >= 8 && 4*n > long.Load() {
 		return broken, nil
