--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -58,7 +58,7 @@
 	defer rec.close()
 	c := &context{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: rec}
 	if keep := os.Getenv("KEEP"); keep != "" {
-		c.dir = keep
+		c.dir = keep // for the settings and logs of the instances
 	}
 	defer func() {
 		for _, m := range c.machines {
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -44,8 +44,7 @@
 	gone <-chan struct{}
 }
 
-// serveConnections reads requests and has them answered one at a time on each connection.
-// between is called when a request was read, before it is handled.
+// serveConnections accepts connections and has their requests handled, one at a time on each.
 func serveConnections(l net.Listener, handle func(state *connState, x exchange)) {
 	for {
 		c, err := l.Accept()
