--- a/review/standin-2/deep_part.go
+++ b/review/standin-2/deep_part.go
@@ -146,10 +146,10 @@
 func playDeadlyPart(c *context, parts, position int) (int, error) {
 	const (
 		contact = 3 * time.Second
-		// perSecond is the rate of all requests, deadlyShare that of the deadly ones among
-		// them, and deadlyFor how long they come.
+		// perSecond is the rate of all requests. One in deadlyEvery of them is deadly, for
+		// deadlyFor: a share below 0.05.
 		perSecond   = 20
-		deadlyShare = 0.05
+		deadlyEvery = 22
 		deadlyFor   = 22 * time.Second
 		calmBefore  = 5 * time.Second
 	)
@@ -207,7 +207,7 @@
 	var sent atomic.Int64
 	for n := 0; time.Since(begun) < calmBefore+deadlyFor; n++ {
 		time.Sleep(time.Until(begun.Add(time.Duration(n) * time.Second / perSecond)))
-		isDeadly := c.trouble && time.Since(begun) > calmBefore && n%int(1/deadlyShare) == 0
+		isDeadly := c.trouble && time.Since(begun) > calmBefore && n%deadlyEvery == 0
 		group.Add(1)
 		go func() {
 			defer group.Done()
