Give each instance of the scripts a loopback address of its own

Cause: one of 54 runs of the cases, beside four other scripts, ended with 2: an instance wasn't ready. Suspected, not traced: an outgoing connection had taken its port.

Change: the addresses of instances in review/standin-2.

--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -36,12 +37,14 @@
 	LinkMbps float64
 }
 
-// freeAddresses returns n loopback addresses whose ports are free.
+// freeAddresses returns n addresses with free ports on a loopback address of its own, whose
+// ports no outgoing connection takes.
 func freeAddresses(n int) []string {
+	host := fmt.Sprintf("127.%d.%d.%d", 16+rand.IntN(200), rand.IntN(250), 2+rand.IntN(250))
 	var out []string
 	var open []net.Listener
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", host+":0")
 		if err != nil {
 			panic(err)
 		}
@@ -56,11 +59,11 @@
 
 // newMachines writes the settings of a machine for each zone of the list.
 func newMachines(dir, storeAddress string, zones []string, lim limits, bounds map[string]any) []*machine {
-	addresses := freeAddresses(3 * len(zones))
 	var out []*machine
 	var seeds []string
 	for i, z := range zones {
-		m := &machine{name: fmt.Sprintf("edge-%s-%d", z, i+1), zone: z, dir: dir, front: addresses[3*i], ready: addresses[3*i+1], control: addresses[3*i+2]}
+		a := freeAddresses(3)
+		m := &machine{name: fmt.Sprintf("edge-%s-%d", z, i+1), zone: z, dir: dir, front: a[0], ready: a[1], control: a[2]}
 		out = append(out, m)
 		if len(seeds) < 3 {
 			seeds = append(seeds, m.control)
@@ -72,7 +75,7 @@
 	}
 	for _, m := range out {
 		s := map[string]any{
-			"node": m.name, "role": "router", "machine_class": "edge", "serves": []string{"edge", "control_plane"}, "ip": "127.0.0.1",
+			"node": m.name, "role": "router", "machine_class": "edge", "serves": []string{"edge", "control_plane"}, "ip": strings.Split(m.front, ":")[0],
 			"zone": m.zone, "region": "region", "zones": zoneTable,
 			"listen": map[string]string{"front": m.front, "ready": m.ready, "control": m.control},
 			"seeds":  seeds, "bootstrap": true,
