Let answers of other instances arrive for as long as bytes come

An answer with a large configuration takes longer than that on a link of 10 Mbit/s. What had arrived was dropped and the next lead was asked for all of it, so that a zone went through all its leads within a second.

Change: package progress bounds a call by the time in which nothing of its answer arrives, and by a total. The mesh counts each byte of the call's connection. 250 ms and 500 ms are now the bounds on silence.

--- a/router/instance/peer.go
+++ b/router/instance/peer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/progress"
 	"github.com/sourcegraph/jsonrpc2"
 )
 
@@ -187,6 +188,7 @@
 	if err != nil {
 		return err
 	}
+	progress.Follow(ctx, c.netConn.idleFor)
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
 	waiter, err := c.rpc.DispatchCall(ctx, method, encoded)
--- a/router/inventory/exchange.go
+++ b/router/inventory/exchange.go
@@ -12,6 +12,7 @@
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/random"
 	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/progress"
 	"cicadawell.dev/router/rollout"
 	"cicadawell.dev/router/routing"
 	"github.com/hashicorp/go-hclog"
@@ -27,18 +28,27 @@
 	fetchAfter = 600 * time.Millisecond
 	// fetchEvery is the delay between two requests for a snapshot.
 	fetchEvery = 300 * time.Millisecond
-	// fetchTimeout bounds a request for a snapshot.
-	fetchTimeout = 500 * time.Millisecond
 	// leadPollInterval is the delay between two requests for changes to a lead: a
 	// fraction of the bound on draining.
 	leadPollInterval = 400 * time.Millisecond
-	// leadPollTimeout bounds a request for changes: several round trips.
+	// leadPollTimeout bounds the time in which nothing of the answer to a request for
+	// changes arrives: several round trips.
 	leadPollTimeout = 250 * time.Millisecond
 	// suspendFor is how long reads of the store are suspended after an answer of
 	// the lead: until the next answer, or that of the lead's successor, is due.
 	suspendFor = leadPollInterval + 2*leadPollTimeout
 )
 
+// Bounds on requests to other instances. An answer may be as large as the configuration,
+// so its duration depends on the link. Another instance is asked if it takes longer than
+// the total.
+var (
+	// fetchLimits bound a request for a snapshot.
+	fetchLimits = progress.Limits{Silence: 500 * time.Millisecond, Total: 2 * time.Second}
+	// leadPollLimits bound a request for changes to a lead.
+	leadPollLimits = progress.Limits{Silence: leadPollTimeout, Total: time.Second}
+)
+
 // ExchangeOption changes a default of NewExchange.
 type ExchangeOption func(*exchange)
 
@@ -207,7 +217,7 @@
 
 // fetchSnapshot requests the snapshot of another instance and adopts it.
 func (e *exchange) fetchSnapshot(ctx context.Context, name string) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := progress.WithLimits(ctx, e.clk, clock.SystemTimers(), fetchLimits)
 	defer cancel()
 	start := e.clk.Now()
 	resp, err := e.fetch(ctx, name, getRequest{})
--- a/router/inventory/lead.go
+++ b/router/inventory/lead.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/progress"
 	"cicadawell.dev/router/routing"
 	"github.com/cespare/xxhash/v2"
 )
@@ -146,7 +148,7 @@
 	if lead != e.lead {
 		e.lead, e.mark = lead, mark{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, leadPollTimeout)
+	ctx, cancel := progress.WithLimits(ctx, e.clk, clock.SystemTimers(), leadPollLimits)
 	defer cancel()
 	start := e.clk.Now()
 	resp, err := e.fetch(ctx, lead, getRequest{Changes: true, After: e.mark})
