Write large messages between instances under a deadline for each part

Cause: a message was written under one deadline of 1 s. One that takes longer on a narrow link, such as an answer with a large configuration, ended the connection and all calls on it while it was still being read.

Change: parts of 32 KB are written under a deadline each. A side that reads nothing is still given up after 1 s.

Measured: TestLargeAnswerOverNarrowLinkArrives, 1 MB over a link that takes 3 s, failed before (the call was sent and not answered) and passes now.

--- a/router/instance/options.go
+++ b/router/instance/options.go
@@ -32,7 +32,7 @@
 	pingTimeout time.Duration
 	// dialTimeout bounds dialing and the handshake of a new connection.
 	dialTimeout time.Duration
-	// writeTimeout bounds the write of one message.
+	// writeTimeout bounds the write of each part of a message.
 	writeTimeout time.Duration
 	// checkInterval is the interval between two checks of all connections.
 	checkInterval time.Duration
--- a/router/instance/wire.go
+++ b/router/instance/wire.go
@@ -38,7 +38,7 @@
 }
 
 // trackedConn is a connection that records the time of the last read and sets a
-// deadline for each write.
+// deadline for each part of a write.
 type trackedConn struct {
 	net.Conn
 	cfg *config
@@ -61,11 +61,21 @@
 	return n, err
 }
 
+// maxWriteBytes is the part of a message that is written under one deadline.
+const maxWriteBytes = 32 << 10
+
 func (w *trackedConn) Write(p []byte) (int, error) {
-	if err := w.SetWriteDeadline(w.cfg.clock.Now().Add(w.cfg.writeTimeout)); err != nil {
-		return 0, err
+	written := 0
+	for {
+		if err := w.SetWriteDeadline(w.cfg.clock.Now().Add(w.cfg.writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := w.Conn.Write(p[written:min(len(p), written+maxWriteBytes)])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
 	}
-	return w.Conn.Write(p)
 }
 
 // idleFor returns the time since the last byte received.
