Send other instances only what differs of a configuration, compressed

Cause: each instance got each version whole from another instance, or else from the store, two thirds of a megabyte with 1,400 routes, and small changes waited in the same answer. Leads with 25 Mbit/s couldn't serve their followers in time. All followers then read the store, filled their links with it, and were late for everything else.

Ruled out: the store (it answered all calls) and the processors (the last byte of a cut answer was 18 ms old).

Change: a requester that says so gets a patch against the version that it has, routes and teams that differ, and answers of 4 KB and more compressed. Instances keep the two versions before the one in force for that. Builds without patches get and send whole configurations as before.

--- a/router/inventory/exchange.go
+++ b/router/inventory/exchange.go
@@ -89,6 +89,7 @@
 	for _, opt := range opts {
 		opt(e)
 	}
+	current.Subscribe(e.recent.note)
 	mesh.Handle(methodInventory, e.serve)
 	return e
 }
@@ -106,6 +107,8 @@
 	seeds []string
 	// rolloutsRequired is whether the answers of older builds are ignored.
 	rolloutsRequired bool
+	// recent has the configurations that other instances may still have.
+	recent recentTables
 
 	// lead is the instance that issued mark.
 	lead string
@@ -119,6 +122,9 @@
 	// Changes is set in requests to a lead. After is the mark of the last answer.
 	Changes bool `json:"changes,omitempty"`
 	After   mark `json:"after,omitzero"`
+	// Patches is set if the requesting instance takes patches of configurations and
+	// compressed answers. Older builds take neither.
+	Patches bool `json:"patches,omitempty"`
 }
 
 // getResponse is the wire form of a snapshot, or of changes if Complete is set.
@@ -135,8 +141,10 @@
 	// Complete is set if Changes are all changes after the requested mark.
 	Complete bool         `json:"complete,omitempty"`
 	Changes  []wireChange `json:"changes,omitempty"`
-	// Config is omitted if the requesting instance has that version.
+	// Config or Patch is the configuration. Both are omitted if the requesting instance
+	// has that version.
 	Config    *routing.Config  `json:"config,omitempty"`
+	Patch     *routing.Patch   `json:"patch,omitempty"`
 	Runners   []wireRunner     `json:"runners,omitempty"`
 	ZonesOut  []string         `json:"zonesOut,omitempty"`
 	ZonesBack []wireZoneReturn `json:"zonesBack,omitempty"`
@@ -148,6 +156,8 @@
 	HasRollouts   bool               `json:"hasRollouts,omitempty"`
 	RolloutOrders []wireRolloutOrder `json:"rolloutOrders,omitempty"`
 	Rollouts      []wireRollout      `json:"rollouts,omitempty"`
+	// Compressed is a whole response, compressed. All other fields are empty then.
+	Compressed []byte `json:"compressed,omitempty"`
 }
 
 // wireRunner is the wire form of a runner's description. ColdMicros is the rest
@@ -219,13 +229,13 @@
 func (e *exchange) fetchSnapshot(ctx context.Context, name string) {
 	ctx, cancel := progress.WithLimits(ctx, e.clk, clock.SystemTimers(), fetchLimits)
 	defer cancel()
-	start := e.clk.Now()
-	resp, err := e.fetch(ctx, name, getRequest{})
+	start, own := e.clk.Now(), e.current.Load().Table
+	resp, err := e.fetch(ctx, name, own, getRequest{})
 	if err != nil {
 		e.log.Debug("could not fetch the snapshot of another instance", "instance", name, "error", err)
 		return
 	}
-	if err := e.adopt(name, resp, start); err != nil {
+	if err := e.adopt(name, resp, own, start); err != nil {
 		e.log.Warn("invalid answer from another instance", "instance", name, "error", err)
 	}
 }
@@ -234,8 +244,11 @@
 // takes 50 ms on a link of 10 Mbit/s.
 const largeAnswer = 64 << 10
 
-func (e *exchange) fetch(ctx context.Context, name string, req getRequest) (getResponse, error) {
-	if own := e.current.Load().Table; own != nil {
+// fetch sends a request for what is missing in this instance's view with the configuration
+// own, which may be nil.
+func (e *exchange) fetch(ctx context.Context, name string, own *routing.Table, req getRequest) (getResponse, error) {
+	req.Patches = true
+	if own != nil {
 		req.Version = own.Version()
 	}
 	start := e.clk.Now()
@@ -250,22 +263,23 @@
 	if err := json.Unmarshal(raw, &resp); err != nil {
 		return getResponse{}, fault.Wrap(fault.Internal, err, "decode an answer").WithField(methodInventory)
 	}
-	return resp, nil
+	return resp.decompressed()
 }
 
-// adopt passes the answer to a request made at start to the follower.
-func (e *exchange) adopt(name string, resp getResponse, start time.Time) error {
+// adopt passes the answer to a request made at start, with the configuration own, to the
+// follower.
+func (e *exchange) adopt(name string, resp getResponse, own *routing.Table, start time.Time) error {
 	now := e.clk.Now()
 	freshness := Freshness{ConfirmedAt: start.Add(-micros(resp.AgeMicros)), ConnectedSince: now.Add(-micros(resp.SteadyMicros))}
 	if resp.Complete {
-		changes, err := resp.changes(now)
+		changes, err := resp.changes(own, now)
 		if err != nil {
 			return err
 		}
 		e.follower.AdoptChanges(name, changes, resp.Revision, freshness)
 		return nil
 	}
-	s, err := resp.snapshot(e.current.Load().Table, now)
+	s, err := resp.snapshot(own, now)
 	if err != nil {
 		return err
 	}
@@ -281,35 +295,58 @@
 	if e.current.Load().Table == nil {
 		return nil, fault.New(fault.NotReady, "nothing is known here")
 	}
+	resp := e.response(req)
+	if !req.Patches {
+		return resp, nil
+	}
+	return resp.compressed()
+}
+
+// response returns the changes after the requested mark, or a snapshot.
+func (e *exchange) response(req getRequest) getResponse {
 	now := e.clk.Now()
 	if !req.Changes {
-		return e.snapshotResponse(e.current.Load(), e.follower.Freshness(), req.Version, now), nil
+		return e.snapshotResponse(e.current.Load(), e.follower.Freshness(), req, now)
 	}
 	u := e.follower.UpdateSince(req.After)
 	if !u.complete {
-		resp := e.snapshotResponse(u.snapshot, u.freshness, req.Version, now)
+		resp := e.snapshotResponse(u.snapshot, u.freshness, req, now)
 		resp.Mark = u.mark
-		return resp, nil
+		return resp
 	}
 	resp := getResponse{Revision: u.snapshot.Revision, Mark: u.mark, Complete: true, HasRollouts: true}
 	resp.setFreshness(u.freshness, now)
 	for _, c := range u.changes {
-		resp.Changes = append(resp.Changes, newWireChange(c, now))
+		wire := newWireChange(c, now)
+		if c.Table != nil {
+			wire.Config, wire.Patch = e.configFor(c.Table, req)
+		}
+		resp.Changes = append(resp.Changes, wire)
 	}
-	return resp, nil
+	return resp
+}
+
+// configFor returns a configuration in the form that the requesting instance takes: whole,
+// or as the difference from the one that it has. Both are nil if it has that version.
+func (e *exchange) configFor(table *routing.Table, req getRequest) (*routing.Config, *routing.Patch) {
+	switch {
+	case table.Version() == req.Version:
+		return nil, nil
+	case !req.Patches:
+		cfg := table.Config()
+		return &cfg, nil
+	}
+	patch := routing.NewPatch(e.recent.find(req.Version), table)
+	return nil, &patch
 }
 
-// snapshotResponse returns the response with a snapshot for an instance that has
-// a version of the configuration.
-func (e *exchange) snapshotResponse(s *Snapshot, freshness Freshness, version int64, now time.Time) getResponse {
+// snapshotResponse returns the response with a snapshot.
+func (e *exchange) snapshotResponse(s *Snapshot, freshness Freshness, req getRequest, now time.Time) getResponse {
 	resp := getResponse{
 		Revision: s.Revision, ZonesOut: slices.Sorted(maps.Keys(s.ZonesOut)), Instances: slices.Collect(maps.Values(s.Instances)),
 	}
 	resp.setFreshness(freshness, now)
-	if s.Table.Version() != version {
-		cfg := s.Table.Config()
-		resp.Config = &cfg
-	}
+	resp.Config, resp.Patch = e.configFor(s.Table, req)
 	for zone, back := range s.ReturnedZones {
 		resp.ZonesBack = append(resp.ZonesBack, wireZoneReturn{Zone: zone, Revision: back.Revision, AgoMicros: now.Sub(back.SeenAt).Microseconds()})
 	}
@@ -393,11 +430,9 @@
 		ZonesOut: make(map[string]bool), ReturnedZones: make(map[string]ZoneReturn), Instances: make(map[string]Instance),
 		HeldRemovals: make(map[string]int64), Quarantines: make(map[string]*Quarantine),
 	}
-	if resp.Config != nil {
-		t, err := routing.NewTable(*resp.Config)
-		if err != nil {
-			return nil, err
-		}
+	if t, err := newTable(table, resp.Config, resp.Patch); err != nil {
+		return nil, err
+	} else if t != nil {
 		s.Table = t
 	}
 	for _, r := range resp.Runners {
--- a/router/inventory/history_test.go
+++ b/router/inventory/history_test.go
@@ -79,7 +79,7 @@
 	is.NoErr(err)
 	var resp getResponse
 	is.NoErr(json.Unmarshal(data, &resp))
-	changes, err := resp.changes(now)
+	changes, err := resp.changes(nil, now)
 	is.NoErr(err)
 	is.Equal(len(changes), 1)
 	before := &Snapshot{Revision: 3}
--- a/router/inventory/lead.go
+++ b/router/inventory/lead.go
@@ -16,6 +16,7 @@
 type wireChange struct {
 	Revision     int64           `json:"revision"`
 	Config       *routing.Config `json:"config,omitempty"`
+	Patch        *routing.Patch  `json:"patch,omitempty"`
 	Runner       *wireRunner     `json:"runner,omitempty"`
 	RunnerGone   string          `json:"runnerGone,omitempty"`
 	ZoneOut      string          `json:"zoneOut,omitempty"`
@@ -33,6 +34,7 @@
 	RolloutOver      string            `json:"rolloutOver,omitempty"`
 }
 
+// newWireChange converts a change. The configuration is left out.
 func newWireChange(c Change, now time.Time) wireChange {
 	wire := wireChange{
 		Revision: c.Revision, RunnerGone: c.RemovedRunner, ZoneOut: c.ZoneOut, ZoneBack: c.ReturnedZone,
@@ -40,9 +42,6 @@
 		RolloutWithdrawn: c.WithdrawnRollout, RolloutOver: c.EndedRollout,
 	}
 	switch {
-	case c.Table != nil:
-		cfg := c.Table.Config()
-		wire.Config = &cfg
 	case c.Runner != nil:
 		r := newWireRunner(c.Runner, now)
 		wire.Runner = &r
@@ -61,8 +60,25 @@
 	return wire
 }
 
-// changes converts the changes, as if this instance had read them now.
-func (resp getResponse) changes(now time.Time) ([]Change, error) {
+// newTable returns the table of a whole configuration or of a patch of the table own, or
+// nil if there is neither.
+func newTable(own *routing.Table, cfg *routing.Config, patch *routing.Patch) (*routing.Table, error) {
+	switch {
+	case cfg != nil:
+		return routing.NewTable(*cfg)
+	case patch == nil:
+		return nil, nil
+	}
+	patched, err := patch.Apply(own)
+	if err != nil {
+		return nil, err
+	}
+	return routing.NewTable(patched)
+}
+
+// changes converts the changes, as if this instance, with the configuration own, had read
+// them now.
+func (resp getResponse) changes(own *routing.Table, now time.Time) ([]Change, error) {
 	out := make([]Change, 0, len(resp.Changes))
 	for _, wire := range resp.Changes {
 		c := Change{
@@ -70,13 +86,11 @@
 			Instance: wire.Instance, RemovedInstance: wire.InstanceGone, SeenAt: now.Add(-micros(wire.AgoMicros)),
 			EndedQuarantine: wire.QuarantineOver, WithdrawnRollout: wire.RolloutWithdrawn, EndedRollout: wire.RolloutOver,
 		}
-		if wire.Config != nil {
-			table, err := routing.NewTable(*wire.Config)
-			if err != nil {
-				return nil, err
-			}
-			c.Table = table
+		table, err := newTable(own, wire.Config, wire.Patch)
+		if err != nil {
+			return nil, err
 		}
+		c.Table = table
 		if wire.Runner != nil {
 			c.Runner = wire.Runner.runner(now)
 		}
@@ -150,8 +164,8 @@
 	}
 	ctx, cancel := progress.WithLimits(ctx, e.clk, clock.SystemTimers(), leadPollLimits)
 	defer cancel()
-	start := e.clk.Now()
-	resp, err := e.fetch(ctx, lead, getRequest{Changes: true, After: e.mark})
+	start, own := e.clk.Now(), e.current.Load().Table
+	resp, err := e.fetch(ctx, lead, own, getRequest{Changes: true, After: e.mark})
 	if err != nil {
 		e.log.Info("instance that reads the store for others doesn't answer", "instance", lead, "error", err)
 		e.leads.MarkUnavailable(lead)
@@ -162,7 +176,7 @@
 		e.mark = mark{}
 		return false
 	}
-	if err := e.adopt(lead, resp, start); err != nil {
+	if err := e.adopt(lead, resp, own, start); err != nil {
 		e.log.Warn("invalid answer from another instance", "instance", lead, "error", err)
 		e.mark = mark{}
 		return false
--- a/router/inventory/lead_test.go
+++ b/router/inventory/lead_test.go
@@ -1,6 +1,7 @@
 package inventory_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -61,6 +62,8 @@
 	bytes atomic.Int64
 	// older is set if its answers are those of a build without rollouts.
 	older atomic.Bool
+	// unpatched is set if it is an instance of a build that knows no patches.
+	unpatched atomic.Bool
 	// sourceRefuses makes calls to the source fail. sourceBlocks makes them block
 	// until their context ends. isolated also makes calls from and to other
 	// instances block.
@@ -126,6 +129,9 @@
 	if err != nil {
 		return err
 	}
+	if n.unpatched.Load() || peer.unpatched.Load() {
+		raw = bytes.Replace(raw, []byte(`,"patches":true`), nil, 1)
+	}
 	n.countBytes(peer, len(raw))
 	answer, err := peer.handlers[method](ctx, n.name, raw)
 	if err != nil {
