Read answers of the store for as long as bytes come

Cause: a call of the store ended 0.7 s after its wait, and a list after 2 s, also while the answer was arriving. An answer has all changes since the known revision. On a link of 10 Mbit/s that is full otherwise, two versions of a large configuration take longer; the next answer is larger still.

Change: these bounds hold for the time in which nothing arrives. An answer may arrive for 6 s more.

Measured: TestLargeAnswerOfTheStoreIsReadToItsEnd, an answer that takes 2.5 s, never got through before (6 s) and does at the first call now.

--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -8,6 +8,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/progress"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -74,10 +75,14 @@
 	// bound on draining, by the time that a call takes to
 	// reach its runner.
 	defaultMaxAge = 1300 * time.Millisecond
-	// pollTimeoutMargin is how long a call may take beyond its wait.
+	// pollTimeoutMargin is how long a call may take beyond its wait until the first part
+	// of its answer arrives, and until each further one.
 	pollTimeoutMargin = 700 * time.Millisecond
-	// listTimeout bounds a call that lists all items.
+	// listTimeout is the same for a call that lists all items.
 	listTimeout = 2 * time.Second
+	// transferLimit is how long an answer may arrive. Its size depends on the operators,
+	// and what arrived of an answer that is dropped is lost.
+	transferLimit = 6 * time.Second
 	// minBackoff and maxBackoff bound the delay after a failed call, which
 	// doubles with each failure.
 	minBackoff = 100 * time.Millisecond
@@ -247,12 +252,12 @@
 	var revision int64
 	var err error
 	if relist {
-		listing, cancel := context.WithTimeout(ctx, listTimeout)
+		listing, cancel := f.limit(ctx, listTimeout)
 		defer cancel()
 		changes, revision, err = f.source.List(listing)
 	} else {
 		wait := f.pollWait()
-		watching, cancel := context.WithTimeout(ctx, wait+pollTimeoutMargin)
+		watching, cancel := f.limit(ctx, wait+pollTimeoutMargin)
 		defer cancel()
 		changes, revision, err = f.source.Changes(watching, after, wait)
 	}
@@ -267,6 +272,11 @@
 	return len(changes) > 0 || relist, nil
 }
 
+// limit bounds a call by the time in which nothing of its answer arrives.
+func (f *follower) limit(ctx context.Context, silence time.Duration) (context.Context, context.CancelFunc) {
+	return progress.WithLimits(ctx, f.clk, clock.SystemTimers(), progress.Limits{Silence: silence, Total: silence + transferLimit})
+}
+
 func (f *follower) Refresh(ctx context.Context) error {
 	start := f.clk.Now()
 	changes, revision, err := f.source.Changes(ctx, f.current.Load().Revision, 0)
