Finish a refresh of the configuration when its caller stops waiting

Cause: a call whose route or key isn't known waits 150 ms for a read of the store, and the read ended with the wait, or with the call's connection. A read of a large configuration takes longer on a narrow link, so that it was begun again and again by each such call and never gave an answer, while it filled the link.

Change: the read goes on for those that come later, bounded by the time in which nothing of it arrives; at most one is made at a time, as before.

--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -279,6 +279,8 @@
 
 func (f *follower) Refresh(ctx context.Context) error {
 	start := f.clk.Now()
+	ctx, cancel := f.limit(ctx, pollTimeoutMargin)
+	defer cancel()
 	changes, revision, err := f.source.Changes(ctx, f.current.Load().Revision, 0)
 	if err != nil {
 		return err
--- a/router/relay/refresh.go
+++ b/router/relay/refresh.go
@@ -24,16 +24,22 @@
 }
 
 // Do makes the call unless the last one began less than minRefreshInterval ago, and
-// returns the error of the latest call.
+// returns the error of the latest call. The call goes on when ctx ends, as others may wait
+// for it and a repeated one would begin anew.
 func (s *sharedRefresh) Do(ctx context.Context, call func(context.Context) error) error {
-	_, err, _ := s.group.Do("", func() (any, error) {
+	result := s.group.DoChan("", func() (any, error) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if now := s.clk.Now(); now.Sub(s.last) >= minRefreshInterval {
 			s.last = now
-			s.err = call(ctx)
+			s.err = call(context.WithoutCancel(ctx))
 		}
 		return nil, s.err
 	})
-	return err
+	select {
+	case r := <-result:
+		return r.Err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
