--- a/router/instance/narrow_link_test.go
+++ b/router/instance/narrow_link_test.go
@@ -13,6 +13,7 @@
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/pipe"
 	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/progress"
 	"github.com/matryer/is"
 )
 
@@ -28,8 +29,8 @@
 	return n, err
 }
 
-// TestLargeAnswerOverNarrowLinkArrives guards against a deadline for a whole message, which
-// ends the connection and all its calls while the message is still arriving.
+// TestLargeAnswerOverNarrowLinkArrives guards against deadlines for a whole message, which
+// end the call, or the connection and all its calls, while the message is still arriving.
 func TestLargeAnswerOverNarrowLinkArrives(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -44,7 +45,7 @@
 		var group sync.WaitGroup
 		group.Go(func() { _ = b.Serve(l) })
 		a.SetAddresses(map[string]string{"b": "b"})
-		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		ctx, cancel := progress.WithLimits(t.Context(), clock.System(), clock.SystemTimers(), progress.Limits{Silence: 100 * time.Millisecond, Total: 10 * time.Second})
 		defer cancel()
 		var out string
 		is.NoErr(a.Call(ctx, "b", "large", nil, &out))
--- a/router/inventory/lead_test.go
+++ b/router/inventory/lead_test.go
@@ -129,7 +129,8 @@
 	if err != nil {
 		return err
 	}
-	if n.unpatched.Load() || peer.unpatched.Load() {
+	unpatched := n.unpatched.Load() || peer.unpatched.Load()
+	if unpatched {
 		raw = bytes.Replace(raw, []byte(`,"patches":true`), nil, 1)
 	}
 	n.countBytes(peer, len(raw))
@@ -142,6 +143,9 @@
 		raw = withoutRollouts(raw)
 	}
 	n.countBytes(peer, len(raw))
+	if unpatched && (bytes.Contains(raw, []byte(`"patch":`)) || bytes.Contains(raw, []byte(`"compressed":`))) {
+		return errors.New("unknown field")
+	}
 	return errors.Join(err, json.Unmarshal(raw, result))
 }
 
