--- a/router/inventory/encoding.go
+++ b/router/inventory/encoding.go
@@ -5,8 +5,10 @@
 	"compress/flate"
 	"encoding/json"
 	"io"
+	"time"
 
 	"cicadawell.dev/fleet/fault"
+	"github.com/hashicorp/go-hclog"
 )
 
 const (
@@ -18,6 +20,17 @@
 	maxAnswerBytes = 8 << 20
 )
 
+// largeAnswer is the size from which an answer is logged, in bytes. It takes 50 ms on a link
+// of 10 Mbit/s.
+const largeAnswer = 64 << 10
+
+// LogSize logs the size of a large answer of the store or of another instance.
+func LogSize(log hclog.Logger, from string, bytes int, took time.Duration) {
+	if bytes >= largeAnswer {
+		log.Info("large answer", "from", from, "bytes", bytes, "tookMillis", took.Milliseconds())
+	}
+}
+
 // compressed returns the response in the form for instances that take compressed answers.
 func (resp getResponse) compressed() (any, error) {
 	raw, err := json.Marshal(resp)
--- a/router/inventory/exchange.go
+++ b/router/inventory/exchange.go
@@ -240,10 +240,6 @@
 	}
 }
 
-// largeAnswer is the size from which an answer of another instance is logged, in bytes. It
-// takes 50 ms on a link of 10 Mbit/s.
-const largeAnswer = 64 << 10
-
 // fetch sends a request for what is missing in this instance's view with the configuration
 // own, which may be nil.
 func (e *exchange) fetch(ctx context.Context, name string, own *routing.Table, req getRequest) (getResponse, error) {
@@ -256,9 +252,7 @@
 	if err := e.mesh.Call(instance.MarkIdempotent(ctx), name, methodInventory, req, &raw); err != nil {
 		return getResponse{}, err
 	}
-	if len(raw) >= largeAnswer {
-		e.log.Info("large answer of another instance", "instance", name, "bytes", len(raw), "tookMillis", e.clk.Now().Sub(start).Milliseconds())
-	}
+	LogSize(e.log, name, len(raw), e.clk.Now().Sub(start))
 	var resp getResponse
 	if err := json.Unmarshal(raw, &resp); err != nil {
 		return getResponse{}, fault.Wrap(fault.Internal, err, "decode an answer").WithField(methodInventory)
--- a/router/progress/progress.go
+++ b/router/progress/progress.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -44,6 +45,22 @@
 	}
 }
 
+// Reader returns a reader of r that notes each part of the answer to the call of ctx.
+func Reader(ctx context.Context, r io.Reader) io.Reader { return reader{ctx: ctx, r: r} }
+
+type reader struct {
+	ctx context.Context
+	r   io.Reader
+}
+
+func (r reader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	if n > 0 {
+		Note(r.ctx)
+	}
+	return n, err
+}
+
 // Follow makes each byte that arrives on a connection count as progress of the call of
 // ctx. silentFor returns the time since the last one.
 func Follow(ctx context.Context, silentFor func() time.Duration) {
