Read the limits that runners name, and log them

Change: the header is decoded, kept with the runner's incarnation, also while its description is missing, and logged when it is named first, changes, or ends. An answer that is good and has no limit ends it. Nothing is paced yet. The header is no longer passed on to callers, as those of loads aren't.

Measured: TestAnswersSayWhetherTheirRunnerTakesCalls with eight answers more, and TestAnswersWithoutALimitEndIt.

--- a/router/target/notice.go
+++ b/router/target/notice.go
@@ -17,7 +17,12 @@
 	// Pause is for how long the runner takes no calls of this instance; zero if it
 	// didn't say.
 	Pause time.Duration
-	Load  Load
+	// Limit is how many calls per second the runner takes from all instances together;
+	// zero if it didn't say.
+	Limit float64
+	// Unlimited is set if an answer without a limit ends the one named before.
+	Unlimited bool
+	Load      Load
 }
 
 const (
@@ -45,7 +50,7 @@
 		s.markLeaving(r)
 	}
 	hasLoad := s.useLoad && n.Load.Slots > 0
-	if n.Pause <= 0 && !hasLoad {
+	if n.Pause <= 0 && !hasLoad && n.Limit <= 0 && !n.Unlimited {
 		return
 	}
 	t := s.Find(r.ID)
@@ -55,6 +60,9 @@
 	if hasLoad {
 		t.observeLoad(n.Load, s.clk.Now())
 	}
+	if n.Limit > 0 || n.Unlimited {
+		s.observeLimit(t, n.Limit)
+	}
 	if n.Pause <= 0 {
 		return
 	}
--- a/router/target/set.go
+++ b/router/target/set.go
@@ -56,6 +56,8 @@
 	// AcceptsCalls reports whether the target still accepts new calls of this
 	// instance.
 	AcceptsCalls(t *Target) bool
+	// Limited reports whether a runner named a limit that is still in force.
+	Limited(r *inventory.Runner) bool
 	// Excluded returns the targets of a service that accept no calls of this instance
 	// by their own answers, though their descriptions don't say so.
 	Excluded(service string) []*Target
@@ -140,7 +142,7 @@
 func NewSet(clk clock.Clock, rate ColdRate, lag time.Duration, opts ...Option) Set {
 	s := &set{
 		clk: clk, rate: rate, describeLag: lag, backOff: true, useLoad: true, log: hclog.NewNullLogger(), random: random.NewSource(),
-		leaving: make(map[incarnation]time.Time), absentPauses: make(map[incarnation]time.Time),
+		leaving: make(map[incarnation]time.Time), absentPauses: make(map[incarnation]time.Time), absentLimits: make(map[incarnation]limit),
 		services: make(map[string]*serviceRollout), usages: make(map[usageKey]*usage),
 	}
 	for _, opt := range opts {
@@ -170,6 +172,8 @@
 	// absentPauses has the ends of the pauses of runners whose descriptions were
 	// removed during the pause.
 	absentPauses map[incarnation]time.Time
+	// absentLimits has the limits of runners whose descriptions were removed.
+	absentLimits map[incarnation]limit
 	// random chooses the credit that rollouts begin with.
 	random random.Source
 	// services has the rollouts by service, and usages the use of each version. Both
@@ -201,7 +205,7 @@
 	for id, r := range next.Runners {
 		t := old.all[id]
 		if t == nil || t.runner.Born != r.Born || t.runner.Address != r.Address || (s.rollouts && t.runner.Version != r.Version) {
-			t = &Target{runner: r, pausedUntil: s.absentPauses[incarnationOf(r)], usage: s.usageOf(r.Service, r.Version)}
+			t = &Target{runner: r, pausedUntil: s.absentPauses[incarnationOf(r)], limit: s.limitOf(t, r), usage: s.usageOf(r.Service, r.Version)}
 		}
 		t.mu.Lock()
 		t.runner = r
@@ -209,6 +213,7 @@
 		all[id] = t
 	}
 	s.keepPauses(old, all)
+	s.keepLimits(old, all)
 	s.forgetLeaving(next)
 	s.forgetUsages(next)
 	s.view.Store(s.newView(next, all))
@@ -243,9 +248,10 @@
 
 func (s *set) UsableIn(sh shard.Shard) []*Target { return s.view.Load().usable[sh] }
 
-func (s *set) AcceptsCalls(t *Target) bool {
-	return t.PausedFor(s.clk.Now()) == 0 && slices.Contains(s.Usable(t.Runner().Service), t)
-}
+func (s *set) AcceptsCalls(t *Target) bool { return t.PausedFor(s.clk.Now()) == 0 && s.accepts(t) }
+
+// accepts reports whether the target accepts calls by its description.
+func (s *set) accepts(t *Target) bool { return slices.Contains(s.Usable(t.Runner().Service), t) }
 
 func (s *set) Find(id string) *Target { return s.view.Load().all[id] }
 
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -31,6 +31,7 @@
 	suspectSince    time.Time
 	// pausedUntil is until when the runner takes no calls of this instance.
 	pausedUntil time.Time
+	limit       limit
 	reported    reported
 }
 
