Keep to the limits that runners name, over all instances

Cause: nothing read the limit, so that each instance went on calling the runner by its load, which is low as it is in need.

Ruled out: calls under way when the limit was named; the excess came 12 s later.

Change: each instance takes an even part of the limit and spaces its calls evenly, from a random moment on, as all learn of a limit at about the same time. Where so many instances share a limit that the calls of all could meet in one window, they take less of it together, so that this is very unlikely. The call is counted directly before it is written, for calls, streams, repeats and batches alike; runners with a limit aren't asked for free memory or to free results. Until its next call is due the runner counts as paused: others are chosen, and if there are none, calls are refused with the time until then. While it isn't known how many instances there are, the runner gets nothing.

--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -307,7 +307,7 @@
 	connected := start
 	d.MaySend = func() bool {
 		connected = x.Clock.Now()
-		return x.Targets.AcceptsCalls(t)
+		return x.Targets.Admit(t)
 	}
 	a, err := x.Runners.Send(ctx, p.call, d)
 	now := x.Clock.Now()
--- a/router/stage/pool.go
+++ b/router/stage/pool.go
@@ -34,6 +34,9 @@
 	// permit reports whether a runner may get one more batch, and takes the permit
 	// of a cold runner, whose calls are rate limited.
 	permit func(*target.Target) bool
+	// admit reports whether a runner accepts a call now, and counts it against the limit
+	// that the runner named.
+	admit func(*target.Target) bool
 	// candidate reports whether a rollout moves work to a runner's version by and by,
 	// and whether the runner may get a batch now.
 	candidate func(*target.Target) (candidate, credit bool)
@@ -298,7 +301,7 @@
 	defer cancel()
 	defer t.Begin(false)()
 	runner := t.Runner()
-	usable := func() bool { return slices.Contains(p.targets(), t) && t.PausedFor(p.clk.Now()) == 0 }
+	usable := func() bool { return slices.Contains(p.targets(), t) && p.admit(t) }
 	slowdown := t.Slowdown(now)
 	results, refused, err := p.runners.Run(ctx, runner, usable, timed)
 	p.log.Info("batch", "service", p.shard.Service, "runner", runner.ID, "zone", runner.Zone, "version", runner.Version, "pieces", len(batch), "requests", callIDs(batch),
@@ -359,11 +362,12 @@
 }
 
 // queryMemory asks a runner for its free memory, since results of former
-// owners, which aren't tracked here, occupy some of it. The caller holds mu.
+// owners, which aren't tracked here, occupy some of it. Runners with a limit aren't asked:
+// the calls that they take are for batches. The caller holds mu.
 func (p *Pool) queryMemory(t *target.Target, limits *routing.Batches) {
 	now := p.clk.Now()
 	r := p.memoryOf(t)
-	if now.Sub(r.queriedAt) < memoryQueryInterval || t.PausedFor(now) > 0 {
+	if now.Sub(r.queriedAt) < memoryQueryInterval || t.PausedFor(now) > 0 || t.Limited() {
 		return
 	}
 	r.queriedAt = now
--- a/router/stage/pools.go
+++ b/router/stage/pools.go
@@ -112,7 +112,7 @@
 				}
 				return table.Service(sh.Service).Batches
 			},
-			snapshotAge: s.current.Age, permit: s.targets.TakePermit, candidate: s.targets.Candidate,
+			snapshotAge: s.current.Age, permit: s.targets.TakePermit, admit: s.targets.Admit, candidate: s.targets.Candidate,
 			rollouts: s.rollouts, hold: s.held.add,
 			inFlight: make(map[*target.Target]int), memory: make(map[*target.Target]*resultMemory),
 			reserved: make(map[string]pendingOrder), backoffUntil: make(map[*target.Target]time.Time),
@@ -163,7 +163,8 @@
 }
 
 // freeResults asks the runners to free the released results. Results that a
-// failed request concerns expire on their runner.
+// failed request concerns expire on their runner, and so do those of runners with a limit,
+// which take calls for batches only.
 func (s *poolSet) freeResults(ctx context.Context) {
 	s.mu.Lock()
 	toFree := s.toFree
@@ -172,7 +173,7 @@
 	var group sync.WaitGroup
 	for id, handles := range toFree {
 		t := s.targets.Find(id)
-		if t == nil {
+		if t == nil || t.Limited() {
 			continue
 		}
 		if t.PausedFor(s.clk.Now()) > 0 {
--- a/router/target/notice.go
+++ b/router/target/notice.go
@@ -146,12 +146,12 @@
 	return shortest
 }
 
-// PausedFor returns for how long the runner takes no calls of this instance; zero if
-// it takes them.
+// PausedFor returns for how long the runner takes no calls of this instance, because it
+// said so or by its limit; zero if it takes them.
 func (t *Target) PausedFor(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return max(0, t.pausedUntil.Sub(now))
+	return max(0, t.pausedUntil.Sub(now), t.limit.next.Sub(now))
 }
 
 // pause extends the pause up to a time. It reports whether that was later than
--- a/router/target/set.go
+++ b/router/target/set.go
@@ -56,6 +56,9 @@
 	// AcceptsCalls reports whether the target still accepts new calls of this
 	// instance.
 	AcceptsCalls(t *Target) bool
+	// Admit is AcceptsCalls directly before a call is sent: it counts the call against
+	// the limit that the runner named.
+	Admit(t *Target) bool
 	// Limited reports whether a runner named a limit that is still in force.
 	Limited(r *inventory.Runner) bool
 	// Excluded returns the targets of a service that accept no calls of this instance
@@ -134,6 +137,10 @@
 // random seed.
 func WithRandom(r random.Source) Option { return func(s *set) { s.random = r } }
 
+// WithInstances sets the number of instances that share the limits of runners. By default
+// it is one.
+func WithInstances(count InstanceCount) Option { return func(s *set) { s.instances = count } }
+
 // WithLog sets the log. The default logs nothing.
 func WithLog(log hclog.Logger) Option { return func(s *set) { s.log = log } }
 
@@ -142,7 +149,8 @@
 func NewSet(clk clock.Clock, rate ColdRate, lag time.Duration, opts ...Option) Set {
 	s := &set{
 		clk: clk, rate: rate, describeLag: lag, backOff: true, useLoad: true, log: hclog.NewNullLogger(), random: random.NewSource(),
-		leaving: make(map[incarnation]time.Time), absentPauses: make(map[incarnation]time.Time), absentLimits: make(map[incarnation]limit),
+		instances: func() (int, bool) { return 1, true },
+		leaving:   make(map[incarnation]time.Time), absentPauses: make(map[incarnation]time.Time), absentLimits: make(map[incarnation]limit),
 		services: make(map[string]*serviceRollout), usages: make(map[usageKey]*usage),
 	}
 	for _, opt := range opts {
@@ -174,7 +182,9 @@
 	absentPauses map[incarnation]time.Time
 	// absentLimits has the limits of runners whose descriptions were removed.
 	absentLimits map[incarnation]limit
-	// random chooses the credit that rollouts begin with.
+	// instances returns how many instances share the limits of runners.
+	instances InstanceCount
+	// random chooses the credit that rollouts begin with, and the first calls under limits.
 	random random.Source
 	// services has the rollouts by service, and usages the use of each version. Both
 	// are empty unless rollouts are carried out.
