Bound the number of fields in the head of a runner's answer

Other operators report a faulty runner that sent bytes without end, in a head or in a body, until its caller closed, which ran out of memory.

Cause: here heads and bodies were bounded already, heads by their bytes alone. A field takes far more memory than its bytes, and a runner that sent a head of 60 KB with many short fields and then nothing more made the process keep a megabyte for each call.

Change: a head has 128 lines at most, counted before each further read, so that what follows it in the same read doesn't count.

TestLinesOfBodyAreNotLinesOfHead holds the body apart.

--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -226,8 +226,8 @@
 func (ex *exchange) readHead(req *Request) (*Response, error) {
 	httpReq := &http.Request{Method: req.Method}
 	source := ex.conn.source
-	source.remaining = maxHeadBytes
-	defer func() { source.remaining = -1 }()
+	source.boundHead()
+	defer source.unbound()
 	for discarded := 0; discarded <= maxStrayResponses; {
 		resp, err := http.ReadResponse(ex.conn.r, httpReq)
 		if err != nil {
@@ -243,11 +243,11 @@
 			if !framed(resp) {
 				return nil, errStrayResponses
 			}
-			source.remaining = maxDiscardBytes
+			source.boundBytes(maxDiscardBytes)
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 				return nil, err
 			}
-			source.remaining = maxHeadBytes
+			source.boundHead()
 			discarded++
 			continue
 		}
--- a/router/link/exchange_test.go
+++ b/router/link/exchange_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -371,6 +372,22 @@
 	}
 }
 
+// TestLinesOfBodyAreNotLinesOfHead has a body with many lines arrive together with its head.
+func TestLinesOfBodyAreNotLinesOfHead(t *testing.T) {
+	is := is.New(t)
+	const lines = 3000
+	fields := strings.Repeat("A: b\r\n", 100)
+	s := serve(t, "HTTP/1.1 200 OK\r\nId: 1\r\n"+fields+fmt.Sprintf("Content-Length: %d\r\n\r\n", lines)+strings.Repeat("\n", lines)+"\x00")
+	pool := link.NewPool()
+	defer pool.Close()
+	a, err := pool.Exchange(t.Context(), s.address, newRequest())
+	is.NoErr(err)
+	defer a.Close()
+	body, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	is.Equal(len(body), lines)
+}
+
 func TestUnframedAnswerOfAnotherRequestFailsAtOnce(t *testing.T) {
 	is := is.New(t)
 	s := serve(t, "HTTP/1.1 200 OK\r\nId: 0\r\n\r\nlate\x00")
--- a/router/link/head.go
+++ b/router/link/head.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 )
 
@@ -12,6 +14,9 @@
 	// including interim (1xx) responses. It is several times what servers usually
 	// allow.
 	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines of the head, since a field takes far more memory than
+	// its bytes. Servers send some tens.
+	maxHeadLines = 128
 	// maxDiscardBytes bounds the discarded body of a response to another request.
 	maxDiscardBytes = 1 << 20
 )
@@ -19,24 +24,36 @@
 var errHeadTooLong = errors.New("the head of the answer doesn't end")
 
 // boundedReader reads a connection. While a bound is set it fails with
-// errHeadTooLong once that many bytes were read.
+// errHeadTooLong once that many bytes or lines were read.
 type boundedReader struct {
 	r io.Reader
 	// remaining is how many bytes may still be read, negative if unbounded.
 	remaining int64
+	// lines is how many lines may be read until the last read begins. What follows a
+	// head in that read doesn't count.
+	lines int
 }
 
 func newBoundedReader(r io.Reader) *boundedReader { return &boundedReader{r: r, remaining: -1} }
 
+// boundHead bounds what is read until unbound as one head.
+func (h *boundedReader) boundHead() { h.remaining, h.lines = maxHeadBytes, maxHeadLines }
+
+// boundBytes bounds what is read until unbound by its size only.
+func (h *boundedReader) boundBytes(n int64) { h.remaining, h.lines = n, math.MaxInt }
+
+func (h *boundedReader) unbound() { h.remaining = -1 }
+
 func (h *boundedReader) Read(p []byte) (int, error) {
 	if h.remaining < 0 {
 		return h.r.Read(p)
 	}
-	if h.remaining == 0 {
+	if h.remaining == 0 || h.lines < 0 {
 		return 0, errHeadTooLong
 	}
 	n, err := h.r.Read(p[:min(int64(len(p)), h.remaining)])
 	h.remaining -= int64(n)
+	h.lines -= bytes.Count(p[:n], []byte("\n"))
 	return n, err
 }
 
@@ -44,8 +61,8 @@
 // bounded, the body is not.
 func ReadResponse(r io.Reader, req *http.Request) (*http.Response, error) {
 	h := newBoundedReader(r)
-	h.remaining = maxHeadBytes
+	h.boundHead()
 	resp, err := http.ReadResponse(bufio.NewReader(h), req)
-	h.remaining = -1
+	h.unbound()
 	return resp, err
 }
