Drop the least recently used prompt part without looking at all others

Cause: for each part that it dropped, the tracker of engines looked through all parts of the engine, 320,000 with parts of one token, and held the lock of the placements of all services meanwhile.

Of the parts of one prompt the last is dropped first, as it is of no use without those before it.

--- a/router/placement/tracker.go
+++ b/router/placement/tracker.go
@@ -67,11 +67,9 @@
 	// calls without a first event.
 	pendingTokens int
 	running       int
-	// cached has the prompt parts that the engine has processed, by identifier.
-	// cachedTokens is their total size.
-	cached       map[string]cachedPart
-	cachedTokens int
-	speed        cost.Speed
+	// cached has the prompt parts that the engine has processed.
+	cached *partCache
+	speed  cost.Speed
 	// outputs has the calls at the engine whose output is expected to have some length,
 	// if that is taken into account.
 	outputs []callOutput
@@ -91,11 +89,6 @@
 	end, least int64
 }
 
-type cachedPart struct {
-	tokens   int
-	lastUsed time.Time
-}
-
 // tracker tracks the calls in progress at engines and the prompt parts that
 // engines cache. It is not safe for concurrent use.
 type tracker struct {
@@ -134,7 +127,7 @@
 func (b *tracker) of(t *target.Target) *engineState {
 	e := b.engines[t]
 	if e == nil {
-		e = &engineState{cached: make(map[string]cachedPart)}
+		e = &engineState{cached: newPartCache()}
 		b.engines[t] = e
 	}
 	return e
@@ -163,7 +156,7 @@
 func (e *engineState) uncachedTokens(p target.Prompt) int {
 	cached := 0
 	for _, part := range p.Parts {
-		if _, ok := e.cached[part.ID]; !ok {
+		if !e.cached.has(part.ID) {
 			break
 		}
 		cached += part.Tokens
@@ -194,7 +187,7 @@
 	var best *target.Target
 	top := uint64(0)
 	for _, t := range all {
-		if _, ok := b.of(t).cached[last]; ok {
+		if b.of(t).cached.has(last) {
 			return nil
 		}
 		r := t.Runner()
@@ -354,13 +347,7 @@
 	if b.learnSpeed || b.countProgress {
 		e.waiting = append(e.waiting, c)
 	}
-	for _, p := range a.prompt.Parts {
-		if _, ok := e.cached[p.ID]; !ok {
-			e.cachedTokens += p.Tokens
-		}
-		e.cached[p.ID] = cachedPart{tokens: p.Tokens, lastUsed: a.now}
-	}
-	e.evict(int(cacheShare * float64(b.memoryTokens)))
+	e.cached.use(a.prompt, int(cacheShare*float64(b.memoryTokens)))
 }
 
 // answered records the first event of a call, or that there will be none. after is the
@@ -406,17 +393,3 @@
 		b.outputs.Observe(c.request, output, time.Duration(float64(now.Sub(c.answeredAt))/e.speed.Ratio(now)))
 	}
 }
-
-// evict drops the least recently used parts until the rest fits.
-func (e *engineState) evict(limit int) {
-	for e.cachedTokens > limit && len(e.cached) > 1 {
-		oldest := ""
-		for id, p := range e.cached {
-			if oldest == "" || p.lastUsed.Before(e.cached[oldest].lastUsed) {
-				oldest = id
-			}
-		}
-		e.cachedTokens -= e.cached[oldest].tokens
-		delete(e.cached, oldest)
-	}
-}
