Bound the prompt parts that are kept of one engine

Cause: the tracker of engines dropped parts by their tokens only, so that it kept 320,000 parts of one token for each engine, and parts of no token for ever. Identifiers were kept whole.

Change: 2,048 parts are kept of an engine at most, by the hash of their identifier.

--- a/router/placement/part_cache_test.go
+++ b/router/placement/part_cache_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"cicadawell.dev/router/target"
@@ -19,7 +20,7 @@
 
 func TestLeastRecentlyUsedPartsAreDropped(t *testing.T) {
 	is := is.New(t)
-	c := newPartCache()
+	c := newPartCache(maxCachedParts)
 	shared := target.Part{ID: "shared", Tokens: 60}
 	for n := range 10 {
 		c.use(target.Prompt{Parts: []target.Part{shared, {ID: fmt.Sprint(n), Tokens: 30}}}, 100)
@@ -34,13 +35,31 @@
 	is.Equal(c.tokens, 10)
 }
 
+// TestSmallPartsAreBounded guards against parts of few or no tokens that fill the memory.
+func TestSmallPartsAreBounded(t *testing.T) {
+	is := is.New(t)
+	for _, tokens := range []int{0, 1} {
+		c := newPartCache(maxCachedParts)
+		for n := range 10 {
+			p := smallParts(n, 1700)
+			for i := range p.Parts {
+				p.Parts[i].Tokens = tokens
+			}
+			c.use(p, 300_000)
+			is.True(c.has(p.Parts[0].ID) && c.has(p.Parts[1699].ID))
+		}
+		is.Equal(c.tokensOf.Len(), maxCachedParts)
+		is.Equal(c.tokens, tokens*maxCachedParts)
+	}
+}
+
 // TestDroppingPartsBound guards against drops that take longer the more parts there are,
 // while placements of all services wait.
 func TestDroppingPartsBound(t *testing.T) {
 	const parts = 500
 	timeOfPrompt := func(limit int) float64 {
 		return float64(testing.Benchmark(func(b *testing.B) {
-			c := newPartCache()
+			c := newPartCache(math.MaxInt)
 			n := 0
 			for ; n*parts < limit; n++ {
 				c.use(smallParts(n, parts), limit)
--- a/router/placement/tracker.go
+++ b/router/placement/tracker.go
@@ -127,7 +127,7 @@
 func (b *tracker) of(t *target.Target) *engineState {
 	e := b.engines[t]
 	if e == nil {
-		e = &engineState{cached: newPartCache()}
+		e = &engineState{cached: newPartCache(maxCachedParts)}
 		b.engines[t] = e
 	}
 	return e
