--- a/router/inventory/recent.go
+++ b/router/inventory/recent.go
@@ -10,8 +10,8 @@
 // force. Instances that follow this one are rarely further behind.
 const maxRecentTables = 2
 
-// recentTables holds the latest configurations, the newest last. It is safe for concurrent
-// use.
+// recentTables holds the latest configurations, the newest last, as the bases of patches for
+// other instances. It is safe for concurrent use.
 type recentTables struct {
 	mu     sync.Mutex
 	tables []*routing.Table
--- a/router/target/limit.go
+++ b/router/target/limit.go
@@ -47,10 +47,10 @@
 type InstanceCount func() (n int, known bool)
 
 // limitInterval returns the time between two calls of one of n instances to a runner that
-// takes perSecond from all of them. The instances don't coordinate. Each spaces its calls
-// evenly, so that n instances exceed their mean by n calls in a window at most. More
-// instances than are tolerated that way take a smaller part of the limit, so that it is
-// very unlikely that too many of their calls meet in one window.
+// takes perSecond from all of them. The instances don't coordinate. As each spaces its
+// calls evenly, n instances exceed their mean by n calls in a window at most. Where that is
+// more than is tolerated, they use less of the limit, so that it is very unlikely that too
+// many of their calls fall into one window.
 func limitInterval(perSecond float64, n int) time.Duration {
 	mean := perSecond * limitWindow.Seconds()
 	tolerated := limitOverage*mean + limitSlack
@@ -131,8 +131,8 @@
 	}
 }
 
-// limitOf returns the limit of a runner that has just been described, which the target old
-// stood for, or nil. The caller holds mu.
+// limitOf returns the limit of a runner that gets a new target: that of its old target, or
+// the one that it had when its description was removed. old may be nil. The caller holds mu.
 func (s *set) limitOf(old *Target, r *inventory.Runner) limit {
 	if old == nil || incarnationOf(old.runner) != incarnationOf(r) {
 		return s.absentLimits[incarnationOf(r)]
