--- a/router/relay/refresh_internal_test.go
+++ b/router/relay/refresh_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,23 +18,23 @@
 		is := is.New(t)
 		clk := clock.System()
 		s := sharedRefresh{clk: clk}
-		calls, completed := 0, 0
+		var calls, completed atomic.Int64
 		read := func(ctx context.Context) error {
-			calls++
+			calls.Add(1)
 			err := clk.Sleep(ctx, 500*time.Millisecond)
 			if err == nil {
-				completed++
+				completed.Add(1)
 			}
 			return err
 		}
 		start := clk.Now()
-		for completed == 0 && clk.Now().Sub(start) < 3*time.Second {
+		for completed.Load() == 0 && clk.Now().Sub(start) < 3*time.Second {
 			ctx, cancel := context.WithTimeout(t.Context(), refreshTimeout)
 			_ = s.Do(ctx, read)
 			cancel()
 			_ = clk.Sleep(t.Context(), 10*time.Millisecond)
 		}
-		is.Equal(completed, 1)
-		is.Equal(calls, 1)
+		is.Equal(completed.Load(), int64(1))
+		is.Equal(calls.Load(), int64(1))
 	})
 }
