--- a/router/inventory/exchange.go
+++ b/router/inventory/exchange.go
@@ -300,7 +300,8 @@
 func (e *exchange) response(req getRequest) getResponse {
 	now := e.clk.Now()
 	if !req.Changes {
-		return e.snapshotResponse(e.current.Load(), e.follower.Freshness(), req, now)
+		view, freshness := e.follower.View()
+		return e.snapshotResponse(view, freshness, req, now)
 	}
 	u := e.follower.UpdateSince(req.After)
 	if !u.complete {
--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -27,8 +27,8 @@
 	// revision. In a grace period, removals of runners are held back. The
 	// confirmation time is updated unless the revision is older than the snapshot.
 	AdoptChanges(from string, changes []Change, revision int64, freshness Freshness)
-	// Freshness returns how current and how reliable this instance's view is.
-	Freshness() Freshness
+	// View returns this instance's view, and how current and how reliable it is.
+	View() (*Snapshot, Freshness)
 	// UpdateSince returns the changes that this instance received after a mark if
 	// its history still has them all, and the snapshot in any case.
 	UpdateSince(after mark) update
@@ -539,13 +539,14 @@
 	}
 }
 
-func (f *follower) Freshness() Freshness {
+func (f *follower) View() (*Snapshot, Freshness) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.freshness()
+	return f.current.Load(), f.freshness()
 }
 
-// freshness is Freshness for callers that hold mu.
+// freshness returns how current and how reliable the view is. The caller holds mu, so that
+// the view doesn't change meanwhile.
 func (f *follower) freshness() Freshness {
 	return Freshness{ConfirmedAt: f.clk.Now().Add(-f.current.Age()), ConnectedSince: f.outages.connectedSince}
 }
