Read nothing more of a header of which a part had no memory

A request was served with a part of its header missing, and its runner got another value of the field than the caller had sent, while large headers filled their memory.

Cause: a part of a header without memory was dropped with an error. net/http's reader goes on after an error in the middle of a line, and took what came next for the rest of that line.

Ruled out: errors between two lines, after which net/http closes the connection.

Change: all further reads of the connection fail.

--- a/router/drain/bound_test.go
+++ b/router/drain/bound_test.go
@@ -208,6 +208,25 @@
 	})
 }
 
+// TestRequestIsNotServedWithoutPartOfItsHeader guards against headers of which a part has no
+// memory, in the middle of a line, and that are read on after it.
+func TestRequestIsNotServedWithoutPartOfItsHeader(t *testing.T) {
+	account := memory.NewAccount(100_000)
+	withBounds(t, account, func(b boundTest) {
+		close(b.finish)
+		nc := b.dial()
+		b.send(nc, "GET /hold HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("Y: "+strings.Repeat("a", 1_000)+"\r\n", 13))
+		b.send(nc, "X: a")
+		_, _ = io.WriteString(nc, strings.Repeat("b", 2_000))
+		synctest.Wait()
+		_, _ = io.WriteString(nc, "\r\n\r\n")
+		synctest.Wait()
+		got, err := io.ReadAll(nc)
+		b.NoErr(err)
+		b.Equal(string(got), "")
+	})
+}
+
 // TestAnsweredConnectionsThatCloseHoldNoMemory guards against many answers to requests that
 // aren't read to their end, whose connections stay open for a while, taking all memory.
 func TestAnsweredConnectionsThatCloseHoldNoMemory(t *testing.T) {
--- a/router/drain/connection.go
+++ b/router/drain/connection.go
@@ -252,6 +252,9 @@
 	// time. While interrupted is set, another one ends the read of the idle connection.
 	readDeadline time.Time
 	interrupted  bool
+	// headerShort is set once a part of a header was dropped because memory was short. All
+	// further reads fail, since net/http goes on after an error in the middle of a line.
+	headerShort bool
 	// memory is nil if the memory of connections isn't bounded.
 	memory Memory
 	// evicted is set once the connection is to be closed for a new one, aborted once it was
@@ -278,8 +281,8 @@
 // Read ends an idle connection only between two reads, so that no byte of a request
 // is read from a connection that is then closed.
 func (c *Connection) Read(p []byte) (int, error) {
-	if !c.beginRead() {
-		return 0, io.EOF
+	if err := c.beginRead(); err != nil {
+		return 0, err
 	}
 	n, err := c.Conn.Read(p)
 	if !c.recordRead(n, err) {
@@ -292,20 +295,20 @@
 var errNoMemory error = &net.OpError{Op: "read", Err: errors.New("the header has no memory")}
 
 // beginRead sets the deadline of the next read while the connection is idle or waits
-// for a header. It reports whether the connection may be read.
-func (c *Connection) beginRead() bool {
+// for a header. It returns an error if the connection may not be read.
+func (c *Connection) beginRead() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && c.closing {
-		return false
-	}
-	if c.evicted && c.read == 0 {
-		return false
+	switch {
+	case c.headerShort:
+		return errNoMemory
+	case c.idle && c.closing, c.evicted && c.read == 0:
+		return io.EOF
 	}
 	if !c.headerRead {
 		_ = c.Conn.SetReadDeadline(c.currentReadDeadline())
 	}
-	return true
+	return nil
 }
 
 // currentReadDeadline returns the deadline for reading in the current state of the
@@ -381,7 +384,7 @@
 		c.recordFailure(err)
 	}
 	if n > 0 && !c.growHeader(n) {
-		c.failedBy = closedForLimits
+		c.failedBy, c.headerShort = closedForLimits, true
 		return false
 	}
 	return true
