Look for deadly prompt parts behind the 32nd

Cause: only the first 32 parts of a prompt were reported, and compared with quarantines. The bound on the evidence was one on its calls and on the parts of each.

Change: all parts are compared, and those that had no answer lately are reported, 256 at most, first those without any answer. Evidence and reports are bounded by the number of their parts, 65,536 and 4,096. The parts that suspects have in common are worked out once for all parts of the same suspects, since this took most of the time of a decision.

Measured: TestDeadlyPartBehindManyOthersIsQuarantined is red on the code before and with the first 256 parts reported, TestReportsOfLongPromptsAreBounded and TestEvidenceOfLongPromptsBound without their bounds (62 MB of evidence, 7 MB with 131,072 parts).

--- a/router/quarantine/candidate.go
+++ b/router/quarantine/candidate.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
 	"cicadawell.dev/router/inventory"
+	"github.com/cespare/xxhash/v2"
 )
 
 // strongest returns the quarantine of the part that was at most crashes. If several
@@ -13,6 +15,7 @@
 func strongest(crashes []*crash, now time.Time) []inventory.Quarantine {
 	most := 0
 	var list []candidate
+	together := make(map[uint64][]string)
 	for _, k := range candidates(crashes) {
 		n := independent(k.crashes)
 		if n < most || n < minCrashes || (n < minCrashesProven && k.proven) {
@@ -21,7 +24,10 @@
 		if n > most {
 			list, most = nil, n
 		}
-		list = append(list, k.withQuarantine(now))
+		if _, ok := together[k.calledIn]; !ok {
+			together[k.calledIn] = common(k.crashes, k.part)
+		}
+		list = append(list, k.withQuarantine(together[k.calledIn], now))
 	}
 	slices.SortFunc(list, candidate.compare)
 	list = slices.CompactFunc(list, func(a, b candidate) bool { return a.quarantine.ID == b.quarantine.ID })
@@ -39,8 +45,9 @@
 type candidate struct {
 	service, part string
 	crashes       []*crash
-	// calls counts the suspects with the part.
-	calls int
+	// calls counts the suspects with the part, and calledIn identifies them.
+	calls    int
+	calledIn uint64
 	// proven is set if the part is proven at one of the crashes.
 	proven bool
 	// quarantine would refuse the calls with the part.
@@ -65,9 +72,13 @@
 	)
 }
 
-// withQuarantine returns the candidate with its quarantine.
-func (k candidate) withQuarantine(now time.Time) candidate {
-	k.quarantine = New(k.service, common(k.crashes, k.part), now.Sub(k.crashes[0].at))
+// withQuarantine returns the candidate with its quarantine, for the parts that all its
+// suspects have.
+func (k candidate) withQuarantine(parts []string, now time.Time) candidate {
+	if len(parts) > maxRuleParts {
+		parts = []string{k.part}
+	}
+	k.quarantine = New(k.service, parts, now.Sub(k.crashes[0].at))
 	return k
 }
 
@@ -86,7 +97,7 @@
 func candidates(crashes []*crash) []candidate {
 	var list []candidate
 	index := make(map[partKey]int)
-	for _, c := range crashes {
+	for at, c := range crashes {
 		for part, calls := range c.parts() {
 			key := partKey{c.service, part}
 			i, ok := index[key]
@@ -96,8 +107,12 @@
 				list = append(list, candidate{service: c.service, part: part})
 			}
 			list[i].crashes = append(list[i].crashes, c)
-			list[i].calls += calls
-			list[i].proven = list[i].proven || slices.Contains(c.proven, part)
+			list[i].calls += len(calls)
+			for _, n := range calls {
+				list[i].calledIn += xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, uint64(at*maxCalls+n)))
+			}
+			_, proven := c.proven[part]
+			list[i].proven = list[i].proven || proven
 		}
 	}
 	return list
@@ -108,17 +123,18 @@
 	var out []string
 	for _, c := range crashes {
 		for _, call := range c.calls {
-			if !slices.Contains(call, part) {
+			has := func(p string) bool {
+				_, ok := slices.BinarySearch(call, p)
+				return ok
+			}
+			if !has(part) {
 				continue
 			}
 			if out == nil {
 				out = slices.Clone(call)
 			}
-			out = slices.DeleteFunc(out, func(p string) bool { return !slices.Contains(call, p) })
+			out = slices.DeleteFunc(out, func(p string) bool { return !has(p) })
 		}
 	}
-	if len(out) > maxRuleParts {
-		return []string{part}
-	}
 	return out
 }
--- a/router/quarantine/crash.go
+++ b/router/quarantine/crash.go
@@ -14,7 +14,7 @@
 	reporters []string
 	// calls has the parts of each suspect, and proven those that are proven in one.
 	calls  [][]string
-	proven []string
+	proven map[string]struct{}
 }
 
 // add records the parts of a suspect, and reports whether they are new.
@@ -22,9 +22,9 @@
 	if !slices.Contains(c.reporters, reporter) && len(c.reporters) < maxCalls {
 		c.reporters = append(c.reporters, reporter)
 	}
-	for _, p := range parts {
-		if slices.Contains(proven, p) && !slices.Contains(c.proven, p) {
-			c.proven = append(c.proven, p)
+	for _, p := range proven {
+		if _, ok := slices.BinarySearch(parts, p); ok {
+			c.proven[p] = struct{}{}
 		}
 	}
 	same := func(call []string) bool { return slices.Equal(call, parts) }
@@ -35,6 +35,15 @@
 	return true
 }
 
+// size returns the number of parts of all suspects.
+func (c *crash) size() int {
+	n := 0
+	for _, call := range c.calls {
+		n += len(call)
+	}
+	return n
+}
+
 // validParts returns the parts in order, without those that can't be quarantined.
 func validParts(parts []string) []string {
 	parts = slices.DeleteFunc(slices.Clone(parts), func(p string) bool { return p == "" || len(p) > maxPartBytes })
@@ -58,13 +67,13 @@
 	return len(counted)
 }
 
-// parts returns the parts of all suspects, with the number of suspects that have
+// parts returns the parts of all suspects, with the indices of the suspects that have
 // them.
-func (c *crash) parts() map[string]int {
-	out := make(map[string]int)
-	for _, call := range c.calls {
+func (c *crash) parts() map[string][]int {
+	out := make(map[string][]int)
+	for n, call := range c.calls {
 		for _, p := range call {
-			out[p]++
+			out[p] = append(out[p], n)
 		}
 	}
 	return out
--- a/router/quarantine/detector.go
+++ b/router/quarantine/detector.go
@@ -26,13 +26,14 @@
 	// endTolerance is how far before its computed end a quarantine may end by itself.
 	endTolerance = 10 * time.Second
 	// maxCrashes, maxCalls and maxCallParts bound the evidence: the crashes, the calls
-	// of each crash and the parts of each call. maxAllCalls bounds the calls of all
-	// crashes, of which the oldest yield. maxRemembered bounds the quarantines that are
-	// remembered, maxAnswered the parts that were cleared.
+	// of each crash and the parts of each call. maxAllCalls and maxAllParts bound the
+	// calls of all crashes and their parts, of which the oldest yield. maxRemembered
+	// bounds the quarantines that are remembered, maxAnswered the parts that were cleared.
 	maxCrashes    = 256
 	maxCalls      = 64
 	maxAllCalls   = 4096
-	maxCallParts  = 32
+	maxCallParts  = 256
+	maxAllParts   = 1 << 16
 	maxRemembered = 256
 	maxAnswered   = 1024
 	// maxDecided bounds the quarantines of one decision.
@@ -97,19 +98,19 @@
 		return false
 	}
 	isNew := d.crashOf(s, at).add(reporter, parts, s.Proven)
-	for d.callCount() > maxAllCalls {
+	for calls, all := d.size(); calls > maxAllCalls || all > maxAllParts; calls, all = d.size() {
 		d.crashes = slices.Delete(d.crashes, 0, 1)
 	}
 	return isNew
 }
 
-// callCount returns the number of calls in the evidence.
-func (d *Detector) callCount() int {
-	n := 0
+// size returns the number of calls in the evidence, and that of their parts.
+func (d *Detector) size() (calls, parts int) {
 	for _, c := range d.crashes {
-		n += len(c.calls)
+		calls += len(c.calls)
+		parts += c.size()
 	}
-	return n
+	return calls, parts
 }
 
 // crashOf returns the crash of a suspect's runner, which is new if the suspect is
@@ -124,7 +125,7 @@
 	if len(d.crashes) == maxCrashes {
 		d.crashes = slices.Delete(d.crashes, 0, 1)
 	}
-	c := &crash{service: s.Service, runner: s.Runner, born: s.Born, zone: s.Zone, at: at}
+	c := &crash{service: s.Service, runner: s.Runner, born: s.Born, zone: s.Zone, at: at, proven: make(map[string]struct{})}
 	next := slices.IndexFunc(d.crashes, func(other *crash) bool { return other.at.After(at) })
 	if next < 0 {
 		next = len(d.crashes)
--- a/router/quarantine/detector_test.go
+++ b/router/quarantine/detector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -360,3 +361,28 @@
 		}
 	})
 }
+
+// TestEvidenceOfLongPromptsBound guards against calls with many parts that fill the memory
+// of the instances that collect the evidence.
+func TestEvidenceOfLongPromptsBound(t *testing.T) {
+	is := is.New(t)
+	d := quarantine.NewDetector()
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	for n := range 5000 {
+		var parts []string
+		for k := range 500 {
+			parts = append(parts, fmt.Sprintf("%d.%d", n, k))
+		}
+		d.Report("i", suspect(fmt.Sprint("r", n%200), "x", parts...), at(float64(n)/1000))
+	}
+	held := heap() - before
+	t.Logf("%d MB", held>>20)
+	is.True(held < 16<<20)
+	runtime.KeepAlive(d)
+}
--- a/router/quarantine/guard.go
+++ b/router/quarantine/guard.go
@@ -164,12 +164,16 @@
 
 func (g *guard) Crashed(r *inventory.Runner, p target.Prompt) {
 	parts := sharedParts(p)
-	answered := g.answers.since(r.Service, parts, g.clk.Now().Add(-recentlyAnswered))
-	parts = slices.DeleteFunc(parts, func(part string) bool { return slices.Contains(answered, part) })
+	parts = withoutParts(parts, g.answers.since(r.Service, parts, g.clk.Now().Add(-recentlyAnswered)))
 	if len(parts) == 0 {
 		return
 	}
 	proven := g.answers.since(r.Service, parts, time.Time{})
+	if len(parts) > maxCallParts {
+		// Parts without any answer are likelier to be the cause.
+		parts = slices.Concat(withoutParts(parts, proven), proven)[:maxCallParts]
+		proven = g.answers.since(r.Service, parts, time.Time{})
+	}
 	g.outbox.Lock()
 	if len(g.suspects) < maxReported {
 		s := Suspect{Service: r.Service, Runner: r.ID, Born: r.Born, Zone: r.Zone, Parts: parts, Proven: proven}
--- a/router/quarantine/guard_test.go
+++ b/router/quarantine/guard_test.go
@@ -36,6 +36,8 @@
 	handlers map[string]map[string]instance.Handler
 	lost     map[string]bool
 	messages int
+	// largest is the size of the largest message, in bytes.
+	largest  int
 	items    map[string]*inventory.Quarantine
 	revision int64
 	puts     int
@@ -196,6 +198,9 @@
 	if err != nil {
 		return err
 	}
+	m.fleet.mu.Lock()
+	m.fleet.largest = max(m.fleet.largest, len(data))
+	m.fleet.mu.Unlock()
 	answer, err := h(ctx, m.self, data)
 	if err != nil || result == nil {
 		return err
@@ -256,6 +261,57 @@
 	})
 }
 
+// TestDeadlyPartBehindManyOthersIsQuarantined guards against parts that are only looked for
+// at the beginning of a prompt.
+func TestDeadlyPartBehindManyOthersIsQuarantined(t *testing.T) {
+	for name, sound := range map[string]int{"few": 40, "more than are reported": 1000} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, 5)
+				defer f.stop()
+				var shared []string
+				for n := range sound {
+					shared = append(shared, fmt.Sprintf("shared%04d", n))
+				}
+				sane := prompt(append(slices.Clone(shared), "own")...)
+				dead := prompt(append(slices.Clone(shared), "dead", "own")...)
+				for _, name := range f.names {
+					f.guards[name].Answered("s", sane)
+				}
+				pass(5 * time.Second)
+				for n := range 3 {
+					f.guards[f.names[n]].Crashed(engine(fmt.Sprint("r", n), "x"), dead)
+					pass(time.Second)
+				}
+				f.guards["i4"].Answered("s", sane)
+				pass(2 * readLag)
+				is.Equal(f.blocked(dead), 5)
+				is.Equal(f.blocked(sane), 0)
+			})
+		})
+	}
+}
+
+// TestReportsOfLongPromptsAreBounded guards against reports that fill narrow links.
+func TestReportsOfLongPromptsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 2)
+		defer f.stop()
+		for n := range 60 {
+			var parts []string
+			for k := range 500 {
+				parts = append(parts, fmt.Sprintf("p%d.%d", n, k))
+			}
+			f.guards["i0"].Crashed(engine(fmt.Sprint("r", n), "x"), prompt(append(parts, "dead", "own")...))
+		}
+		pass(10 * time.Second)
+		is.True(f.largest < 100<<10)
+		is.True(f.messages > 3)
+	})
+}
+
 func TestPartWithAnswersAtOtherInstancesIsNotQuarantined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/router/quarantine/reports.go
+++ b/router/quarantine/reports.go
@@ -27,7 +27,9 @@
 	// reportInterval is the minimum time between two reports of an instance.
 	reportInterval = 50 * time.Millisecond
 	// maxReported bounds the suspects, and the parts with answers, of a report.
-	maxReported = 64
+	// maxReportedParts bounds the parts of its suspects, of which there is always one.
+	maxReported      = 64
+	maxReportedParts = 4096
 	// maxRepeated bounds the earlier suspects that are reported again with new ones, for
 	// owners that have just started.
 	maxRepeated = 16
@@ -124,7 +126,8 @@
 }
 
 // takeReport returns what is to be reported, and earlier suspects if there are new
-// ones. The parts of suspects at runners that accept connections count as proven.
+// ones and room is left. New suspects that don't fit remain for the next report. The
+// parts of suspects at runners that accept connections count as proven.
 func (g *guard) takeReport(accepting map[string]bool) report {
 	now := g.clk.Now()
 	g.outbox.Lock()
@@ -142,17 +145,31 @@
 			g.suspects[i].Proven = s.Parts
 		}
 	}
-	for _, s := range slices.Concat(g.sent, g.suspects) {
-		answered := g.answers.since(s.Service, s.Parts, s.at)
-		s.Parts = slices.DeleteFunc(slices.Clone(s.Parts), func(p string) bool { return slices.Contains(answered, p) })
+	room := maxReportedParts
+	add := func(s seenSuspect) {
+		room -= len(s.Parts)
+		s.Parts = withoutParts(s.Parts, g.answers.since(s.Service, s.Parts, s.at))
 		s.AgeMillis = now.Sub(s.at).Milliseconds()
 		if len(s.Parts) > 0 && now.Sub(s.at) < evidenceLife {
 			r.Suspects = append(r.Suspects, s.Suspect)
 		}
 	}
-	g.sent = append(g.sent, g.suspects...)
+	taken := 0
+	for taken < len(g.suspects) && (taken == 0 || len(g.suspects[taken].Parts) <= room) {
+		add(g.suspects[taken])
+		taken++
+	}
+	for _, s := range slices.Backward(g.sent) {
+		if len(s.Parts) > room {
+			break
+		}
+		add(s)
+	}
+	g.sent = append(g.sent, g.suspects[:taken]...)
 	g.sent = slices.Delete(g.sent, 0, max(0, len(g.sent)-maxRepeated))
-	g.suspects = nil
+	if g.suspects = slices.Clone(g.suspects[taken:]); len(g.suspects) > 0 {
+		wake(g.toSend)
+	}
 	return r
 }
 
--- a/router/quarantine/rule.go
+++ b/router/quarantine/rule.go
@@ -74,13 +74,28 @@
 func sharedParts(p target.Prompt) []string {
 	var out []string
 	for _, part := range p.Parts[:max(0, len(p.Parts)-1)] {
-		if part.ID != "" && len(part.ID) <= maxPartBytes && len(out) < maxCallParts {
+		if part.ID != "" && len(part.ID) <= maxPartBytes {
 			out = append(out, part.ID)
 		}
 	}
 	return out
 }
 
+// withoutParts returns the parts that aren't among others.
+func withoutParts(parts, others []string) []string {
+	if len(others) == 0 {
+		return parts
+	}
+	drop := make(map[string]struct{}, len(others))
+	for _, p := range others {
+		drop[p] = struct{}{}
+	}
+	return slices.DeleteFunc(slices.Clone(parts), func(p string) bool {
+		_, ok := drop[p]
+		return ok
+	})
+}
+
 // containsAll reports whether parts has all elements of want.
 func containsAll(parts, want []string) bool {
 	for _, w := range want {
