Count the fields of headers against their memory

Cause: headers were counted by their bytes. An empty field of 4 to 8 bytes takes 200 to 280 in the parsed header and its copy (measured with 10 to 10,000 of them).

Ruled out: refusing the header once it was read, since incomplete headers fill the memory as well; a bound on the number of fields, since a single such request is within the limits and is to be served in calm.

Change: each field above 64 takes 256 bytes of the account, while the header arrives. Lines of a body that come with it don't count.

--- a/router/drain/bound.go
+++ b/router/drain/bound.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"time"
@@ -48,6 +49,11 @@
 	// freeHeaderBytes is the size of a header that a connection may read without
 	// reserving memory. It is the size of net/http's buffer, and fits usual headers.
 	freeHeaderBytes = 4 << 10
+	// freeHeaderFields is the number of fields that a connection may read without reserving
+	// memory, and fieldBytes the memory of each further one: entries of two maps, with
+	// their lists of values. Empty fields take 240 bytes each.
+	freeHeaderFields = 64
+	fieldBytes       = 256
 )
 
 // closedForLimits is the side that ended a connection because memory or connections were
@@ -123,13 +129,46 @@
 	return true
 }
 
-// growHeader takes the memory of n more bytes of a header. The caller holds mu.
-func (c *Connection) growHeader(n int) bool {
+// growHeader takes the memory of a further part of a header. The caller holds mu.
+func (c *Connection) growHeader(part []byte) bool {
 	if c.memory == nil || c.headerRead {
 		return true
 	}
-	more := min(n, c.read-freeHeaderBytes)
-	return more <= 0 || c.memory.GrowHeader(int64(more))
+	more := max(0, min(len(part), c.read-freeHeaderBytes))
+	lines := c.header.scan(part)
+	more += fieldBytes * max(0, min(lines, c.header.lines-freeHeaderFields))
+	return more == 0 || c.memory.GrowHeader(int64(more))
+}
+
+// headerLines counts the lines of a header that is read in parts.
+type headerLines struct {
+	lines int
+	// begun is set once the current line has a byte, ended once the header has its last
+	// line, which is empty. What follows isn't counted.
+	begun, ended bool
+}
+
+// scan counts the lines that end in a further part, and returns their number.
+func (h *headerLines) scan(part []byte) int {
+	n := 0
+	for !h.ended {
+		end := bytes.IndexByte(part, '\n')
+		line := part
+		if end >= 0 {
+			line = part[:end]
+		}
+		h.begun = h.begun || len(bytes.TrimSuffix(line, []byte("\r"))) > 0
+		if end < 0 {
+			break
+		}
+		if h.ended = !h.begun; h.begun {
+			n++
+			h.lines++
+		}
+		h.begun = false
+		part = part[end+1:]
+	}
+	return n
 }
 
 // CloseSlowCallers ends requests whose callers read their answers or send their bodies slowly
--- a/router/drain/bound_test.go
+++ b/router/drain/bound_test.go
@@ -227,6 +227,34 @@
 	})
 }
 
+// TestFieldsWithoutMemoryAreClosed guards against headers of many small fields, which take more
+// memory than their bytes. Lines of a body aren't fields.
+func TestFieldsWithoutMemoryAreClosed(t *testing.T) {
+	account := memory.NewAccount(1_000_000)
+	withBounds(t, account, func(b boundTest) {
+		close(b.finish)
+		usual, body, many := b.dial(), b.dial(), b.dial()
+		b.send(usual, "GET / HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("A:\r\n", 60))
+		b.Equal(account.Used(memory.Headers), int64(0))
+		b.send(body, "POST /hold HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("a\n", 1_500))
+		resp, err := http.ReadResponse(bufio.NewReader(body), nil)
+		b.NoErr(err)
+		b.Equal(resp.StatusCode, http.StatusOK)
+		b.send(many, "GET / HTTP/1.1\r\nHost: h\r")
+		for range 10 {
+			b.send(many, "\nA:"+strings.Repeat("\r\nA:", 20)+"\r")
+		}
+		b.True(account.Used(memory.Headers) > 30_000)
+		b.True(!b.isClosed(many))
+		b.send(many, "\n")
+		_, _ = io.WriteString(many, strings.Repeat("A:\r\n", 500))
+		b.True(b.isClosed(many))
+		synctest.Wait()
+		b.Equal(account.Used(memory.Headers), int64(0))
+		b.pass(time.Second) // until net/http has closed the connection with the body
+	})
+}
+
 // TestAnsweredConnectionsThatCloseHoldNoMemory guards against many answers to requests that
 // aren't read to their end, whose connections stay open for a while, taking all memory.
 func TestAnsweredConnectionsThatCloseHoldNoMemory(t *testing.T) {
--- a/router/drain/connection.go
+++ b/router/drain/connection.go
@@ -230,6 +230,8 @@
 	mu sync.Mutex
 	// read and written count the bytes of the current request and of its answer.
 	read, written int
+	// header counts the lines of the header of the current request.
+	header headerLines
 	// request is the identifier of the current request, or "" until its header was
 	// read.
 	request string
@@ -285,7 +287,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
-	if !c.recordRead(n, err) {
+	if !c.recordRead(p[:n], err) {
 		return 0, errNoMemory
 	}
 	return n, err
@@ -361,9 +363,10 @@
 var pastDeadline = time.Unix(1, 0)
 
 // recordRead counts what was read. It reports whether there is memory for it.
-func (c *Connection) recordRead(n int, err error) bool {
+func (c *Connection) recordRead(data []byte, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	n := len(data)
 	if n > 0 {
 		c.idle = false
 		if c.read == 0 {
@@ -383,7 +386,7 @@
 	if !c.requestRead || !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.recordFailure(err)
 	}
-	if n > 0 && !c.growHeader(n) {
+	if n > 0 && !c.growHeader(data) {
 		c.failedBy, c.headerShort = closedForLimits, true
 		return false
 	}
@@ -493,6 +496,7 @@
 	c.idle, c.since = c.nextRead == 0, clock.System().Now()
 	c.read, c.nextRead, c.written = c.nextRead, 0, 0
 	c.request, c.headerRead, c.handled, c.answered, c.requestRead, c.failedBy = "", false, false, false, false, ""
+	c.header = headerLines{}
 	if c.memory != nil {
 		c.memory.EndRequest()
 	}
