Compare control traffic by its means over five runs

Cause: the test. It compared the reads of the store of one run with one. They vary with the random delays: 12.0 to 13.2 a second with 26 instances and 2.4 to 3.0 with 7 in 30 runs, with means of 12.6 and 2.62. A run with few of the latter beside one with many of the former was above the bound, which their means are not.

Change: the same bounds, on means over five runs, and on the most of the five for the bytes of an instance.

--- a/router/inventory/lead_test.go
+++ b/router/inventory/lead_test.go
@@ -364,10 +364,13 @@
 // TestControlTrafficPerInstanceBound checks that the traffic of an instance for
 // following the store does not grow with its zone. The zones have 7 instances, as
 // in the deployments, and 26, as in the design goal of 450 instances in 17 zones.
-// There are 1,500 runners.
+// There are 1,500 runners. The reads of a single run vary with the random delays.
 func TestControlTrafficPerInstanceBound(t *testing.T) {
-	const limit = 10_000 // bytes per second and instance, from the design goal
-	measure := func(instances int) (most, mean, reads float64) {
+	const (
+		limit = 10_000 // bytes per second and instance, from the design goal
+		runs  = 5
+	)
+	measureOnce := func(instances int) (most, mean, reads float64) {
 		synctest.Test(t, func(t *testing.T) {
 			f, stop := newFleet(t, instances)
 			defer stop()
@@ -392,6 +395,13 @@
 		})
 		return most, mean, reads
 	}
+	measure := func(instances int) (most, mean, reads float64) {
+		for range runs {
+			m, b, r := measureOnce(instances)
+			most, mean, reads = max(most, m), mean+b/runs, reads+r/runs
+		}
+		return most, mean, reads
+	}
 	is := is.New(t)
 	fewMost, fewMean, fewReads := measure(7)
 	manyMost, manyMean, manyReads := measure(26)
