Round the time to retry after up to milliseconds

Callers were told to come back up to half a millisecond too early, and now and then with a time of 0.000, at once, as soon as a runner with a limit was due within that. They were then refused again.

Cause: Retry-After was rounded to the nearest millisecond, and messages between instances and `ctl where` cut the rest off.

Ruled out: a pause that ends between the choice of a runner and the refusal, which has the default of its kind.

Change: fault.Error rounds the delay up, in one place for all three.

--- a/fleet/fault/error.go
+++ b/fleet/fault/error.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -89,6 +90,22 @@
 	return ResponseOf(e.kind).RetryAfter
 }
 
+// retryMillis returns the retry delay in milliseconds, rounded up, so that nobody retries
+// before it has passed.
+func (e *Error) retryMillis() int64 {
+	return int64((e.RetryAfter() + time.Millisecond - 1) / time.Millisecond)
+}
+
+// RetryAfterSeconds returns the retry delay as text in seconds, as in a Retry-After header,
+// or "" if the request should not be retried.
+func (e *Error) RetryAfterSeconds() string {
+	n := e.retryMillis()
+	if n <= 0 {
+		return ""
+	}
+	return strconv.FormatFloat(float64(n)/1000, 'f', 3, 64)
+}
+
 // Of returns err as an *Error. An error without a kind is wrapped as Internal. Of
 // returns nil for nil.
 func Of(err error) *Error {
@@ -127,7 +144,7 @@
 		Outcome:          e.Outcome(),
 		Field:            e.field,
 		Detail:           e.cause.Error(),
-		RetryAfterMillis: e.RetryAfter().Milliseconds(),
+		RetryAfterMillis: e.retryMillis(),
 	}
 }
 
--- a/fleet/fault/fault_test.go
+++ b/fleet/fault/fault_test.go
@@ -36,3 +36,24 @@
 	is.Equal(fault.Of(errors.New("other")).Kind(), fault.Internal)
 	is.True(fault.Of(nil) == nil)
 }
+
+// TestRetryAfterIsNeverTooEarly guards against delays that are rounded down, in the end to
+// none at all.
+func TestRetryAfterIsNeverTooEarly(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		delay  time.Duration
+		text   string
+		millis int64
+	}{
+		{300 * time.Microsecond, "0.001", 1},
+		{time.Millisecond, "0.001", 1},
+		{1200 * time.Microsecond, "0.002", 2},
+		{2500 * time.Millisecond, "2.500", 2500},
+	} {
+		err := fault.New(fault.NoRunner, "all are paused").WithRetryAfter(c.delay)
+		is.Equal(err.RetryAfterSeconds(), c.text)
+		is.Equal(err.Message().RetryAfterMillis, c.millis)
+	}
+	is.Equal(fault.New(fault.BadRequest, "never").RetryAfterSeconds(), "")
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -281,8 +280,8 @@
 	if status == http.StatusServiceUnavailable && outcome != fault.NotRun {
 		status = http.StatusBadGateway
 	}
-	if after := e.RetryAfter(); after > 0 && outcome == fault.NotRun {
-		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	if after := e.RetryAfterSeconds(); after != "" && outcome == fault.NotRun {
+		w.Header().Set("Retry-After", after)
 	}
 	level := hclog.Warn
 	if status < http.StatusInternalServerError {
--- a/router/relay/where.go
+++ b/router/relay/where.go
@@ -34,7 +34,7 @@
 	}
 	if err != nil {
 		e := fault.Of(err)
-		out.Refusal = &operatorapi.WhereRefusal{Kind: string(e.Kind()), Reason: e.Error(), RetryMillis: e.RetryAfter().Milliseconds()}
+		out.Refusal = &operatorapi.WhereRefusal{Kind: string(e.Kind()), Reason: e.Error(), RetryMillis: e.Message().RetryAfterMillis}
 	}
 	return out
 }
