--- a/router/quarantine/candidate.go
+++ b/router/quarantine/candidate.go
@@ -15,7 +15,7 @@
 func strongest(crashes []*crash, now time.Time) []inventory.Quarantine {
 	most := 0
 	var list []candidate
-	together := make(map[uint64][]string)
+	together := make(map[uint64][]string) // the common parts of suspects, by calledIn
 	for _, k := range candidates(crashes) {
 		n := independent(k.crashes)
 		if n < most || n < minCrashes || (n < minCrashesProven && k.proven) {
@@ -45,7 +45,8 @@
 type candidate struct {
 	service, part string
 	crashes       []*crash
-	// calls counts the suspects with the part, and calledIn identifies them.
+	// calls counts the suspects with the part. calledIn is the sum of their hashes, which
+	// is the same for parts of the same suspects.
 	calls    int
 	calledIn uint64
 	// proven is set if the part is proven at one of the crashes.
--- a/router/quarantine/crash.go
+++ b/router/quarantine/crash.go
@@ -12,7 +12,8 @@
 	at                    time.Time
 	// reporters has the instances that saw the crash.
 	reporters []string
-	// calls has the parts of each suspect, and proven those that are proven in one.
+	// calls has the parts of each suspect, in order, and proven those that are proven in
+	// one.
 	calls  [][]string
 	proven map[string]struct{}
 }
