--- a/fleet/fault/fault_test.go
+++ b/fleet/fault/fault_test.go
@@ -37,8 +37,7 @@
 	is.True(fault.Of(nil) == nil)
 }
 
-// TestRetryAfterIsNeverTooEarly guards against delays that are rounded down, in the end to
-// none at all.
+// TestRetryAfterIsNeverTooEarly guards against delays that are rounded down.
 func TestRetryAfterIsNeverTooEarly(t *testing.T) {
 	is := is.New(t)
 	for _, c := range []struct {
--- a/router/drain/bound_test.go
+++ b/router/drain/bound_test.go
@@ -216,8 +216,7 @@
 	})
 }
 
-// TestRequestIsNotServedWithoutPartOfItsHeader guards against headers of which a part has no
-// memory, in the middle of a line, and that are read on after it.
+// TestRequestIsNotServedWithoutPartOfItsHeader guards against headers read on after a part was dropped.
 func TestRequestIsNotServedWithoutPartOfItsHeader(t *testing.T) {
 	account := memory.NewAccount(100_000)
 	withBounds(t, account, func(b boundTest) {
@@ -235,8 +234,7 @@
 	})
 }
 
-// TestFieldsWithoutMemoryAreClosed guards against headers of many small fields, which take more
-// memory than their bytes. Lines of a body aren't fields.
+// TestFieldsWithoutMemoryAreClosed guards against small fields, which take more than their bytes.
 func TestFieldsWithoutMemoryAreClosed(t *testing.T) {
 	account := memory.NewAccount(1_000_000)
 	withBounds(t, account, func(b boundTest) {
--- a/router/inventory/exchange_test.go
+++ b/router/inventory/exchange_test.go
@@ -24,8 +24,7 @@
 
 func (handlers) Call(context.Context, string, string, any, any) error { return errUnavailable }
 
-// TestSnapshotForOthersIsNotOlderThanItsAge guards against instances that take an older view
-// for a fresh one.
+// TestSnapshotForOthersIsNotOlderThanItsAge guards against older views that are taken for fresh ones.
 func TestSnapshotForOthersIsNotOlderThanItsAge(t *testing.T) {
 	is := is.New(t)
 	const last = 20_000
--- a/router/inventory/narrow_links_test.go
+++ b/router/inventory/narrow_links_test.go
@@ -265,8 +265,7 @@
 	})
 }
 
-// TestViewsStayCurrentWhileAnswersOfLeadTrickle guards against instances that wait for a lead
-// as long as now and then a byte of its answer comes.
+// TestViewsStayCurrentWhileAnswersOfLeadTrickle guards against endless waits for a slow lead.
 func TestViewsStayCurrentWhileAnswersOfLeadTrickle(t *testing.T) {
 	const applyBound = 3 * time.Second
 	synctest.Test(t, func(t *testing.T) {
--- a/router/inventory/patch_test.go
+++ b/router/inventory/patch_test.go
@@ -72,8 +72,7 @@
 	})
 }
 
-// TestPatchesReachInstancesTwoVersionsBehind guards against whole configurations for
-// instances that missed a version.
+// TestPatchesReachInstancesTwoVersionsBehind guards against whole configurations after a missed version.
 func TestPatchesReachInstancesTwoVersionsBehind(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/router/quarantine/detector_test.go
+++ b/router/quarantine/detector_test.go
@@ -362,8 +362,7 @@
 	})
 }
 
-// TestEvidenceOfLongPromptsBound guards against calls with many parts that fill the memory
-// of the instances that collect the evidence.
+// TestEvidenceOfLongPromptsBound guards against evidence that fills the memory.
 func TestEvidenceOfLongPromptsBound(t *testing.T) {
 	is := is.New(t)
 	d := quarantine.NewDetector()
--- a/router/quarantine/guard_test.go
+++ b/router/quarantine/guard_test.go
@@ -261,8 +261,7 @@
 	})
 }
 
-// TestDeadlyPartBehindManyOthersIsQuarantined guards against parts that are only looked for
-// at the beginning of a prompt.
+// TestDeadlyPartBehindManyOthersIsQuarantined guards against looking at the first parts only.
 func TestDeadlyPartBehindManyOthersIsQuarantined(t *testing.T) {
 	for name, sound := range map[string]int{"few": 40, "more than are reported": 1000} {
 		t.Run(name, func(t *testing.T) {
