--- a/router/drain/bound.go
+++ b/router/drain/bound.go
@@ -51,7 +51,7 @@
 	freeHeaderBytes = 4 << 10
 	// freeHeaderFields is the number of fields that a connection may read without reserving
 	// memory, and fieldBytes the memory of each further one: entries of two maps, with
-	// their lists of values. Empty fields take 240 bytes each.
+	// their lists of values.
 	freeHeaderFields = 64
 	fieldBytes       = 256
 )
