Fail bodies without a length that are reset while the request is written

Callers got a part of an answer as the whole one: a runner answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a failed connection once, with ECONNRESET, to whichever call meets it first, and the end of the data from then on. If that was the write of the request, the read of the body saw io.EOF, which is how a body without a length ends. A short request is hit as well if the reset is there before its write.

Ruled out: answers with a length or in chunks (their framing shows the cut), and reads that meet the reset themselves (testdata/unframed-reset.http).

Change: at the end of a body without framing, router/link asks how the write ended. A write fails with EPIPE if the runner had ended the answer before the reset, and with the failure itself otherwise, which is now the error of the body. A write that is blocked is given up after the grace period that it had before; its connection is reset, so that the rest of the request isn't sent.

Why it works: a read can take a failure for the end only after the write has got the failure, so that the error of the write is always there to be asked. An answer that ends properly stays whole, also before its upload was read.

--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -78,7 +80,7 @@
 	Status int
 	Header http.Header
 	// Body ends with io.EOF only if the body is complete by its framing, or if
-	// the response has no framing and the connection was closed without a reset.
+	// the response has no framing and the runner ended it without a reset.
 	Body io.Reader
 	// Length is the Content-Length of the body, negative if unknown.
 	Length int64
@@ -131,11 +133,11 @@
 	stop func() bool
 	// group tracks the goroutine that writes a long body.
 	group sync.WaitGroup
-	// written receives the result of the write, once. Its capacity is 1, so that
-	// the writer never blocks on it.
-	written chan error
-	body    *bodyReader
-	once    sync.Once
+	// written is closed once the write has ended and writeErr is set.
+	written  chan struct{}
+	writeErr error
+	body     *bodyReader
+	once     sync.Once
 }
 
 func (p *pool) Exchange(ctx context.Context, address string, req *Request) (*Response, error) {
@@ -157,7 +159,7 @@
 		p.putIdle(c)
 		return nil, &Error{Reused: c.used, Err: ErrSendNotAllowed}
 	}
-	ex := &exchange{pool: p, conn: c, written: make(chan error, 1)}
+	ex := &exchange{pool: p, conn: c, written: make(chan struct{})}
 	// Resetting the connection is the only way to interrupt a read, and the runner
 	// cancels the request when its connection ends.
 	ex.stop = context.AfterFunc(ctx, c.reset)
@@ -180,11 +182,35 @@
 // send writes the request. A long body is written while the response is read,
 // since a runner may respond before it has read the whole request.
 func (ex *exchange) send(req *Request) {
+	write := func() {
+		ex.writeErr = writeRequest(ex.conn, req)
+		close(ex.written)
+	}
 	if len(req.Body) <= maxInlineWriteBytes {
-		ex.written <- writeRequest(ex.conn, req)
+		write()
 		return
 	}
-	ex.group.Go(func() { ex.written <- writeRequest(ex.conn, req) })
+	ex.group.Go(write)
+}
+
+// longAgo is a deadline that ends a blocked write.
+var longAgo = time.Unix(1, 0)
+
+// unseenReset returns the error of a connection that a read took for its end. The kernel
+// reports a failure of the connection once, and the end of the data from then on, so that a
+// read sees only the end after a write has seen the failure. A write fails with EPIPE if the
+// runner had ended the answer before the failure.
+func (ex *exchange) unseenReset() error {
+	select {
+	case <-ex.written:
+	case <-ex.pool.clk.After(writeGracePeriod):
+		_ = ex.conn.SetWriteDeadline(longAgo)
+		<-ex.written
+	}
+	if errors.Is(ex.writeErr, syscall.EPIPE) || errors.Is(ex.writeErr, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return ex.writeErr
 }
 
 // abort resets the connection and waits for the writer.
@@ -264,6 +290,9 @@
 func (ex *exchange) newResponse(resp *http.Response, stray bool) *Response {
 	isFramed := framed(resp)
 	ex.body = &bodyReader{r: resp.Body, complete: resp.Body == http.NoBody}
+	if !isFramed {
+		ex.body.checkEnd = ex.unseenReset
+	}
 	ex.conn.idleTimeout = min(ex.conn.idleTimeout, keepAliveTimeout(resp.Header, ex.conn.idleTimeout))
 	if resp.Close || !isFramed || stray {
 		ex.conn.idleTimeout = 0
@@ -295,18 +324,22 @@
 			return
 		}
 		select {
-		case err := <-ex.written:
-			ex.group.Wait()
-			if err != nil || ex.conn.idleTimeout <= 0 || ex.conn.r.Buffered() > 0 {
-				ex.conn.close()
-				return
-			}
+		case <-ex.written:
 		case <-ex.pool.clk.After(writeGracePeriod):
 			// The runner responded before it read the whole body. It would take the
 			// next request on this connection for the rest of the body.
 			ex.abort()
 			return
 		}
+		ex.group.Wait()
+		if ex.writeErr != nil {
+			ex.conn.reset() // discards the rest of the request
+			return
+		}
+		if ex.conn.idleTimeout <= 0 || ex.conn.r.Buffered() > 0 {
+			ex.conn.close()
+			return
+		}
 		ex.conn.used = true
 		ex.pool.putIdle(ex.conn)
 	})
@@ -314,14 +347,23 @@
 
 // bodyReader reads a body and records whether it was read to its end.
 type bodyReader struct {
-	r        io.Reader
+	r io.Reader
+	// checkEnd returns an error if the end of the connection isn't that of the body. It is
+	// nil if the body is framed.
+	checkEnd func() error
 	complete bool
 }
 
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
-	if err == io.EOF {
-		b.complete = true
+	if err != io.EOF {
+		return n, err
+	}
+	if b.checkEnd != nil {
+		if err := b.checkEnd(); err != nil {
+			return n, err
+		}
 	}
-	return n, err
+	b.complete = true
+	return n, io.EOF
 }
