Take an answer whose status is below 100 for a failure

On the platform callers of plain calls and streams didn't get such an answer, but heard of it at their deadline only (504 after 5 s in the test), as it was taken for an interim head whose answer is still to come: if another answer came on the connection, that was passed on. In the program router, a call that may run once got the body of a 000 as its result, and an order that was answered so was said not to have run. A write to the platform's store that was answered so was said to have had no effect, and operators' commands took the body for a success.

Cause: net/http reads any three digits as a status. Each reader of answers compares the status with the values that it knows, and 000 to 099 fall on the side of interim heads, of successes (below 400) or of refusals.

Ruled out: statuses from 600 on, which net/http reads as well; they are failures at all readers.

Change: answer.CheckStatus (package fleet/answer) refuses statuses below 100. router/link applies it to each head that it reads, also interim ones; answer.NewTransport does for the clients of net/http: the stores of both programs, the list of instances, the weights, and ctl. The connection isn't used again.

Why it works: no head passes to what compares statuses without the check.

--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"cicadawell.dev/fleet/answer"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/operatorapi"
 	"github.com/rotisserie/eris"
@@ -39,7 +40,7 @@
 func New(servers []string, key string) *Client {
 	c := &Client{key: key, http: &http.Client{
 		Timeout:   callTimeout,
-		Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext},
+		Transport: answer.NewTransport(&http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}),
 	}}
 	for _, s := range servers {
 		if !strings.Contains(s, "://") {
--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"cicadawell.dev/fleet/answer"
 )
 
 // Request is a request to send. Exchange doesn't modify it, so it can be sent
@@ -259,6 +261,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := answer.CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errUnrequestedUpgrade
 		}
--- a/router/link/exchange_test.go
+++ b/router/link/exchange_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"cicadawell.dev/fleet/answer/answertest"
 	"cicadawell.dev/fleet/golden"
 	"cicadawell.dev/router/link"
 	"github.com/matryer/is"
@@ -372,6 +373,29 @@
 	}
 }
 
+// TestMalformedAnswersFailAtOnce has a server answer and leave the connection open.
+func TestMalformedAnswersFailAtOnce(t *testing.T) {
+	for name, text := range answertest.Malformed("Id: 1\r\n", "done") {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, text+"\x00", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok\x00")
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			pool := link.NewPool()
+			defer pool.Close()
+			a, err := pool.Exchange(ctx, s.address, newRequest())
+			if err == nil {
+				a.Close()
+			}
+			var failed *link.Error
+			is.True(errors.As(err, &failed) && failed.Sent)
+			is.NoErr(ctx.Err()) // fails before the context's deadline
+			is.Equal(pool.Open(), int64(0))
+			is.Equal(describeExchange(t, pool, s.address), "1 OK ok, framed yes")
+		})
+	}
+}
+
 // TestLinesOfBodyAreNotLinesOfHead has a body with many lines arrive together with its head.
 func TestLinesOfBodyAreNotLinesOfHead(t *testing.T) {
 	is := is.New(t)
--- a/router/link/head.go
+++ b/router/link/head.go
@@ -7,6 +7,8 @@
 	"io"
 	"math"
 	"net/http"
+
+	"cicadawell.dev/fleet/answer"
 )
 
 const (
@@ -64,5 +66,11 @@
 	h.boundHead()
 	resp, err := http.ReadResponse(bufio.NewReader(h), req)
 	h.unbound()
-	return resp, err
+	if err != nil {
+		return nil, err
+	}
+	if err := answer.CheckStatus(resp.StatusCode); err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
--- a/router/platform/client.go
+++ b/router/platform/client.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"cicadawell.dev/fleet/answer"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 )
@@ -96,7 +97,7 @@
 	}
 	c := &client{
 		base:    "http://" + address,
-		http:    &http.Client{Transport: transport},
+		http:    &http.Client{Transport: answer.NewTransport(transport)},
 		timeout: defaultTimeout,
 		clock:   clock.System(),
 		observe: func(Call) {},
--- a/router/platform/platform_test.go
+++ b/router/platform/platform_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"cicadawell.dev/fleet/answer/answertest"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/platformapi"
@@ -91,6 +92,21 @@
 	}
 }
 
+func TestMalformedAnswersOfTheStoreHaveNoEffect(t *testing.T) {
+	for name, text := range answertest.Malformed("", `{"revision":7}`) {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			store := platform.NewStore(serve(t, answertest.Raw(text)), platform.WithTimeout(time.Minute))
+			_, err := store.Put(t.Context(), platformapi.PutRequest{Key: "k"})
+			is.Equal(fault.Of(err).Kind(), fault.StoreUnavailable)
+			is.Equal(fault.Of(err).Outcome(), fault.Unknown)
+			is.Equal(fault.Of(store.KeepAlive(t.Context(), 1)).Outcome(), fault.Unknown)
+			_, _, err = store.Get(t.Context(), "k")
+			is.True(fault.Is(err, fault.StoreUnavailable))
+		})
+	}
+}
+
 // TestTimedOutConnectionIsNotReused ends the time of a call once the store has its request:
 // a call that ends before it has a connection hasn't run.
 func TestTimedOutConnectionIsNotReused(t *testing.T) {
--- a/router/runner/orders_test.go
+++ b/router/runner/orders_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"cicadawell.dev/fleet/answer/answertest"
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/runnerapi"
@@ -89,3 +90,20 @@
 		})
 	}
 }
+
+func TestMalformedAnswerToOrderIsNoState(t *testing.T) {
+	for name, text := range answertest.Malformed("Content-Type: application/json\r\n", `{}`) {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			orders, to := runner.NewOrderClient(time.Minute), serveOrders(t, answertest.Raw(text))
+			_, err := orders.SendOrder(ctx, to, runnerapi.Order{}, passGuard)
+			is.Equal(fault.Of(err).Kind(), fault.OutcomeUnknown)
+			is.Equal(fault.Of(err).Outcome(), fault.Unknown)
+			_, err = orders.State(ctx, to)
+			is.Equal(fault.Of(err).Outcome(), fault.Unknown)
+			is.NoErr(ctx.Err())
+		})
+	}
+}
--- a/router/runner/runner_test.go
+++ b/router/runner/runner_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"cicadawell.dev/fleet/answer/answertest"
 	"cicadawell.dev/fleet/bundle"
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
@@ -156,6 +157,40 @@
 	}
 }
 
+// TestMalformedAnswerIsNoResult has a runner answer each kind of attempt, and leave the
+// connection open.
+func TestMalformedAnswerIsNoResult(t *testing.T) {
+	_, req := newAttempt(t)
+	result := fmt.Sprintf(`{"attempt":%q,"output":"done"}`, req.Attempt)
+	stream := strings.ReplaceAll(firstToken+secondToken+endEvent, "ATTEMPT", req.Attempt)
+	for contentType, body := range map[string]string{"application/json": result, "text/event-stream": stream} {
+		for name, text := range answertest.Malformed("Content-Type: "+contentType+"\r\n", body) {
+			t.Run(name+" "+contentType, func(t *testing.T) {
+				is := is.New(t)
+				ended := make(chan struct{})
+				f := newFakeRunner(t, func(conn net.Conn, _ runnerapi.RunRequest) {
+					_, _ = io.WriteString(conn, text)
+					<-ended
+				})
+				t.Cleanup(func() { close(ended) })
+				client := runner.NewClient(clock.System())
+				defer client.Close()
+				ctx, _ := newAttempt(t)
+				_, err := client.RunOnce(ctx, f.Runner, req, limit, func() error { return nil })
+				is.Equal(outcomeOf(err), fault.Unknown)
+				var got tokens
+				_, err = client.Run(ctx, f.Runner, req, limit, &got)
+				is.Equal(outcomeOf(err), fault.Unknown)
+				is.Equal(len(got), 0)
+				is.True(client.Cancel(ctx, f.Runner, req.Attempt) != nil)
+				_, err = client.Load(ctx, f.Runner)
+				is.True(err != nil)
+				is.NoErr(ctx.Err()) // all fail before the deadline
+			})
+		}
+	}
+}
+
 func outcomeOf(err error) fault.Outcome {
 	if err == nil {
 		return ""
