Take an answer whose head has a malformed line for a failure

Callers got answers whose heads had a blank in the name of a field as successes: the line was passed on, or, if it was meant to frame the body, a body that wasn't the runner's (chunks with their sizes), or nothing until the deadline. A line that begins with a blank or a tab was passed on as a part of the field before it, and a line feed before a name ended the head, so that the other fields became the body. Stage results, orders, results of the program router and answers of the stores were taken from such answers as well.

Cause: net/http's reader is lenient where it must not be between a runner and a caller. Of the bytes that no name may have it accepts blanks, it joins folded lines, and it takes any empty line for the end of the head.

Ruled out: other control bytes in names, and lines without a name; net/http refuses them, also in trailers.

Change: router/link scans the bytes of each head as they arrive, also of interim heads, and fails at the first malformed line: names are tokens, no line continues another one, and the empty line ends like the line before it.

Why it works: what a recipient could read in two ways isn't read at all. The scan sees each byte of a head before net/http does.

--- a/fleet/answer/transport.go
+++ b/fleet/answer/transport.go
@@ -1,6 +1,10 @@
 package answer
 
-import "net/http"
+import (
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+)
 
 // NewTransport returns a transport that fails calls whose answers are malformed. It closes
 // their connections.
@@ -9,7 +13,7 @@
 type transport struct{ base *http.Transport }
 
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.base.RoundTrip(r)
+	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), interimCheck)))
 	if err != nil {
 		return nil, err
 	}
@@ -24,4 +28,14 @@
 // CloseIdleConnections closes the connections that no call uses.
 func (t *transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
-func check(resp *http.Response) error { return CheckStatus(resp.StatusCode) }
+func check(resp *http.Response) error {
+	if err := CheckStatus(resp.StatusCode); err != nil {
+		return err
+	}
+	return CheckNames(resp.Header)
+}
+
+// interimCheck fails calls that get a malformed interim answer.
+var interimCheck = &httptrace.ClientTrace{
+	Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error { return CheckNames(http.Header(fields)) },
+}
--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -13,8 +13,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"cicadawell.dev/fleet/answer"
 )
 
 // Request is a request to send. Exchange doesn't modify it, so it can be sent
@@ -257,13 +255,10 @@
 	source.boundHead()
 	defer source.unbound()
 	for discarded := 0; discarded <= maxStrayResponses; {
-		resp, err := http.ReadResponse(ex.conn.r, httpReq)
+		resp, err := source.readHead(ex.conn.r, httpReq)
 		if err != nil {
 			return nil, err
 		}
-		if err := answer.CheckStatus(resp.StatusCode); err != nil {
-			return nil, err
-		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errUnrequestedUpgrade
 		}
@@ -294,7 +289,7 @@
 
 func (ex *exchange) newResponse(resp *http.Response, stray bool) *Response {
 	isFramed := framed(resp)
-	ex.body = &bodyReader{r: resp.Body, complete: resp.Body == http.NoBody}
+	ex.body = &bodyReader{r: resp.Body, checkEnd: trailerCheck(resp), complete: resp.Body == http.NoBody}
 	if !isFramed {
 		ex.body.checkEnd = ex.unseenReset
 	}
@@ -353,8 +348,8 @@
 // bodyReader reads a body and records whether it was read to its end.
 type bodyReader struct {
 	r io.Reader
-	// checkEnd returns an error if the end of the connection isn't that of the body. It is
-	// nil if the body is framed.
+	// checkEnd returns an error if the end that was read isn't that of a whole body. It is
+	// nil if the body has a length.
 	checkEnd func() error
 	complete bool
 }
--- a/router/link/head.go
+++ b/router/link/head.go
@@ -34,6 +34,8 @@
 	// lines is how many lines may be read until the last read begins. What follows a
 	// head in that read doesn't count.
 	lines int
+	// head checks what is read while a bound is set.
+	head headScanner
 }
 
 func newBoundedReader(r io.Reader) *boundedReader { return &boundedReader{r: r, remaining: -1} }
@@ -56,21 +58,53 @@
 	n, err := h.r.Read(p[:min(int64(len(p)), h.remaining)])
 	h.remaining -= int64(n)
 	h.lines -= bytes.Count(p[:n], []byte("\n"))
+	if scanErr := h.head.scan(p[:n]); scanErr != nil {
+		return 0, scanErr
+	}
 	return n, err
 }
 
+// readHead reads the next head from r, whose source is h, and checks it.
+func (h *boundedReader) readHead(r *bufio.Reader, req *http.Request) (*http.Response, error) {
+	h.head = headScanner{}
+	buffered, _ := r.Peek(r.Buffered()) // arrived with what was before the head
+	if err := h.head.scan(buffered); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(r, req)
+	if err != nil {
+		return nil, err
+	}
+	if err := answer.CheckStatus(resp.StatusCode); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
+
 // ReadResponse reads the head of the only response on a connection. The head is
 // bounded, the body is not.
 func ReadResponse(r io.Reader, req *http.Request) (*http.Response, error) {
 	h := newBoundedReader(r)
 	h.boundHead()
-	resp, err := http.ReadResponse(bufio.NewReader(h), req)
-	h.unbound()
+	defer h.unbound()
+	resp, err := h.readHead(bufio.NewReader(h), req)
 	if err != nil {
 		return nil, err
 	}
-	if err := answer.CheckStatus(resp.StatusCode); err != nil {
-		return nil, err
-	}
+	resp.Body = &checkedBody{Reader: &bodyReader{r: resp.Body, checkEnd: trailerCheck(resp)}, Closer: resp.Body}
 	return resp, nil
 }
+
+type checkedBody struct {
+	io.Reader
+	io.Closer
+}
+
+// trailerCheck returns what checks the trailer once the body was read, or nil if there can
+// be none.
+func trailerCheck(resp *http.Response) func() error {
+	if len(resp.TransferEncoding) == 0 {
+		return nil
+	}
+	return func() error { return answer.CheckNames(resp.Trailer) }
+}
