Hold the checks of broken answers by further tests

Switching single lines off showed what no test held: that the connection of a malformed answer with a body is closed, that what arrived with an interim head is scanned, that a request is reset behind a whole early answer, and that a field has a name.

TestEarlyAnswerThatEndsProperlyIsWhole becomes TestEarlyAnswerIsWholeIfTheRequestIsReadAfterwards and TestEarlyAnswerIsWholeIfTheRequestIsNotRead, which also asks that the rest of the request isn't sent. Each new check was seen red with its line switched off.

--- a/fleet/answer/answertest/answertest.go
+++ b/fleet/answer/answertest/answertest.go
@@ -34,13 +34,15 @@
 // Hidden is like Malformed, with answers of which net/http doesn't show to its callers what
 // is wrong.
 func Hidden(fields, body string) map[string]string {
+	const interim = "HTTP/1.1 103 Early Hints\r\nX: 1\r\n"
 	return map[string]string{
 		"blank before a name":                 whole("200 OK", fields+" X-Name: 1\r\n", body),
 		"tab before a name":                   whole("200 OK", fields+"\tX-Name: 1\r\n", body),
 		"line feed before a name":             whole("200 OK", fields+"\nX-Name: 1\r\n", body),
 		"blank before the name of the length": strings.Replace(whole("200 OK", fields, body), "Content-Length", " Content-Length", 1),
 		"blank before the name of the coding": chunked(fields, " Transfer-Encoding: chunked", body, ""),
-		"line feed in an interim head":        "HTTP/1.1 103 Early Hints\r\nX: 1\r\n\nX-Name: 1\r\n\r\n" + whole("200 OK", fields, body),
+		"line feed in an interim head":        interim + "\nX-Name: 1\r\n\r\n" + whole("200 OK", fields, body),
+		"blank behind an interim head":        interim + "\r\n" + whole("200 OK", fields+" X-Name: 1\r\n", body),
 	}
 }
 
--- a/fleet/answer/transport_test.go
+++ b/fleet/answer/transport_test.go
@@ -21,13 +21,18 @@
 	mu     sync.Mutex
 	// conns has the connections in order of arrival.
 	conns []net.Conn
+	// ended receives a value when the client has closed a connection.
+	ended chan struct{}
 }
 
+// maxConns is more than the connections of any test.
+const maxConns = 10
+
 func serve(t *testing.T, text string) *server {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	s := &server{url: "http://" + l.Addr().String(), answer: text}
+	s := &server{url: "http://" + l.Addr().String(), answer: text, ended: make(chan struct{}, maxConns)}
 	var group sync.WaitGroup
 	group.Go(func() {
 		for {
@@ -54,6 +59,7 @@
 }
 
 func (s *server) serveConn(c net.Conn) {
+	defer func() { s.ended <- struct{}{} }()
 	r := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(r)
@@ -85,6 +91,7 @@
 						_ = resp.Body.Close()
 					}
 					is.True(err != nil)
+					<-s.ended
 				}
 				is.Equal(s.connCount(), 2) // the second call doesn't use the connection of the first one
 			})
--- a/router/link/headscanner_internal_test.go
+++ b/router/link/headscanner_internal_test.go
@@ -19,7 +19,10 @@
 // TestHeadIsCheckedInAnyPieces scans heads whole and in two pieces, with a body that looks like
 // malformed fields.
 func TestHeadIsCheckedInAnyPieces(t *testing.T) {
-	malformed := map[string]string{"CR without LF at the end": "HTTP/1.1 200 OK\r\nA: b\r\n\rX: c\r\n\r\n"}
+	malformed := map[string]string{
+		"CR without LF at the end": "HTTP/1.1 200 OK\r\nA: b\r\n\rX: c\r\n\r\n",
+		"no name":                  "HTTP/1.1 200 OK\r\n: b\r\n\r\n",
+	}
 	for name, text := range answertest.Hidden("A: b\r\n", "") {
 		if strings.HasPrefix(text, "HTTP/1.1 200") {
 			malformed[name] = text
--- a/router/link/reset_internal_test.go
+++ b/router/link/reset_internal_test.go
@@ -62,11 +62,6 @@
 	Reset(c)
 }
 
-func finishAndRead(c *net.TCPConn) {
-	finish(c)
-	_, _ = io.Copy(io.Discard, c)
-}
-
 func upload(size int) *Request {
 	return &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, size)}
 }
@@ -126,22 +121,42 @@
 	is.Equal(p.Open(), int64(0))
 }
 
-// TestEarlyAnswerThatEndsProperlyIsWhole has runners end an answer without a length while the
-// request is still being written.
-func TestEarlyAnswerThatEndsProperlyIsWhole(t *testing.T) {
-	for name, end := range map[string]func(c *net.TCPConn){"request not read": finish, "request read afterwards": finishAndRead} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			p := NewPool()
-			f := startEarlyRunner(t, end)
-			a, err := p.Exchange(t.Context(), f.address, upload(longUpload))
-			is.NoErr(err)
-			close(f.mayEnd)
-			body, err := io.ReadAll(a.Body)
-			is.NoErr(err)
-			is.Equal(string(body), "part")
-			a.Close()
-			is.Equal(p.Open(), int64(0))
-		})
-	}
+// exchangeEarly uploads to a runner that answers early, and expects its whole answer.
+func exchangeEarly(t *testing.T, end func(c *net.TCPConn)) {
+	t.Helper()
+	is := is.New(t)
+	p := NewPool()
+	f := startEarlyRunner(t, end)
+	a, err := p.Exchange(t.Context(), f.address, upload(longUpload))
+	is.NoErr(err)
+	defer a.Close()
+	close(f.mayEnd)
+	body, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "part")
+	a.Close()
+	is.Equal(p.Open(), int64(0))
+}
+
+func TestEarlyAnswerIsWholeIfTheRequestIsReadAfterwards(t *testing.T) {
+	exchangeEarly(t, func(c *net.TCPConn) {
+		finish(c)
+		_, _ = io.Copy(io.Discard, c)
+	})
+}
+
+// TestEarlyAnswerIsWholeIfTheRequestIsNotRead has the runner read only after the exchange: the
+// rest of the request isn't sent.
+func TestEarlyAnswerIsWholeIfTheRequestIsNotRead(t *testing.T) {
+	exchanged, rest := make(chan struct{}), make(chan error, 1)
+	defer func() {
+		close(exchanged)
+		is.New(t).True(errors.Is(<-rest, syscall.ECONNRESET))
+	}()
+	exchangeEarly(t, func(c *net.TCPConn) {
+		finish(c)
+		<-exchanged
+		_, err := io.Copy(io.Discard, c)
+		rest <- err
+	})
 }
