--- a/fleet/answer/answertest/answertest.go
+++ b/fleet/answer/answertest/answertest.go
@@ -18,16 +18,16 @@
 		"status 000, a second answer": whole("000 OK", fields, "") + whole("200 OK", fields, body),
 		"status 099":                  whole("099 OK", fields, body),
 
-		"blank within a name":                 whole("200 OK", fields+"X Name: 1\r\n", body),
-		"blank behind a name":                 whole("200 OK", fields+"X-Name : 1\r\n", body),
-		"blank behind a name, no body":        whole("200 OK", fields+"X-Name : 1\r\n", ""),
-		"blank in a name of an interim head":  "HTTP/1.1 103 Early Hints\r\nX Name: 1\r\n\r\n" + whole("200 OK", fields, body),
-		"blank behind the name of the length": strings.Replace(whole("200 OK", fields, body), "Length:", "Length :", 1),
-		"blank behind the name of the coding": chunked(fields, "Transfer-Encoding : chunked", body, ""),
-		"control byte in a name":              whole("200 OK", fields+"X-\x01Name: 1\r\n", body),
-		"control byte before a name":          whole("200 OK", fields+"\x7fX-Name: 1\r\n", body),
-		"tab in a name":                       whole("200 OK", fields+"X-Name\t: 1\r\n", body),
-		"no name":                             whole("200 OK", fields+": 1\r\n", body),
+		"blank within a name":                whole("200 OK", fields+"X Name: 1\r\n", body),
+		"blank after a name":                 whole("200 OK", fields+"X-Name : 1\r\n", body),
+		"blank after a name, no body":        whole("200 OK", fields+"X-Name : 1\r\n", ""),
+		"blank in a name of an interim head": "HTTP/1.1 103 Early Hints\r\nX Name: 1\r\n\r\n" + whole("200 OK", fields, body),
+		"blank after the name of the length": strings.Replace(whole("200 OK", fields, body), "Length:", "Length :", 1),
+		"blank after the name of the coding": chunked(fields, "Transfer-Encoding : chunked", body, ""),
+		"control byte in a name":             whole("200 OK", fields+"X-\x01Name: 1\r\n", body),
+		"control byte before a name":         whole("200 OK", fields+"\x7fX-Name: 1\r\n", body),
+		"tab in a name":                      whole("200 OK", fields+"X-Name\t: 1\r\n", body),
+		"no name":                            whole("200 OK", fields+": 1\r\n", body),
 	}
 }
 
@@ -42,7 +42,7 @@
 		"blank before the name of the length": strings.Replace(whole("200 OK", fields, body), "Content-Length", " Content-Length", 1),
 		"blank before the name of the coding": chunked(fields, " Transfer-Encoding: chunked", body, ""),
 		"line feed in an interim head":        interim + "\nX-Name: 1\r\n\r\n" + whole("200 OK", fields, body),
-		"blank behind an interim head":        interim + "\r\n" + whole("200 OK", fields+" X-Name: 1\r\n", body),
+		"blank after an interim head":         interim + "\r\n" + whole("200 OK", fields+" X-Name: 1\r\n", body),
 	}
 }
 
--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -196,10 +196,10 @@
 // longAgo is a deadline that ends a blocked write.
 var longAgo = time.Unix(1, 0)
 
-// unseenReset returns the error of a connection that a read took for its end. The kernel
-// reports a failure of the connection once, and the end of the data from then on, so that a
-// read sees only the end after a write has seen the failure. A write fails with EPIPE if the
-// runner had ended the answer before the failure.
+// unseenReset returns the failure of the connection that a read of the body didn't see, or
+// nil. The kernel reports a failure to one call only, and if that was the write of the
+// request, the read sees an ordinary end. EPIPE is no such failure: it means that the runner
+// had ended the body before. A write that is still blocked has seen none and is given up.
 func (ex *exchange) unseenReset() error {
 	select {
 	case <-ex.written:
--- a/router/link/head.go
+++ b/router/link/head.go
@@ -82,7 +82,7 @@
 }
 
 // ReadResponse reads the head of the only response on a connection. The head is
-// bounded, the body is not.
+// bounded, the body is not. The body fails at its end if it has a malformed trailer.
 func ReadResponse(r io.Reader, req *http.Request) (*http.Response, error) {
 	h := newBoundedReader(r)
 	h.boundHead()
@@ -95,6 +95,7 @@
 	return resp, nil
 }
 
+// checkedBody reads a body with a check of its end, and closes it.
 type checkedBody struct {
 	io.Reader
 	io.Closer
--- a/router/link/headscanner.go
+++ b/router/link/headscanner.go
@@ -11,12 +11,12 @@
 
 // headScanner checks the lines of a head as they arrive. net/http accepts lines that it may
 // read in another way than their sender meant: names with blanks, lines that continue the
-// field before them, and an empty line without CR behind lines with it. The zero value is at
-// the begin of a head.
+// field before them, and an empty line that ends in LF after lines that end in CR LF. The
+// zero value is at the start of a head.
 type headScanner struct {
 	at headPosition
-	// cr is set if the last byte of the current line is CR, or of the line before if the
-	// current one has not begun.
+	// cr is set if the last byte of the current line is CR. At the start of a line it is set
+	// if the previous line ended in CR LF.
 	cr bool
 }
 
@@ -24,18 +24,18 @@
 type headPosition int
 
 const (
-	// inLine is in the status line, or behind the colon of a field.
+	// inLine is in the status line, or after the colon of a field.
 	inLine headPosition = iota
-	atLineBegin
+	atLineStart
 	inName
-	// inEmptyLine is behind the CR of the line that ends the head.
+	// inEmptyLine is after the CR of the line that ends the head.
 	inEmptyLine
-	behindHead
+	afterHead
 )
 
 // scan checks the next bytes. What follows the head isn't checked.
 func (s *headScanner) scan(data []byte) error {
-	for len(data) > 0 && s.at != behindHead {
+	for len(data) > 0 && s.at != afterHead {
 		n, ok := s.step(data)
 		if !ok {
 			return errMalformedHead
@@ -50,8 +50,8 @@
 	switch s.at {
 	case inLine:
 		return s.skipLine(data), true
-	case atLineBegin:
-		return s.beginLine(data[0])
+	case atLineStart:
+		return s.startLine(data[0])
 	case inName:
 		n = tokenBytes(data)
 		if n == len(data) {
@@ -60,11 +60,12 @@
 		s.at, s.cr = inLine, false
 		return n + 1, data[n] == ':'
 	default:
-		s.at = behindHead
+		s.at = afterHead
 		return 1, data[0] == '\n'
 	}
 }
 
+// skipLine skips the rest of a line, or as much of it as has arrived.
 func (s *headScanner) skipLine(data []byte) int {
 	i := bytes.IndexByte(data, '\n')
 	if i < 0 {
@@ -74,25 +75,26 @@
 	if i > 0 {
 		s.cr = data[i-1] == '\r'
 	}
-	s.at = atLineBegin
+	s.at = atLineStart
 	return i + 1
 }
 
-func (s *headScanner) beginLine(first byte) (n int, ok bool) {
+// startLine checks the first byte of a line. It leaves that of a name to the next step.
+func (s *headScanner) startLine(first byte) (n int, ok bool) {
 	switch first {
 	case '\r':
 		s.at = inEmptyLine
 		return 1, true
 	case '\n':
-		s.at = behindHead
+		s.at = afterHead
 		return 1, !s.cr
 	default:
 		s.at = inName
-		return 0, tokenBytes([]byte{first}) > 0
+		return 0, httpguts.IsTokenRune(rune(first))
 	}
 }
 
-// tokenBytes returns how many bytes data begins with that a name may have.
+// tokenBytes returns the number of bytes at the start of data that a name may have.
 func tokenBytes(data []byte) int {
 	n := 0
 	for n < len(data) && httpguts.IsTokenRune(rune(data[n])) {
