--- a/router/link/exchange.go
+++ b/router/link/exchange.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"cicadawell.dev/fleet/answer"
 )
 
 // Request is a request to send. Exchange doesn't modify it, so it can be sent
@@ -182,15 +184,16 @@
 // send writes the request. A long body is written while the response is read,
 // since a runner may respond before it has read the whole request.
 func (ex *exchange) send(req *Request) {
-	write := func() {
-		ex.writeErr = writeRequest(ex.conn, req)
-		close(ex.written)
-	}
 	if len(req.Body) <= maxInlineWriteBytes {
-		write()
+		ex.write(req)
 		return
 	}
-	ex.group.Go(write)
+	ex.group.Go(func() { ex.write(req) })
+}
+
+func (ex *exchange) write(req *Request) {
+	ex.writeErr = writeRequest(ex.conn, req)
+	close(ex.written)
 }
 
 // longAgo is a deadline that ends a blocked write.
@@ -289,9 +292,9 @@
 
 func (ex *exchange) newResponse(resp *http.Response, stray bool) *Response {
 	isFramed := framed(resp)
-	ex.body = &bodyReader{r: resp.Body, checkEnd: trailerCheck(resp), complete: resp.Body == http.NoBody}
+	ex.body = &bodyReader{r: resp.Body, resp: resp, complete: resp.Body == http.NoBody}
 	if !isFramed {
-		ex.body.checkEnd = ex.unseenReset
+		ex.body.unseenReset = ex.unseenReset
 	}
 	ex.conn.idleTimeout = min(ex.conn.idleTimeout, keepAliveTimeout(resp.Header, ex.conn.idleTimeout))
 	if resp.Close || !isFramed || stray {
@@ -348,10 +351,12 @@
 // bodyReader reads a body and records whether it was read to its end.
 type bodyReader struct {
 	r io.Reader
-	// checkEnd returns an error if the end that was read isn't that of a whole body. It is
-	// nil if the body has a length.
-	checkEnd func() error
-	complete bool
+	// resp has the trailer once the body was read.
+	resp *http.Response
+	// unseenReset returns an error if the end of the connection isn't that of the body. It
+	// is nil if the body is framed.
+	unseenReset func() error
+	complete    bool
 }
 
 func (b *bodyReader) Read(p []byte) (int, error) {
@@ -359,11 +364,16 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if b.checkEnd != nil {
-		if err := b.checkEnd(); err != nil {
-			return n, err
-		}
+	if err := b.checkEnd(); err != nil {
+		return n, err
 	}
 	b.complete = true
 	return n, io.EOF
 }
+
+func (b *bodyReader) checkEnd() error {
+	if b.unseenReset != nil {
+		return b.unseenReset()
+	}
+	return answer.CheckNames(b.resp.Trailer)
+}
--- a/router/link/head.go
+++ b/router/link/head.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp.Body = &checkedBody{Reader: &bodyReader{r: resp.Body, checkEnd: trailerCheck(resp)}, Closer: resp.Body}
+	resp.Body = &checkedBody{Reader: &bodyReader{r: resp.Body, resp: resp}, Closer: resp.Body}
 	return resp, nil
 }
 
@@ -100,12 +100,3 @@
 	io.Reader
 	io.Closer
 }
-
-// trailerCheck returns what checks the trailer once the body was read, or nil if there can
-// be none.
-func trailerCheck(resp *http.Response) func() error {
-	if len(resp.TransferEncoding) == 0 {
-		return nil
-	}
-	return func() error { return answer.CheckNames(resp.Trailer) }
-}
