Bound the interim answers of the stores again

Cause: net/http bounds the heads of a call together, but starts anew after each interim answer that it shows to a trace, as the check needs.

Change: answer.NewTransport fails a call at its 11th interim answer.

--- a/fleet/answer/transport.go
+++ b/fleet/answer/transport.go
@@ -4,6 +4,9 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
 )
 
 // NewTransport returns a transport that fails calls whose answers are malformed. It closes
@@ -13,7 +16,7 @@
 type transport struct{ base *http.Transport }
 
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), interimCheck)))
+	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), interimCheck())))
 	if err != nil {
 		return nil, err
 	}
@@ -35,7 +38,19 @@
 	return CheckNames(resp.Header)
 }
 
-// interimCheck fails calls that get a malformed interim answer.
-var interimCheck = &httptrace.ClientTrace{
-	Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error { return CheckNames(http.Header(fields)) },
+// maxInterimAnswers bounds the interim answers to a call. Servers send one or two.
+const maxInterimAnswers = 10
+
+// interimCheck fails a call that gets a malformed interim answer, or too many: net/http
+// doesn't bound the answers that it shows.
+func interimCheck() *httptrace.ClientTrace {
+	var n atomic.Int32
+	return &httptrace.ClientTrace{Got1xxResponse: func(_ int, fields textproto.MIMEHeader) error {
+		if n.Add(1) > maxInterimAnswers {
+			return errInterimAnswers
+		}
+		return CheckNames(http.Header(fields))
+	}}
 }
+
+var errInterimAnswers = eris.New("too many interim answers")
--- a/fleet/answer/transport_test.go
+++ b/fleet/answer/transport_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"cicadawell.dev/fleet/answer"
 	"cicadawell.dev/fleet/answer/answertest"
@@ -114,3 +116,16 @@
 	is.Equal(s.connCount(), 1)
 	c.CloseIdleConnections()
 }
+
+func TestEndlessInterimAnswersAreGivenUp(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100))
+	c := http.Client{Transport: answer.NewTransport(&http.Transport{}), Timeout: 20 * time.Second}
+	resp, err := c.Get(s.url)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	is.True(err != nil)
+	is.True(!os.IsTimeout(err))
+	<-s.ended
+}
