Show that prompts with a long part of their own fill the memory

Cause: the parts of prompts that had an answer are kept for minutes as parts of the header that they were cut from, so that the whole header stays in memory, which no account counts.

--- a/review/standin-3/drill.go
+++ b/review/standin-3/drill.go
@@ -109,7 +109,9 @@
 		return false, err
 	}
 	for _, n := range w.nodes {
-		go w.client(n, "GET", "/open/", "", 100*time.Millisecond)
+		for range 4 {
+			go w.client(n, "GET", "/open/", "", 100*time.Millisecond)
+		}
 		go w.client(n, "GET", "/lookup/", "key-2", 200*time.Millisecond)
 	}
 	time.Sleep(6 * time.Second)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -11,6 +11,8 @@
 var cases = map[string]func(w *world) (held bool, err error){
 	"revoked":   revokedCase,
 	"evacuated": evacuatedCase,
+	"memory":    keptCase,
+	"parts":     partsCase,
 }
 
 func main() {
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// engines is the service of model engines.
+const engines = "cicada-pool"
+
 const heartbeat = 1200 * time.Millisecond
 
 // runner is a stand-in for a runner of a plain service.
@@ -21,9 +24,12 @@
 	born                       time.Time
 	cold                       time.Duration
 	work                       time.Duration
-	st                         *store
-	rec                        *record
-	runs                       *runs
+	// events is the number of events of a stream, with pauses between them.
+	events int
+	pause  time.Duration
+	st     *store
+	rec    *record
+	runs   *runs
 
 	mu       sync.Mutex
 	draining bool
@@ -42,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{id: "i-" + token()[:8], service: service, zone: zone, address: l.Addr().String(), born: time.Now(), cold: cold, work: 15 * time.Millisecond, st: w.store, rec: w.rec, runs: w.runs}
+	r := &runner{id: "i-" + token()[:8], service: service, zone: zone, address: l.Addr().String(), born: time.Now(), cold: cold, work: 15 * time.Millisecond, events: w.events, pause: w.pause, st: w.store, rec: w.rec, runs: w.runs}
 	go func() { _ = http.Serve(l, r) }()
 	go r.describe()
 	return r, nil
@@ -115,10 +121,23 @@
 		refuse(http.StatusBadRequest)
 		return
 	}
-	r.runs.add(run{id: id, runner: r, at: time.Now(), tenant: q.Header.Get("Tenant")})
-	r.rec.add("run", "request %s at runner %s zone %s service %s tenant %q", id, r.id, r.zone, r.service, q.Header.Get("Tenant"))
+	if r.service != engines {
+		r.runs.add(run{id: id, runner: r, at: time.Now(), tenant: q.Header.Get("Tenant")})
+		r.rec.add("run", "request %s at runner %s zone %s service %s tenant %q", id, r.id, r.zone, r.service, q.Header.Get("Tenant"))
+	}
 	time.Sleep(r.work)
 	w.Header().Set("Response-Seal", fmt.Sprintf("%s.%s", r.id, id))
+	if r.service == engines {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for n := range r.events {
+			if n > 0 {
+				time.Sleep(r.pause)
+			}
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: token\n\n", n+1)
+			_ = http.NewResponseController(w).Flush()
+		}
+		return
+	}
 	answer := "answer to " + id + " of " + strconv.Itoa(len(body)) + " bytes"
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	_, _ = io.WriteString(w, answer)
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -24,6 +24,10 @@
 	nodes   []*node
 	runners []*runner
 	dir     string
+	// events and pause are those of the streams of engines.
+	events  int
+	pause   time.Duration
+	command []string
 	// trouble is false with TROUBLE=0.
 	trouble bool
 	stop    chan struct{}
@@ -53,6 +57,9 @@
 
 var zones = []string{"zone-a", "zone-b", "zone-c", "zone-d"}
 
+// machine is the size of the machines.
+var machine = map[string]any{"cpu_share": 0.8, "cores": 1, "memory_mb": 544, "max_fds": 8200, "link_mbps": 2000.0, "disk_mb": 0}
+
 func freeAddress() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -71,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{store: newStore(rec), rec: rec, runs: &runs{}, dir: dir, trouble: os.Getenv("TROUBLE") != "0", stop: make(chan struct{}), sent: map[string]sent{}, counts: map[string]int{}}
+	w := &world{store: newStore(rec), rec: rec, runs: &runs{}, dir: dir, events: 3, trouble: os.Getenv("TROUBLE") != "0", stop: make(chan struct{}), sent: map[string]sent{}, counts: map[string]int{}}
 	return w, nil
 }
 
@@ -92,6 +99,7 @@
 	if err != nil {
 		return err
 	}
+	w.command = command
 	var seeds []string
 	for i, zone := range zones {
 		n := &node{name: "edge-" + zone + "-1", zone: zone}
@@ -111,7 +119,7 @@
 			"zone": n.zone, "region": "r", "zones": map[string]string{"zone-a": "r", "zone-b": "r", "zone-c": "r", "zone-d": "r"},
 			"listen": map[string]string{"front": n.front, "ready": n.ready, "control": n.peers}, "internal_port_range": []int{7740, 7755},
 			"seeds": seeds, "bootstrap": true, "in_fault_budget": false,
-			"limits":   map[string]any{"cpu_share": 0.8, "cores": 1, "memory_mb": 544, "max_fds": 8200, "link_mbps": 2000.0, "disk_mb": 0},
+			"limits":   machine,
 			"data_dir": nil, "discovery": "platform", "entry": "vip", "heartbeat_ms": heartbeat.Milliseconds(),
 			"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "places", "platform", "stages"},
 			"fault_tolerance": map[string]int{"machines": 1, "zones": 1, "regions": 0},
@@ -268,6 +276,10 @@
 		{"name": "commit", "host": "seats.example", "prefix": "/commit/", "kind": "non_idempotent", "timeout_ms": 1500, "target_latency_ms": 100, "priority": 2, "max_attempts": 2, "service": "booking-sheet"},
 		{"name": "open", "host": "seats.example", "prefix": "/open/", "kind": "idempotent", "timeout_ms": 1500, "target_latency_ms": 100, "priority": 2, "max_attempts": 2, "service": "booking-sheet", "auth_exempt": true},
 	}
+	routes = append(routes, map[string]any{
+		"name": "ask", "host": "seats.example", "prefix": "/ask/", "kind": "streaming", "timeout_ms": 15000, "target_latency_ms": 1400, "target_gap_ms": 250,
+		"priority": 2, "max_attempts": 2, "service": engines, "sticky": true, "resumable": true,
+	})
 	routes = append(routes, extra...)
 	var tenants []map[string]any
 	for _, name := range []string{"tenant-1", "tenant-2"} {
@@ -275,8 +287,11 @@
 	}
 	data, _ := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "tenants": tenants,
-		"services": []map[string]any{{"name": "booking-sheet", "health_check_path": "/health", "max_connections": 110, "cold_start_s": 3, "cold_per_s": 20}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 20000},
+		"services": []map[string]any{
+			{"name": "booking-sheet", "health_check_path": "/health", "max_connections": 110, "cold_start_s": 3, "cold_per_s": 20},
+			{"name": engines, "health_check_path": "/health", "max_connections": 370, "cold_start_s": 3, "cold_per_s": 9.1, "engine": map[string]any{"slots": 64, "kv_capacity_tokens": 541797}},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
 	return data
 }
