--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -60,13 +61,18 @@
 // machine is the size of the machines.
 var machine = map[string]any{"cpu_share": 0.8, "cores": 1, "memory_mb": 544, "max_fds": 8200, "link_mbps": 2000.0, "disk_mb": 0}
 
+// freeAddress returns an address that is free, below the ports that connections get.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var last error
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000)))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String(), nil
+		}
+		last = err
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", last
 }
 
 func newWorld(recordPath string) (*world, error) {
