Show that a part that crashes engines after an event stays unknown

Cause: the first event of an answer clears all parts of its prompt, and a crash after it is not told to the quarantine.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases play one case each. They return whether the rule held.
@@ -13,6 +15,7 @@
 	"evacuated": evacuatedCase,
 	"memory":    keptCase,
 	"parts":     partsCase,
+	"deadly":    deadlyCase,
 }
 
 func main() {
@@ -25,6 +28,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		w.close(false)
+		os.Exit(2)
+	}()
 	held, err := cases[os.Args[1]](w)
 	keep := os.Getenv("KEEP") != ""
 	if keep {
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -31,9 +33,61 @@
 	rec    *record
 	runs   *runs
 
+	// deadly is the part of prompts that crashes the runner once it has written the first event
+	// of its answer, or "".
+	deadly string
+	// early has it crash before that, with EARLY set.
+	early   bool
+	crashes *crashes
+
 	mu       sync.Mutex
 	draining bool
 	seq      int64
+	// server serves the current incarnation, nil while the runner is down.
+	server *http.Server
+}
+
+// crashes has the times of the crashes of runners.
+type crashes struct {
+	mu sync.Mutex
+	at []time.Time
+}
+
+// downTime is how long a runner that crashed is away.
+const downTime = 3 * time.Second
+
+// serve serves one incarnation.
+func (r *runner) serve(l net.Listener) {
+	srv := &http.Server{Handler: r}
+	r.mu.Lock()
+	r.server, r.born, r.seq = srv, time.Now(), 0
+	r.mu.Unlock()
+	_ = srv.Serve(l)
+}
+
+// crash resets all connections and starts the runner again after downTime.
+func (r *runner) crash() {
+	r.mu.Lock()
+	srv := r.server
+	r.server = nil
+	r.mu.Unlock()
+	if srv == nil {
+		return
+	}
+	now := time.Now()
+	r.crashes.mu.Lock()
+	r.crashes.at = append(r.crashes.at, now)
+	r.crashes.mu.Unlock()
+	r.rec.add("crash", "runner %s zone %s", r.id, r.zone)
+	_ = srv.Close()
+	time.Sleep(downTime)
+	for {
+		if l, err := net.Listen("tcp", r.address); err == nil {
+			r.serve(l)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
 }
 
 func token() string {
@@ -49,7 +103,9 @@
 		return nil, err
 	}
 	r := &runner{id: "i-" + token()[:8], service: service, zone: zone, address: l.Addr().String(), born: time.Now(), cold: cold, work: 15 * time.Millisecond, events: w.events, pause: w.pause, st: w.store, rec: w.rec, runs: w.runs}
-	go func() { _ = http.Serve(l, r) }()
+	r.deadly, r.early, r.crashes = w.deadly, os.Getenv("EARLY") != "", w.crashes
+	go r.serve(l)
+	time.Sleep(time.Millisecond)
 	go r.describe()
 	return r, nil
 }
@@ -72,6 +128,9 @@
 func (r *runner) write() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.server == nil {
+		return true // it is down
+	}
 	left := max(0, r.cold-time.Since(r.born)).Milliseconds()
 	state := "ready"
 	if r.draining {
@@ -121,7 +180,7 @@
 		refuse(http.StatusBadRequest)
 		return
 	}
-	if r.service != engines {
+	if r.service != engines || r.deadly != "" {
 		r.runs.add(run{id: id, runner: r, at: time.Now(), tenant: q.Header.Get("Tenant")})
 		r.rec.add("run", "request %s at runner %s zone %s service %s tenant %q", id, r.id, r.zone, r.service, q.Header.Get("Tenant"))
 	}
@@ -129,12 +188,24 @@
 	w.Header().Set("Response-Seal", fmt.Sprintf("%s.%s", r.id, id))
 	if r.service == engines {
 		w.Header().Set("Content-Type", "text/event-stream")
+		doomed := r.deadly != "" && strings.Contains(q.Header.Get("Prompt-Prefix"), r.deadly+":")
+		if doomed && r.early {
+			go r.crash()
+			<-q.Context().Done()
+			return
+		}
 		for n := range r.events {
 			if n > 0 {
 				time.Sleep(r.pause)
 			}
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: token\n\n", n+1)
 			_ = http.NewResponseController(w).Flush()
+			if n == 0 && doomed {
+				time.Sleep(5 * time.Millisecond)
+				go r.crash()
+				<-q.Context().Done()
+				return
+			}
 		}
 		return
 	}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -26,8 +26,11 @@
 	runners []*runner
 	dir     string
 	// events and pause are those of the streams of engines.
-	events  int
-	pause   time.Duration
+	events int
+	pause  time.Duration
+	// deadly is the part of prompts that crashes engines, crashes are those that it caused.
+	deadly  string
+	crashes *crashes
 	command []string
 	// trouble is false with TROUBLE=0.
 	trouble bool
@@ -84,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{store: newStore(rec), rec: rec, runs: &runs{}, dir: dir, events: 3, trouble: os.Getenv("TROUBLE") != "0", stop: make(chan struct{}), sent: map[string]sent{}, counts: map[string]int{}}
+	w := &world{store: newStore(rec), rec: rec, runs: &runs{}, dir: dir, events: 3, crashes: &crashes{}, trouble: os.Getenv("TROUBLE") != "0", stop: make(chan struct{}), sent: map[string]sent{}, counts: map[string]int{}}
 	return w, nil
 }
 
