Give each stand-in's process a loopback address of its own

Cause: one run of case 14 without its disruption exited with 2, as an instance was not ready; its log was not kept, and 310 starts did not show it again. A lost port is the likeliest cause, but that is not traced.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -42,6 +42,10 @@
 	}
 	switch {
 	case err != nil:
+		for _, n := range w.nodes {
+			log, _ := os.ReadFile(n.logPath)
+			w.rec.add("log", "%s\n%s", n.name, log[:min(len(log), 4000)])
+		}
 		w.rec.say("result", "could not run: %v", err)
 	case held:
 		w.rec.say("result", "the rule held")
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -64,11 +64,12 @@
 // machine is the size of the machines.
 var machine = map[string]any{"cpu_share": 0.8, "cores": 1, "memory_mb": 544, "max_fds": 8200, "link_mbps": 2000.0, "disk_mb": 0}
 
-// freeAddress returns an address that is free, below the ports that connections get.
+// freeAddress returns an address that is free. Each process has a loopback address of its own,
+// so that its ports aren't among those that connections get.
 func freeAddress() (string, error) {
 	var last error
 	for range 100 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000)))
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250), 10_000+rand.IntN(20_000)))
 		if err == nil {
 			defer l.Close()
 			return l.Addr().String(), nil
