--- a/router/inventory/current.go
+++ b/router/inventory/current.go
@@ -14,6 +14,9 @@
 	clk       clock.Clock
 	snapshot  atomic.Pointer[Snapshot]
 	confirmed atomic.Int64
+	// arrivingSince is when the answer that will replace the view began to arrive; zero if
+	// none is arriving.
+	arrivingSince atomic.Int64
 
 	mu        sync.Mutex
 	listeners []func(*Snapshot)
@@ -74,3 +77,20 @@
 func (c *Current) Age() time.Duration {
 	return time.Duration(c.clk.Now().UnixNano() - c.confirmed.Load())
 }
+
+// BeginArrival records that an answer of the source, which replaces the view, began to
+// arrive at a time.
+func (c *Current) BeginArrival(at time.Time) { c.arrivingSince.CompareAndSwap(0, at.UnixNano()) }
+
+// EndArrival records that the answer was applied or given up.
+func (c *Current) EndArrival() { c.arrivingSince.Store(0) }
+
+// ArrivingFor returns for how long an answer that replaces the view has been arriving; zero
+// if none is.
+func (c *Current) ArrivingFor() time.Duration {
+	since := c.arrivingSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return time.Duration(c.clk.Now().UnixNano() - since)
+}
--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -247,17 +247,18 @@
 	f.mu.Lock()
 	relist, after := f.relist, f.current.Load().Revision
 	f.mu.Unlock()
+	defer f.current.EndArrival()
 	start := f.clk.Now()
 	var changes []Change
 	var revision int64
 	var err error
 	if relist {
-		listing, cancel := f.limit(ctx, listTimeout)
+		listing, cancel := f.limit(ctx, listTimeout, f.current.BeginArrival)
 		defer cancel()
 		changes, revision, err = f.source.List(listing)
 	} else {
 		wait := f.pollWait()
-		watching, cancel := f.limit(ctx, wait+pollTimeoutMargin)
+		watching, cancel := f.limit(ctx, wait+pollTimeoutMargin, f.current.BeginArrival)
 		defer cancel()
 		changes, revision, err = f.source.Changes(watching, after, wait)
 	}
@@ -272,14 +273,15 @@
 	return len(changes) > 0 || relist, nil
 }
 
-// limit bounds a call by the time in which nothing of its answer arrives.
-func (f *follower) limit(ctx context.Context, silence time.Duration) (context.Context, context.CancelFunc) {
-	return progress.WithLimits(ctx, f.clk, clock.SystemTimers(), progress.Limits{Silence: silence, Total: silence + transferLimit})
+// limit bounds a call by the time in which nothing of its answer arrives. begun is called
+// when the answer begins to arrive; it may be nil.
+func (f *follower) limit(ctx context.Context, silence time.Duration, begun func(at time.Time)) (context.Context, context.CancelFunc) {
+	return progress.WithLimits(ctx, f.clk, clock.SystemTimers(), progress.Limits{Silence: silence, Total: silence + transferLimit, Begun: begun})
 }
 
 func (f *follower) Refresh(ctx context.Context) error {
 	start := f.clk.Now()
-	ctx, cancel := f.limit(ctx, pollTimeoutMargin)
+	ctx, cancel := f.limit(ctx, pollTimeoutMargin, nil)
 	defer cancel()
 	changes, revision, err := f.source.Changes(ctx, f.current.Load().Revision, 0)
 	if err != nil {
--- a/router/progress/progress.go
+++ b/router/progress/progress.go
@@ -18,6 +18,8 @@
 	Silence time.Duration
 	// Total is the longest duration of the call. It is at least Silence.
 	Total time.Duration
+	// Begun is called once, at the first progress that is noted, unless it is nil.
+	Begun func(at time.Time)
 }
 
 // WithLimits returns a context that ends when a call exceeds its limits. Its cause is
@@ -39,9 +41,7 @@
 // effect on contexts without limits.
 func Note(ctx context.Context) {
 	if t, ok := ctx.Value(contextKey{}).(*tracker); ok {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		t.last = t.clk.Now()
+		t.note()
 	}
 }
 
@@ -84,6 +84,8 @@
 	mu sync.Mutex
 	// last is the time of the last progress that was noted.
 	last time.Time
+	// begun is set once progress was noted.
+	begun bool
 	// silentFor is the time since the last byte on the call's connection, or nil.
 	silentFor func() time.Duration
 	// stop cancels the pending check.
@@ -112,6 +114,16 @@
 	t.stop = t.timers.AfterFunc(left, t.check)
 }
 
+func (t *tracker) note() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.last = t.clk.Now()
+	if !t.begun && t.limits.Begun != nil {
+		t.limits.Begun(t.last)
+	}
+	t.begun = true
+}
+
 func (t *tracker) end() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/router/progress/progress_test.go
+++ b/router/progress/progress_test.go
@@ -56,3 +56,20 @@
 		is.Equal(clk.Now().Sub(start), 360*time.Millisecond)
 	})
 }
+
+func TestBeginningIsReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var begun []time.Time
+		limits := progress.Limits{Silence: time.Second, Total: time.Second, Begun: func(at time.Time) { begun = append(begun, at) }}
+		clk := clock.System()
+		ctx, cancel := progress.WithLimits(t.Context(), clk, clock.SystemTimers(), limits)
+		defer cancel()
+		is.NoErr(clk.Sleep(t.Context(), 300*time.Millisecond))
+		first := clk.Now()
+		progress.Note(ctx)
+		is.NoErr(clk.Sleep(t.Context(), 300*time.Millisecond))
+		progress.Note(ctx)
+		is.Equal(begun, []time.Time{first})
+	})
+}
