Refuse calls by an old view while a newer one arrives

Callers saw calls handled by a configuration 3.4 s and 3.7 s older than an acknowledged one (CONFIG), and one at a runner 2.05 s after its leaving (DRAIN). Cause of the first, by the record: only calls with keys had a bound on the age of the view, 4.3 s. One of the two instances had failed its readiness check because of the age of its view, and ran a call by it. While an answer of the store arrives or is decoded, nothing fails.

Ruled out: a bound on the age alone. In an outage of the store nobody has news, and calls without keys are served by the last view.

A view that is older than the bounds on draining and on configurations, less the way of a call, isn't used while an answer that replaces it has been arriving for 250 ms. No further read of the store is made for such calls, since it would delay the answer.

Whether the DRAIN of the record had this cause is open.

--- a/router/inventory/current.go
+++ b/router/inventory/current.go
@@ -11,7 +11,10 @@
 // Current holds the newest snapshot and the time at which it was last confirmed
 // to be the newest. It is safe for concurrent use.
 type Current struct {
-	clk       clock.Clock
+	clk clock.Clock
+	// maxOutdated is zero if outdated views may have any age.
+	maxOutdated time.Duration
+
 	snapshot  atomic.Pointer[Snapshot]
 	confirmed atomic.Int64
 	// arrivingSince is when the answer that will replace the view began to arrive; zero if
@@ -22,10 +25,24 @@
 	listeners []func(*Snapshot)
 }
 
+// arrivalGrace is how long an answer usually arrives and is applied, even after a wait for
+// changes in which the view has aged.
+const arrivalGrace = 250 * time.Millisecond
+
+// CurrentOption changes a default of NewCurrent.
+type CurrentOption func(*Current)
+
+// WithMaxOutdated sets the maximum age of a view that is known to be outdated. By default
+// there is none.
+func WithMaxOutdated(d time.Duration) CurrentOption { return func(c *Current) { c.maxOutdated = d } }
+
 // NewCurrent returns a Current with an empty snapshot. The clock must include
 // the time for which the machine was suspended.
-func NewCurrent(clk clock.Clock) *Current {
+func NewCurrent(clk clock.Clock, opts ...CurrentOption) *Current {
 	c := &Current{clk: clk}
+	for _, opt := range opts {
+		opt(c)
+	}
 	c.snapshot.Store(&Snapshot{})
 	return c
 }
@@ -94,3 +111,10 @@
 	}
 	return time.Duration(c.clk.Now().UnixNano() - since)
 }
+
+// Outdated reports whether the view must not be used: it is too old, and the answer that
+// replaces it is arriving. An old view without such an answer may still be the newest, as
+// during an outage of the source.
+func (c *Current) Outdated() bool {
+	return c.maxOutdated > 0 && c.ArrivingFor() > arrivalGrace && c.Age() > c.maxOutdated
+}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -87,7 +87,7 @@
 
 func (x *relay) Serve(ctx context.Context, w http.ResponseWriter, c *Call) {
 	p, err := x.plan(c)
-	if fault.Is(err, fault.StaleConfiguration) {
+	if fault.Is(err, fault.StaleConfiguration) && !errors.Is(err, errOutdated) {
 		p, err = x.refreshAndPlan(ctx, c)
 	}
 	if err != nil {
@@ -134,6 +134,9 @@
 	if s.Table == nil {
 		return nil, fault.New(fault.NotReady, "no configuration is known yet")
 	}
+	if x.Current.Outdated() {
+		return nil, errOutdated
+	}
 	r := s.Table.Match(c.Host, c.Path)
 	if r == nil {
 		return nil, x.deny(fault.New(fault.UnknownRoute, "no route matches").WithField("path"))
@@ -171,6 +174,10 @@
 	return p, nil
 }
 
+// errOutdated is the error of a call while a newer view is arriving, which a further read of
+// the store would delay.
+var errOutdated error = fault.New(fault.StaleConfiguration, "the view is outdated, and a newer one is arriving")
+
 // setRank sets the rank and the urgency of a call. The team is nil if the call has no
 // key.
 func (x *relay) setRank(p *callPlan, table *routing.Table, team *routing.Team) {
--- a/router/target/set.go
+++ b/router/target/set.go
@@ -141,6 +141,10 @@
 // it is one.
 func WithInstances(count InstanceCount) Option { return func(s *set) { s.instances = count } }
 
+// WithOutdated sets a function that reports whether the snapshot must not be used. Runners
+// accept no calls of this instance then. By default it may always be used.
+func WithOutdated(outdated func() bool) Option { return func(s *set) { s.outdated = outdated } }
+
 // WithLog sets the log. The default logs nothing.
 func WithLog(log hclog.Logger) Option { return func(s *set) { s.log = log } }
 
@@ -149,8 +153,8 @@
 func NewSet(clk clock.Clock, rate ColdRate, lag time.Duration, opts ...Option) Set {
 	s := &set{
 		clk: clk, rate: rate, describeLag: lag, backOff: true, useLoad: true, log: hclog.NewNullLogger(), random: random.NewSource(),
-		instances: func() (int, bool) { return 1, true },
-		leaving:   make(map[incarnation]time.Time), absentPauses: make(map[incarnation]time.Time), absentLimits: make(map[incarnation]limit),
+		instances: func() (int, bool) { return 1, true }, outdated: func() bool { return false },
+		leaving: make(map[incarnation]time.Time), absentPauses: make(map[incarnation]time.Time), absentLimits: make(map[incarnation]limit),
 		services: make(map[string]*serviceRollout), usages: make(map[usageKey]*usage),
 	}
 	for _, opt := range opts {
@@ -184,6 +188,8 @@
 	absentLimits map[incarnation]limit
 	// instances returns how many instances share the limits of runners.
 	instances InstanceCount
+	// outdated reports whether the snapshot must not be used.
+	outdated func() bool
 	// random chooses the credit that rollouts begin with, and the first calls under limits.
 	random random.Source
 	// services has the rollouts by service, and usages the use of each version. Both
@@ -261,7 +267,9 @@
 func (s *set) AcceptsCalls(t *Target) bool { return t.PausedFor(s.clk.Now()) == 0 && s.accepts(t) }
 
 // accepts reports whether the target accepts calls by its description.
-func (s *set) accepts(t *Target) bool { return slices.Contains(s.Usable(t.Runner().Service), t) }
+func (s *set) accepts(t *Target) bool {
+	return slices.Contains(s.Usable(t.Runner().Service), t) && !s.outdated()
+}
 
 func (s *set) Find(id string) *Target { return s.view.Load().all[id] }
 
--- a/router/target/set_test.go
+++ b/router/target/set_test.go
@@ -173,3 +173,17 @@
 	w.update()
 	is.True(w.set.LeastLoaded("s", "z", nil) == nil) // the rate of cold runners is unknown
 }
+
+func TestRunnersAcceptNoCallsWhileSnapshotIsOutdated(t *testing.T) {
+	is := is.New(t)
+	outdated := false
+	set := target.NewSet(clock.NewManual(origin), twoPerSecond, describeLag, target.WithOutdated(func() bool { return outdated }))
+	set.Update(&inventory.Snapshot{Runners: map[string]*inventory.Runner{"a": {ID: "a", Service: "s", Slots: 1}}})
+	chosen := set.LeastLoaded("s", "z", nil)
+	is.True(set.AcceptsCalls(chosen))
+	outdated = true // while the connection is opened
+	is.True(!set.AcceptsCalls(chosen))
+	is.True(!set.Admit(chosen))
+	outdated = false
+	is.True(set.Admit(chosen))
+}
