Keep streams at the version that began them

Callers got streams joined from two software versions of a service (ORDER), as 200 and run to the end, after crashes and broken connections beside a release, and after all instances were killed at once.

Cause: attempts of one stream were chosen one by one. Neither the instance's own retry and takeover nor a caller's take-up looked at the version of the runner that had sent the first event, and `Resumes` wasn't read.

The first event of an answer binds its later attempts. Across take-ups, router/continuity remembers versions while several serve: the instance that begins a stream tells two keepers, and a take-up asks three. The store has the versions of a service that served recently, so that an instance that has just started doesn't take one for the only one; it is written when a version appears or is gone for the retention. Streams begin at a new version 1.5 s after it was seen. A take-up whose version isn't known is refused as not run. With one version nothing is sent, written or asked.

--- /dev/null
+++ b/router/continuity/tracker.go
@@ -0,0 +1,321 @@
+// Package continuity keeps streams at the version of the runners' software that began
+// them. Runners of several versions may serve one service, and what two of them write
+// doesn't fit together.
+//
+// While a single version serves, it began all streams, and nothing is kept or sent. While
+// several do, the instance that begins a stream remembers its version and tells two others,
+// which are chosen by the stream, so that any instance finds it when the caller takes the
+// stream up. The store has the versions that served recently, so that instances that have
+// just started know whether there was only one.
+package continuity
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/routing"
+	"github.com/hashicorp/go-hclog"
+)
+
+// Methods that instances call on each other.
+const (
+	methodBegan   = "continuity.began"
+	methodVersion = "continuity.version"
+)
+
+const (
+	// keepers is how many instances are told of a stream, askedKeepers how many are asked
+	// for it. One more is asked, as the keepers move on when an instance joins or leaves.
+	keepers      = 2
+	askedKeepers = keepers + 1
+	// ownerKeyPrefix and the stream form the key by which its keepers are chosen.
+	ownerKeyPrefix = "continuity/"
+	// tellTimeout bounds a message to a keeper, askTimeout a question.
+	tellTimeout = time.Second
+	askTimeout  = 150 * time.Millisecond
+	// maxTold bounds the streams of one message.
+	maxTold = 512
+)
+
+// Tracker knows which versions began streams.
+type Tracker interface {
+	// MayBegin returns whether streams of a service may begin at a version now. They begin
+	// at a new version once all instances know it.
+	MayBegin(service string) func(version string) bool
+	// Began records the version that began a stream.
+	Began(service, stream, version string)
+	// VersionOf returns the version that began a stream. The error says that this isn't
+	// known, and that the call has not run.
+	VersionOf(ctx context.Context, service, stream string) (string, error)
+	// Run keeps the record of the versions in the store until ctx ends.
+	Run(ctx context.Context) error
+}
+
+// Records keeps the versions that served recently in the store.
+type Records interface {
+	// Write replaces the record of a service, or removes it if there are no versions,
+	// unless its revision has changed. The error is of the kind Conflict then.
+	Write(ctx context.Context, v inventory.ServiceVersions) error
+}
+
+// Owners finds the instances that keep a stream, or write a record. owner.Finder implements
+// it.
+type Owners interface {
+	Ranked(key string, n int) []string
+}
+
+// New returns the tracker of an instance and handles the messages of other instances.
+func New(clk clock.Clock, self string, current *inventory.Current, owners Owners, mesh instance.Mesh, records Records, log hclog.Logger) Tracker {
+	t := &tracker{
+		clk: clk, self: self, owners: owners, mesh: mesh, records: records, log: log,
+		services: make(map[string]*serviceVersions),
+	}
+	mesh.Handle(methodBegan, t.serveBegan)
+	mesh.Handle(methodVersion, t.serveVersion)
+	current.Subscribe(t.update)
+	return t
+}
+
+type tracker struct {
+	clk     clock.Clock
+	self    string
+	owners  Owners
+	mesh    instance.Mesh
+	records Records
+	log     hclog.Logger
+	// streams has those that began here, and those that this instance was told of.
+	streams memory
+	// group tracks the messages in flight.
+	group sync.WaitGroup
+	// view has what calls need to know of each service.
+	view atomic.Pointer[map[string]serviceView]
+
+	mu       sync.Mutex
+	services map[string]*serviceVersions
+	// table is that of the last snapshot, and resumable what follows from it.
+	table     *routing.Table
+	resumable map[string]time.Duration
+}
+
+// serviceView is what calls need to know of the versions of a service. It is immutable.
+type serviceView struct {
+	retention time.Duration
+	// only is the version that began all streams, if single is set.
+	only   string
+	single bool
+	// beginsAt is from when on streams may begin at each version.
+	beginsAt map[string]time.Time
+}
+
+// update applies a snapshot.
+func (t *tracker) update(s *inventory.Snapshot) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s.Table != t.table {
+		t.table, t.resumable = s.Table, resumableServices(s.Table)
+	}
+	present := make(map[string]map[string]bool, len(t.resumable))
+	for service := range t.resumable {
+		present[service] = make(map[string]bool)
+	}
+	for _, r := range s.Runners {
+		if versions := present[r.Service]; versions != nil {
+			versions[r.Version] = true
+		}
+	}
+	now := t.clk.Now()
+	for service, retention := range t.resumable {
+		v, known := t.services[service]
+		if !known {
+			v = &serviceVersions{seen: make(map[string]sighting)}
+			t.services[service] = v
+		}
+		v.retention = max(v.retention, retention)
+		v.update(present[service], s.Versions[service], !known, now)
+	}
+	t.renew(now)
+}
+
+// renew publishes what calls need to know. Once there are several versions, the keepers of
+// the streams before that are told. The caller holds mu.
+func (t *tracker) renew(now time.Time) {
+	old := t.view.Load()
+	next := make(map[string]serviceView, len(t.services))
+	for service, v := range t.services {
+		v.forget(now)
+		next[service] = v.view()
+	}
+	t.view.Store(&next)
+	for service, v := range next {
+		if old == nil || v.single || !(*old)[service].single {
+			continue
+		}
+		t.log.Info("several versions serve streams", "service", service, "versions", len(v.beginsAt))
+		for version, ids := range t.streams.all(service) {
+			t.tell(service, version, ids)
+		}
+	}
+}
+
+func (t *tracker) viewOf(service string) (serviceView, bool) {
+	if views := t.view.Load(); views != nil {
+		v, ok := (*views)[service]
+		return v, ok
+	}
+	return serviceView{}, false
+}
+
+func (t *tracker) MayBegin(service string) func(version string) bool {
+	v, known := t.viewOf(service)
+	switch {
+	case !known:
+		return func(string) bool { return true }
+	case v.single:
+		return func(version string) bool { return version == v.only }
+	}
+	now := t.clk.Now()
+	return func(version string) bool {
+		at, seen := v.beginsAt[version]
+		return seen && !now.Before(at)
+	}
+}
+
+func (t *tracker) Began(service, stream, version string) {
+	v, known := t.viewOf(service)
+	if !known || !valid(stream) {
+		return
+	}
+	t.streams.note(streamKey{service: service, id: stream}, version, t.clk.Now(), v.retention)
+	if !v.single {
+		t.tell(service, version, []string{stream})
+	}
+}
+
+// beganBody tells a keeper which version began streams.
+type beganBody struct {
+	Service string   `json:"service"`
+	Version string   `json:"version"`
+	Streams []string `json:"streams"`
+}
+
+// tell sends the version of streams to their keepers.
+func (t *tracker) tell(service, version string, streams []string) {
+	byKeeper := make(map[string][]string)
+	for _, id := range streams {
+		for _, name := range t.owners.Ranked(ownerKeyPrefix+id, keepers) {
+			if name != t.self {
+				byKeeper[name] = append(byKeeper[name], id)
+			}
+		}
+	}
+	for name, ids := range byKeeper {
+		t.group.Go(func() {
+			for len(ids) > 0 {
+				n := min(len(ids), maxTold)
+				t.send(name, beganBody{Service: service, Version: version, Streams: ids[:n]})
+				ids = ids[n:]
+			}
+		})
+	}
+}
+
+func (t *tracker) send(to string, b beganBody) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	if err := t.mesh.Call(instance.MarkIdempotent(ctx), to, methodBegan, b, nil); err != nil {
+		t.log.Debug("keeper of streams not told", "instance", to, "streams", len(b.Streams), "error", err)
+	}
+}
+
+func (t *tracker) serveBegan(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var b beganBody
+	if err := json.Unmarshal(params, &b); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "decode a message").WithField(methodBegan)
+	}
+	if len(b.Streams) > maxTold {
+		return nil, fault.New(fault.BadRequest, "found %d streams, at most %d are allowed", len(b.Streams), maxTold).WithField("streams")
+	}
+	retention := minRetention
+	if v, known := t.viewOf(b.Service); known {
+		retention = v.retention
+	}
+	for _, id := range b.Streams {
+		t.streams.note(streamKey{service: b.Service, id: id}, b.Version, t.clk.Now(), retention)
+	}
+	return nil, nil
+}
+
+// versionBody asks for the version that began a stream.
+type versionBody struct {
+	Service string `json:"service"`
+	Stream  string `json:"stream"`
+}
+
+// versionAnswer is the answer.
+type versionAnswer struct {
+	Version string `json:"version"`
+	Known   bool   `json:"known"`
+}
+
+func (t *tracker) serveVersion(_ context.Context, _ string, params json.RawMessage) (any, error) {
+	var b versionBody
+	if err := json.Unmarshal(params, &b); err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, "decode a question").WithField(methodVersion)
+	}
+	var a versionAnswer
+	a.Version, a.Known = t.streams.versionOf(streamKey{service: b.Service, id: b.Stream})
+	return a, nil
+}
+
+func (t *tracker) VersionOf(ctx context.Context, service, stream string) (string, error) {
+	v, known := t.viewOf(service)
+	switch {
+	case !known:
+		return "", errUnknown
+	case v.single:
+		return v.only, nil
+	}
+	if version, ok := t.streams.versionOf(streamKey{service: service, id: stream}); ok {
+		return version, nil
+	}
+	if valid(stream) {
+		if version, ok := t.ask(ctx, versionBody{Service: service, Stream: stream}); ok {
+			return version, nil
+		}
+	}
+	return "", errUnknown
+}
+
+var errUnknown error = fault.New(fault.NoRunner, "the version that began the stream isn't known")
+
+// ask asks the keepers of a stream for its version.
+func (t *tracker) ask(ctx context.Context, b versionBody) (string, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	names := t.owners.Ranked(ownerKeyPrefix+b.Stream, askedKeepers)
+	answers := make(chan versionAnswer, len(names))
+	for _, name := range names {
+		t.group.Go(func() {
+			var a versionAnswer
+			if name != t.self {
+				if err := t.mesh.Call(instance.MarkIdempotent(ctx), name, methodVersion, b, &a); err != nil {
+					t.log.Debug("keeper of a stream doesn't answer", "instance", name, "stream", b.Stream, "error", err)
+				}
+			}
+			answers <- a
+		})
+	}
+	for range names {
+		if a := <-answers; a.Known {
+			return a.Version, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/router/continuity/tracker_test.go
@@ -0,0 +1,335 @@
+package continuity_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/continuity"
+	"cicadawell.dev/router/instance"
+	"cicadawell.dev/router/inventory"
+	"cicadawell.dev/router/owner"
+	"cicadawell.dev/router/routing"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+)
+
+// readLag is how long a change of the store takes until all instances have read it.
+const readLag = 900 * time.Millisecond
+
+// fleet is a set of trackers with a store, in one synctest bubble.
+type fleet struct {
+	t        *testing.T
+	table    *routing.Table
+	names    []string
+	trackers map[string]continuity.Tracker
+	currents map[string]*inventory.Current
+	cancels  map[string]context.CancelFunc
+	group    sync.WaitGroup
+
+	mu       sync.Mutex
+	handlers map[string]map[string]instance.Handler
+	lost     map[string]bool
+	// messages counts those between instances, writes those to the store.
+	messages, writes int
+	versions         []string
+	records          map[string]inventory.ServiceVersions
+	revision         int64
+}
+
+func newFleet(t *testing.T, instances int, versions ...string) *fleet {
+	t.Helper()
+	table, err := routing.NewTable(routing.Config{
+		Version: 1, Services: []routing.Service{{Name: "s"}},
+		Routes: []routing.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: routing.Streaming, Resumable: true, Timeout: 10 * time.Second, Objective: time.Second,
+			Shares: []routing.Share{{Service: "s", Weight: 1}}, MaxAttempts: 2, Open: true,
+		}},
+	})
+	is.New(t).NoErr(err)
+	f := &fleet{
+		t: t, table: table, versions: versions, trackers: make(map[string]continuity.Tracker), currents: make(map[string]*inventory.Current),
+		cancels: make(map[string]context.CancelFunc), handlers: make(map[string]map[string]instance.Handler), lost: make(map[string]bool),
+		records: make(map[string]inventory.ServiceVersions),
+	}
+	for n := range instances {
+		f.names = append(f.names, fmt.Sprint("i", n))
+	}
+	for _, name := range f.names {
+		f.start(name)
+	}
+	return f
+}
+
+// start starts an instance, again if it runs, without any memory.
+func (f *fleet) start(name string) {
+	if cancel, ok := f.cancels[name]; ok {
+		cancel()
+	}
+	f.mu.Lock()
+	f.handlers[name] = make(map[string]instance.Handler)
+	delete(f.lost, name)
+	f.mu.Unlock()
+	current := inventory.NewCurrent(clock.System())
+	ctx, cancel := context.WithCancel(f.t.Context())
+	f.currents[name], f.cancels[name] = current, cancel
+	tracker := continuity.New(clock.System(), name, current, owner.NewFinder(clock.System(), current), mesh{f, name}, f, hclog.NewNullLogger())
+	f.trackers[name] = tracker
+	f.publish(name)
+	f.group.Go(func() { _ = tracker.Run(ctx) })
+}
+
+func (f *fleet) kill(name string) {
+	f.mu.Lock()
+	f.lost[name] = true
+	f.mu.Unlock()
+	f.cancels[name]()
+}
+
+func (f *fleet) stop() {
+	for _, cancel := range f.cancels {
+		cancel()
+	}
+	f.group.Wait()
+}
+
+// publish gives an instance the content of the store.
+func (f *fleet) publish(name string) {
+	f.mu.Lock()
+	s := &inventory.Snapshot{
+		Table: f.table, Revision: f.revision, Instances: make(map[string]inventory.Instance), Runners: make(map[string]*inventory.Runner),
+		Versions: maps.Clone(f.records),
+	}
+	for _, n := range f.names {
+		s.Instances[n] = inventory.Instance{Name: n}
+	}
+	for _, version := range f.versions {
+		s.Runners[version] = &inventory.Runner{ID: version, Service: "s", Version: version}
+	}
+	f.mu.Unlock()
+	f.currents[name].Advance(s)
+}
+
+// serve changes the versions that have runners.
+func (f *fleet) serve(versions ...string) {
+	f.mu.Lock()
+	f.versions = versions
+	f.changed()
+	f.mu.Unlock()
+	pass(readLag)
+	synctest.Wait()
+}
+
+// changed has the instances read the store. The caller holds mu.
+func (f *fleet) changed() {
+	f.revision++
+	f.group.Go(func() {
+		pass(readLag)
+		for _, name := range f.names {
+			f.publish(name)
+		}
+	})
+}
+
+func (f *fleet) Write(_ context.Context, v inventory.ServiceVersions) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.writes++
+	if f.records[v.Service].Revision != v.Revision {
+		return fault.New(fault.Conflict, "the record has changed")
+	}
+	f.changed()
+	v.Revision = f.revision
+	f.records[v.Service] = v
+	if len(v.Versions) == 0 {
+		delete(f.records, v.Service)
+	}
+	return nil
+}
+
+// recorded returns the versions in the store.
+func (f *fleet) recorded() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.records["s"].Versions
+}
+
+// versionOf returns what an instance answers for a stream, and "" if it doesn't know.
+func (f *fleet) versionOf(name, stream string) string {
+	version, err := f.trackers[name].VersionOf(f.t.Context(), "s", stream)
+	if err != nil {
+		is.New(f.t).True(fault.Is(err, fault.NoRunner))
+		return ""
+	}
+	return version
+}
+
+// keeper returns the first instance that keeps a stream, or writes the record of a service.
+func (f *fleet) keeper(key string) string {
+	return owner.NewFinder(clock.System(), f.currents["i0"]).Of("continuity/" + key)
+}
+
+// others returns the instances that don't keep a stream, except those named.
+func (f *fleet) others(stream string, except ...string) []string {
+	keepers := owner.NewFinder(clock.System(), f.currents[f.names[0]]).Ranked("continuity/"+stream, 3)
+	return slices.DeleteFunc(slices.Clone(f.names), func(n string) bool { return slices.Contains(keepers, n) || slices.Contains(except, n) })
+}
+
+// mesh connects the instances of a fleet.
+type mesh struct {
+	fleet *fleet
+	self  string
+}
+
+func (m mesh) Handle(method string, h instance.Handler) { m.fleet.handlers[m.self][method] = h }
+
+func (m mesh) SetAddresses(map[string]string) {}
+
+func (m mesh) Call(ctx context.Context, to, method string, params, result any) error {
+	m.fleet.mu.Lock()
+	h, lost := m.fleet.handlers[to][method], m.fleet.lost[to]
+	m.fleet.messages++
+	m.fleet.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	data, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	answer, err := h(ctx, m.self, data)
+	if err != nil || result == nil {
+		return err
+	}
+	if data, err = json.Marshal(answer); err != nil {
+		return err
+	}
+	return json.Unmarshal(data, result)
+}
+
+func pass(d time.Duration) { _ = clock.System().Sleep(context.Background(), d) }
+
+// test runs a test with a fleet of six instances.
+func test(t *testing.T, versions []string, run func(is *is.I, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 6, versions...)
+		defer f.stop()
+		run(is.New(t), f)
+	})
+}
+
+// TestEveryInstanceFindsStreams guards against take-ups at another version, and against
+// refusals once the instance that began the stream and a keeper are gone.
+func TestEveryInstanceFindsStreams(t *testing.T) {
+	test(t, []string{"v1", "v2"}, func(is *is.I, f *fleet) {
+		first := f.others("stream")[0]
+		f.trackers[first].Began("s", "stream", "v1")
+		pass(10 * time.Millisecond)
+		for _, name := range f.names {
+			is.Equal(f.versionOf(name, "stream"), "v1")
+			is.Equal(f.versionOf(name, "other"), "")
+		}
+		f.kill(first)
+		f.kill(f.keeper("stream"))
+		for _, name := range f.others("stream", first) {
+			is.Equal(f.versionOf(name, "stream"), "v1")
+		}
+	})
+}
+
+// TestStreamsBeforeTheSecondVersionAreFound guards against streams that began when there was
+// nothing to tell.
+func TestStreamsBeforeTheSecondVersionAreFound(t *testing.T) {
+	test(t, []string{"v1"}, func(is *is.I, f *fleet) {
+		first := f.others("stream")[0]
+		f.trackers[first].Began("s", "stream", "v1")
+		pass(5 * time.Second)
+		is.Equal(f.messages, 0)
+		f.serve("v1", "v2")
+		f.kill(first)
+		for _, name := range f.others("stream", first) {
+			is.Equal(f.versionOf(name, "stream"), "v1")
+		}
+	})
+}
+
+// TestStreamsBeginAtVersionsThatAllInstancesKnow guards against streams of a version that
+// another instance doesn't know, which takes the other one for the only one.
+func TestStreamsBeginAtVersionsThatAllInstancesKnow(t *testing.T) {
+	test(t, []string{"v1"}, func(is *is.I, f *fleet) {
+		begins := func(version string) bool { return f.trackers["i0"].MayBegin("s")(version) }
+		is.True(begins("v1"))
+		is.True(!begins("v2"))
+		f.serve("v1", "v2")
+		pass(1400 * time.Millisecond)
+		is.True(begins("v1"))
+		is.True(!begins("v2"))
+		pass(200 * time.Millisecond)
+		is.True(begins("v2"))
+		f.start("i0")
+		is.True(begins("v2")) // it was there at the start
+	})
+}
+
+// TestInstancesThatStartKnowVersionsThatLeft guards against instances that take the version
+// that they see for the only one, and against refusals after the retention.
+func TestInstancesThatStartKnowVersionsThatLeft(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		t.Run(fmt.Sprint("owner lost ", lost), func(t *testing.T) {
+			test(t, []string{"v1", "v2"}, func(is *is.I, f *fleet) {
+				if lost {
+					f.kill(f.keeper("s"))
+				}
+				pass(7 * time.Second)
+				is.Equal(f.recorded(), []string{"v1", "v2"})
+				f.serve("v2")
+				pass(10 * time.Second)
+				for _, name := range f.names {
+					f.start(name)
+				}
+				is.Equal(f.versionOf("i0", "stream"), "")
+				pass(15 * time.Second)
+				is.Equal(f.versionOf("i0", "stream"), "")
+				pass(22 * time.Second)
+				is.Equal(f.recorded(), nil)
+				is.Equal(f.versionOf("i0", "stream"), "v2")
+				is.True(f.writes <= 4)
+			})
+		})
+	}
+}
+
+// TestSingleVersionCostsNothing guards fleets with one version against messages and writes.
+func TestSingleVersionCostsNothing(t *testing.T) {
+	test(t, []string{"v1"}, func(is *is.I, f *fleet) {
+		for n, name := range f.names {
+			f.trackers[name].Began("s", fmt.Sprint(n), "v1")
+			is.Equal(f.versionOf(name, "unknown"), "v1")
+		}
+		pass(time.Minute)
+		is.Equal(f.messages, 0)
+		is.Equal(f.writes, 0)
+	})
+}
+
+// TestLongIdentifiersAreNotSent guards the memory of other instances against callers.
+func TestLongIdentifiersAreNotSent(t *testing.T) {
+	test(t, []string{"v1", "v2"}, func(is *is.I, f *fleet) {
+		long := strings.Repeat("x", 1<<20)
+		f.trackers["i0"].Began("s", long, "v1")
+		is.Equal(f.versionOf("i0", long), "")
+		is.Equal(f.versionOf("i0", ""), "")
+		is.Equal(f.messages, 0)
+	})
+}
--- a/router/inventory/change.go
+++ b/router/inventory/change.go
@@ -39,6 +39,10 @@
 	// which leaves it in force.
 	RolloutOrder                     *rollout.Order
 	WithdrawnRollout, IgnoredRollout string
+	// Versions is the record of the versions of a service. EndedVersions is the service of
+	// one that was removed.
+	Versions      *ServiceVersions
+	EndedVersions string
 	// Rollout is a decision on a service. EndedRollout is the service of one that was
 	// deleted.
 	Rollout      *rollout.State
@@ -63,7 +67,7 @@
 		Table: s.Table, Revision: max(s.Revision, revision),
 		Runners: clone(s.Runners), ZonesOut: clone(s.ZonesOut), ReturnedZones: clone(s.ReturnedZones), Instances: clone(s.Instances),
 		HeldRemovals: clone(s.HeldRemovals), Quarantines: clone(s.Quarantines),
-		RolloutOrders: clone(s.RolloutOrders), Rollouts: clone(s.Rollouts),
+		RolloutOrders: clone(s.RolloutOrders), Rollouts: clone(s.Rollouts), Versions: clone(s.Versions),
 	}
 	for _, c := range changes {
 		next.apply(c)
@@ -103,6 +107,17 @@
 		delete(s.Quarantines, c.EndedQuarantine)
 	default:
 		s.applyRollout(c)
+		s.applyVersions(c)
+	}
+}
+
+// applyVersions applies a change of a record of versions.
+func (s *Snapshot) applyVersions(c Change) {
+	switch {
+	case c.Versions != nil:
+		s.Versions[c.Versions.Service] = *c.Versions
+	case c.EndedVersions != "":
+		delete(s.Versions, c.EndedVersions)
 	}
 }
 
--- a/router/inventory/exchange.go
+++ b/router/inventory/exchange.go
@@ -156,6 +156,10 @@
 	HasRollouts   bool               `json:"hasRollouts,omitempty"`
 	RolloutOrders []wireRolloutOrder `json:"rolloutOrders,omitempty"`
 	Rollouts      []wireRollout      `json:"rollouts,omitempty"`
+	// HasVersions is set if the changes, or Versions, include all records of versions.
+	// Older builds have neither.
+	HasVersions bool              `json:"hasVersions,omitempty"`
+	Versions    []ServiceVersions `json:"versions,omitempty"`
 	// Compressed is a whole response, compressed. All other fields are empty then.
 	Compressed []byte `json:"compressed,omitempty"`
 }
@@ -309,7 +313,7 @@
 		resp.Mark = u.mark
 		return resp
 	}
-	resp := getResponse{Revision: u.snapshot.Revision, Mark: u.mark, Complete: true, HasRollouts: true}
+	resp := getResponse{Revision: u.snapshot.Revision, Mark: u.mark, Complete: true, HasRollouts: true, HasVersions: true}
 	resp.setFreshness(u.freshness, now)
 	for _, c := range u.changes {
 		wire := newWireChange(c, now)
@@ -353,6 +357,7 @@
 	for _, q := range s.Quarantines {
 		resp.Quarantines = append(resp.Quarantines, newWireQuarantine(q, now))
 	}
+	resp.HasVersions, resp.Versions = true, slices.Collect(maps.Values(s.Versions))
 	resp.HasRollouts = true
 	for _, o := range s.RolloutOrders {
 		resp.RolloutOrders = append(resp.RolloutOrders, newWireRolloutOrder(o, now))
@@ -448,6 +453,12 @@
 	for _, q := range resp.Quarantines {
 		s.applyQuarantine(Change{Quarantine: q.quarantine(now)})
 	}
+	if resp.HasVersions {
+		s.Versions = make(map[string]ServiceVersions)
+		for _, v := range resp.Versions {
+			s.Versions[v.Service] = v
+		}
+	}
 	if !resp.HasRollouts {
 		return s, nil
 	}
--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -372,9 +372,28 @@
 		}
 	}
 	out = append(out, impliedEnds(old, list, revision)...)
+	out = append(out, impliedVersionsEnds(old, list, revision)...)
 	return append(out, impliedRolloutEnds(old, list, revision)...)
 }
 
+// impliedVersionsEnds returns the ends of the records of versions that a complete list no
+// longer contains.
+func impliedVersionsEnds(old *Snapshot, list []Change, revision int64) []Change {
+	listed := make(map[string]bool)
+	for _, c := range list {
+		if c.Versions != nil {
+			listed[c.Versions.Service] = true
+		}
+	}
+	var out []Change
+	for service := range old.Versions {
+		if !listed[service] {
+			out = append(out, Change{Revision: revision, EndedVersions: service})
+		}
+	}
+	return out
+}
+
 // impliedRolloutEnds returns the ends of the orders and decisions that a complete list
 // no longer contains. An order that was replaced by an invalid one stays.
 func impliedRolloutEnds(old *Snapshot, list []Change, revision int64) []Change {
@@ -503,6 +522,11 @@
 		kept.RolloutOrders, kept.Rollouts = old.RolloutOrders, old.Rollouts
 		s = &kept
 	}
+	if s.Versions == nil { // the same holds for records of versions
+		kept := *s
+		kept.Versions = old.Versions
+		s = &kept
+	}
 	if s.Revision > old.Revision {
 		next := s.with(s.removalChanges(), s.Revision)
 		if f.outages.inGrace(now) {
--- a/router/inventory/lead.go
+++ b/router/inventory/lead.go
@@ -32,6 +32,9 @@
 	RolloutWithdrawn string            `json:"rolloutWithdrawn,omitempty"`
 	Rollout          *wireRollout      `json:"rollout,omitempty"`
 	RolloutOver      string            `json:"rolloutOver,omitempty"`
+	// Versions and VersionsOver are unknown to older builds, too.
+	Versions     *ServiceVersions `json:"versions,omitempty"`
+	VersionsOver string           `json:"versionsOver,omitempty"`
 }
 
 // newWireChange converts a change. The configuration is left out.
@@ -39,7 +42,7 @@
 	wire := wireChange{
 		Revision: c.Revision, RunnerGone: c.RemovedRunner, ZoneOut: c.ZoneOut, ZoneBack: c.ReturnedZone,
 		Instance: c.Instance, InstanceGone: c.RemovedInstance, QuarantineOver: c.EndedQuarantine,
-		RolloutWithdrawn: c.WithdrawnRollout, RolloutOver: c.EndedRollout,
+		RolloutWithdrawn: c.WithdrawnRollout, RolloutOver: c.EndedRollout, Versions: c.Versions, VersionsOver: c.EndedVersions,
 	}
 	switch {
 	case c.Runner != nil:
@@ -85,6 +88,7 @@
 			Revision: wire.Revision, RemovedRunner: wire.RunnerGone, ZoneOut: wire.ZoneOut, ReturnedZone: wire.ZoneBack,
 			Instance: wire.Instance, RemovedInstance: wire.InstanceGone, SeenAt: now.Add(-micros(wire.AgoMicros)),
 			EndedQuarantine: wire.QuarantineOver, WithdrawnRollout: wire.RolloutWithdrawn, EndedRollout: wire.RolloutOver,
+			Versions: wire.Versions, EndedVersions: wire.VersionsOver,
 		}
 		table, err := newTable(own, wire.Config, wire.Patch)
 		if err != nil {
--- a/router/inventory/snapshot.go
+++ b/router/inventory/snapshot.go
@@ -82,6 +82,16 @@
 	Revision int64
 }
 
+// ServiceVersions are the versions of a service's runners that served recently. There is a
+// record only while there are several, and for a time after that.
+type ServiceVersions struct {
+	Service string `json:"service"`
+	// Versions are sorted.
+	Versions []string `json:"versions"`
+	// Revision is the store's revision of the record; zero if there is none.
+	Revision int64 `json:"revision"`
+}
+
 // Snapshot is the view of the fleet at one revision. It is immutable.
 type Snapshot struct {
 	// Table is nil until a configuration is known.
@@ -105,6 +115,8 @@
 	// service.
 	RolloutOrders map[string]rollout.Order
 	Rollouts      map[string]rollout.State
+	// Versions has the records of versions by service.
+	Versions map[string]ServiceVersions
 	// Revision is the store's revision up to which the snapshot is complete.
 	Revision int64
 }
--- a/router/placement/placer.go
+++ b/router/placement/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,12 +29,30 @@
 	InputBytes int64
 	// Avoid lists the engines that were already tried.
 	Avoid []*target.Target
+	// Version is the only version that may run the call, or nil if any may. Accepts
+	// restricts it to engines for further reasons; nil accepts all.
+	Version *string
+	Accepts func(*target.Target) bool
 	// Deadline is the deadline of the call.
 	Deadline time.Time
 	// Output is what the call says about the length of its answer.
 	Output cost.Request
 }
 
+// accepts reports whether an engine may run the call.
+func (r Request) accepts(t *target.Target) bool {
+	return (r.Version == nil || *r.Version == t.Runner().Version) && (r.Accepts == nil || r.Accepts(t))
+}
+
+// accepted returns those of the engines that may run the call.
+func (r Request) accepted(engines []*target.Target) []*target.Target {
+	refused := func(t *target.Target) bool { return !r.accepts(t) }
+	if !slices.ContainsFunc(engines, refused) {
+		return engines
+	}
+	return slices.DeleteFunc(slices.Clone(engines), refused)
+}
+
 // Place is an engine assigned to a call.
 type Place interface {
 	// Target returns the engine.
@@ -190,7 +209,12 @@
 		}
 	}
 	a := l.criteria(b, r)
-	costOf := func(t *target.Target) time.Duration { return b.cost(t, a) }
+	costOf := func(t *target.Target) time.Duration {
+		if !r.accepts(t) {
+			return target.Excluded
+		}
+		return b.cost(t, a)
+	}
 	if t := l.targets.Choose(r.Shard, r.Avoid, permit, costOf); t != nil || r.Shard.Zone == "" {
 		return t, a
 	}
@@ -201,7 +225,7 @@
 func (l *local) criteria(b *tracker, r Request) criteria {
 	a := criteria{prompt: r.Prompt, zone: r.Zone, inputBytes: r.InputBytes, ignoreCache: !l.rules.PromptCacheAffinity, now: l.clk.Now()}
 	if l.rules.PromptHashing {
-		a.home = b.home(r.Prompt, l.targets.UsableIn(r.Shard))
+		a.home = b.home(r.Prompt, r.accepted(l.targets.UsableIn(r.Shard)))
 	}
 	return a
 }
--- a/router/placement/shared.go
+++ b/router/placement/shared.go
@@ -72,6 +72,8 @@
 	Route      string `json:"route,omitempty"`
 	MaxOutput  int    `json:"maxOutput,omitempty"`
 	OutputHint int    `json:"outputHint,omitempty"`
+	// Version is that of Request. Older builds ignore it, and may choose another one.
+	Version *string `json:"version,omitempty"`
 }
 
 // placedBody is the response: the identifier of the runner that was chosen, or
@@ -107,6 +109,7 @@
 	b := placeBody{
 		ID: r.ID, Shard: r.Shard, Prompt: r.Prompt, Zone: r.Zone, InputBytes: r.InputBytes,
 		UntilMicros: r.Deadline.Sub(s.clk.Now()).Microseconds(), Route: r.Output.Route, MaxOutput: r.Output.Max, OutputHint: r.Output.Hint,
+		Version: r.Version,
 	}
 	for _, t := range slices.Concat(s.targets.Excluded(r.Shard.Service), r.Avoid) {
 		b.Avoid = append(b.Avoid, t.Runner().ID)
@@ -135,8 +138,8 @@
 		return s.local.Place(ctx, r)
 	}
 	t := s.targets.Find(placed.Runner)
-	if t == nil || !s.targets.AcceptsCalls(t) {
-		// The owner's snapshot is older or newer than this instance's.
+	if t == nil || !s.targets.AcceptsCalls(t) || !r.accepts(t) {
+		// The owner's snapshot is older or newer than this instance's, or it is an older build.
 		s.reportProgress(to, progressBody{ID: r.ID, Ended: true})
 		return s.local.Place(ctx, r)
 	}
@@ -178,6 +181,7 @@
 	r := Request{
 		ID: b.ID, Shard: b.Shard, Prompt: b.Prompt, Zone: b.Zone, InputBytes: b.InputBytes,
 		Deadline: s.clk.Now().Add(micros(b.UntilMicros)), Output: cost.Request{Route: b.Route, Max: b.MaxOutput, Hint: b.OutputHint},
+		Version: b.Version,
 	}
 	for _, id := range b.Avoid {
 		if t := s.targets.Find(id); t != nil {
--- a/router/relay/attempt.go
+++ b/router/relay/attempt.go
@@ -42,6 +42,7 @@
 func (x *relay) open(p *callPlan, a *runnerAttempt, d Dispatch) {
 	defer close(a.opened)
 	a.runner, a.started = a.target.Runner(), x.Clock.Now()
+	d.Runner = a.runner
 	a.answer, a.err = x.send(a.watch.ctx, p, a.target, d)
 	a.took = x.Clock.Now().Sub(a.started)
 	switch {
--- a/router/relay/call.go
+++ b/router/relay/call.go
@@ -48,6 +48,9 @@
 	// ResumeAfter is the identifier of the last event that the caller received, or
 	// empty.
 	ResumeAfter string
+	// Resumes is the identifier of the attempt that brought the first event of the stream
+	// that the caller takes up, or empty.
+	Resumes string
 	// Memory is what the call holds of the memory of its process, or nil if that isn't
 	// bounded.
 	Memory *memory.Reservation
@@ -67,6 +70,8 @@
 	// ResumeAfter is the identifier of the last event that the caller received, or
 	// empty.
 	ResumeAfter string
+	// Accepts reports whether the call still accepts the runner. It is optional.
+	Accepts func() bool
 	// MaySend reports whether the runner still accepts new calls. It is called when
 	// the connection is open, before the request is written.
 	MaySend func() bool
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -47,6 +47,9 @@
 	RetryBudget RetryBudget
 	// Quarantine is optional. Without it no call is refused for its prompt.
 	Quarantine Quarantine
+	// Streams is optional. Without it a stream that its caller takes up goes on at any
+	// version.
+	Streams Streams
 	// Rollouts is optional. Without it answers aren't recorded by version.
 	Rollouts Rollouts
 	Meter    Meter
@@ -73,6 +76,9 @@
 	if p.Quarantine == nil {
 		p.Quarantine = noQuarantine{}
 	}
+	if p.Streams == nil {
+		p.Streams = anyVersion{}
+	}
 	if p.Rollouts == nil {
 		p.Rollouts = noRollouts{}
 	}
@@ -251,12 +257,18 @@
 
 // refreshAndPlan refreshes the configuration and plans the call again.
 func (x *relay) refreshAndPlan(ctx context.Context, c *Call) (*callPlan, error) {
+	x.refresh(ctx, c)
+	return x.plan(c)
+}
+
+// refresh confirms that the view is the newest, or replaces it, if that takes no longer than
+// refreshTimeout.
+func (x *relay) refresh(ctx context.Context, c *Call) {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	if err := x.refresher.Do(ctx, x.Refresh); err != nil {
 		x.Log.Debug("configuration refresh failed", "request", c.ID, "error", err)
 	}
-	return x.plan(c)
 }
 
 // chooseService picks one of the route's services at random, by weight.
@@ -303,7 +315,6 @@
 // send sends the call to one runner, and records the result in the runner's
 // health, the metrics and the log.
 func (x *relay) send(ctx context.Context, p *callPlan, t *target.Target, d Dispatch) (*Answer, error) {
-	d.Runner = t.Runner()
 	d.Team = p.team
 	d.Urgency = p.urgency
 	d.Remaining = p.deadline.Sub(x.Clock.Now())
@@ -313,7 +324,7 @@
 	connected := start
 	d.MaySend = func() bool {
 		connected = x.Clock.Now()
-		return x.Targets.Admit(t)
+		return (d.Accepts == nil || d.Accepts()) && x.Targets.Admit(t)
 	}
 	a, err := x.Runners.Send(ctx, p.call, d)
 	now := x.Clock.Now()
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -112,6 +112,8 @@
 	// the snapshot.
 	rollouts relay.Rollouts
 	describe func(*inventory.Snapshot)
+	// streams is optional.
+	streams relay.Streams
 	// connect, if set, is called while the connection to a runner is opened.
 	connect func(d relay.Dispatch)
 	// caller, if set, wraps the caller's side.
@@ -319,7 +321,7 @@
 	}
 	r := relay.New(relay.Parts{
 		Clock: clock.System(), Timers: clock.SystemTimers(), Current: current, Refresh: func(context.Context) error { return errors.New("away") },
-		Targets: set, Engines: engines, Shards: shard.NewBalancer(clock.System(), current), Pieces: p, Runners: f, Meter: telemetry.NewRelay(), RetryBudget: budget, Quarantine: f.quarantine, Rollouts: f.rollouts, Log: hclog.NewNullLogger(), Zone: "z", MaxConfigAge: 4 * time.Second, Policy: policy.Default(),
+		Targets: set, Engines: engines, Shards: shard.NewBalancer(clock.System(), current), Pieces: p, Runners: f, Meter: telemetry.NewRelay(), RetryBudget: budget, Quarantine: f.quarantine, Streams: f.streams, Rollouts: f.rollouts, Log: hclog.NewNullLogger(), Zone: "z", MaxConfigAge: 4 * time.Second, Policy: policy.Default(),
 		Random: random.NewSeeded(1),
 	})
 	c := &relay.Call{ID: "id", Method: http.MethodPost, Target: path, Path: path, Host: host, Header: http.Header{}, Arrived: clock.System().Now(), Pieces: []int{2, 3}, PieceKey: "k"}
--- a/router/relay/stream.go
+++ b/router/relay/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cicadawell.dev/fleet/fault"
@@ -56,6 +57,8 @@
 	zone   string
 	// avoid has the engines that were already tried.
 	avoid []*target.Target
+	// origin is the version that began the stream, or nil until it has begun.
+	origin atomic.Pointer[string]
 	// standby is the attempt that has taken the call over from a silent one, or nil.
 	// While an attempt runs, only its watchdog uses standby, attempts and avoid.
 	standby *engineAttempt
@@ -77,16 +80,17 @@
 	if err := x.checkPause(p); err != nil {
 		return err
 	}
+	s := &streamRun{plan: p, state: &streamState{w: w, lastEventID: p.call.ResumeAfter}, attempts: x.newAttemptLimiter(p)}
+	if err := x.bind(s); err != nil {
+		return err
+	}
 	res, err := x.runStages(p)
 	defer res.release()
 	if err != nil {
 		return err
 	}
 	x.RetryBudget.Success(p.service)
-	s := &streamRun{
-		plan: p, state: &streamState{w: w, lastEventID: p.call.ResumeAfter}, attempts: x.newAttemptLimiter(p),
-		results: res, inputs: res.handles(p.route.FinalStages()),
-	}
+	s.results, s.inputs = res, res.handles(p.route.FinalStages())
 	defer s.dropStandby()
 	if x.Policy.ResultZoneAffinity {
 		s.zone = x.resultZone(p, res)
@@ -173,7 +177,10 @@
 
 // openEngine sends the call to the engine of an attempt.
 func (x *relay) openEngine(s *streamRun, a *engineAttempt) {
-	x.open(s.plan, &a.runnerAttempt, Dispatch{Inputs: s.inputs, ResumeAfter: s.state.position()})
+	// A runner may return under its identifier with another version.
+	version := a.target.Runner().Version
+	accepts := func() bool { return a.target.Runner().Version == version && x.accepts(s, version) }
+	x.open(s.plan, &a.runnerAttempt, Dispatch{Inputs: s.inputs, ResumeAfter: s.state.position(), Accepts: accepts})
 	if notSent(a.err) && !runnerWithdrawn(a.err) && a.watch.ctx.Err() == nil {
 		a.place.Unreachable()
 	}
@@ -188,6 +195,11 @@
 		where.ID += "/" + strconv.Itoa(n)
 	}
 	where.Zone, where.InputBytes, where.Avoid = s.zone, s.results.bytes(), s.avoid
+	where.Version = s.origin.Load()
+	if where.Version == nil && s.plan.route.Resumable {
+		mayBegin := x.Streams.MayBegin(s.plan.service)
+		where.Accepts = func(t *target.Target) bool { return mayBegin(t.Runner().Version) }
+	}
 	return x.Engines.Place(ctx, where)
 }
 
@@ -307,6 +319,7 @@
 	answered, before, resumed := false, s.state.eventsSent, s.state.position() != ""
 	err := x.passEvents(p, s.state, &ea.runnerAttempt, func() {
 		answered = true
+		x.begun(s, ea.runner)
 		ea.place.Answered(ea.took)
 		x.Log.Info("first event", "request", p.call.ID, "runner", t.Runner().ID, "resumed", s.state.headerSent,
 			"afterMillis", x.Clock.Now().Sub(p.call.Arrived).Milliseconds(), "expectedMillis", ea.place.Expected().Milliseconds(), "observedMillis", ea.took.Milliseconds())
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -38,6 +39,9 @@
 	crossZoneCost = 2 * time.Millisecond
 )
 
+// Excluded is the cost of a target that must not be chosen.
+const Excluded time.Duration = math.MinInt64
+
 // candidate is a target with the cost of choosing it.
 type candidate struct {
 	target    *Target
@@ -91,8 +95,11 @@
 	now := s.clk.Now()
 	var list []candidate
 	for _, t := range targets {
-		if !slices.Contains(avoid, t) && t.PausedFor(now) == 0 {
-			list = append(list, candidate{target: t, cost: cost(t), backedOff: s.backOff && t.inBackoff(now)})
+		if slices.Contains(avoid, t) || t.PausedFor(now) != 0 {
+			continue
+		}
+		if c := cost(t); c != Excluded {
+			list = append(list, candidate{target: t, cost: c, backedOff: s.backOff && t.inBackoff(now)})
 		}
 	}
 	slices.SortFunc(list, compare)
--- a/router/target/set.go
+++ b/router/target/set.go
@@ -39,7 +39,7 @@
 	// costs more.
 	LeastLoaded(service, zone string, avoid []*Target) *Target
 	// Choose returns the target of a shard with the least cost, or nil. Targets in
-	// avoid and paused ones are excluded, and targets in backoff come last. If permit
+	// avoid, paused ones and those whose cost is Excluded are left out, and targets in backoff come last. If permit
 	// is set, targets without a permit are passed over, and the permit of a cold one
 	// is taken. During a rollout the share of the choices with permit that is decided
 	// for the target version is among its runners, those of other shards included; all
