Say when streams of unknown version can be taken up

Cause: the refusal had the default time to come back.

The time is now that until a single version will have begun all streams, or the retention while several have runners. If a keeper didn't answer, it may know the stream, and the caller may come back at once.

TestRefusalsSayWhenToComeBack.

--- a/router/continuity/tracker.go
+++ b/router/continuity/tracker.go
@@ -112,6 +112,18 @@
 	single bool
 	// beginsAt is from when on streams may begin at each version.
 	beginsAt map[string]time.Time
+	// singleAt is when one version will have begun all streams; zero if several have
+	// runners.
+	singleAt time.Time
+}
+
+// unknownFor returns for how long a stream that no instance remembers stays unknown at
+// least.
+func (v serviceView) unknownFor(now time.Time) time.Duration {
+	if v.singleAt.IsZero() {
+		return v.retention
+	}
+	return max(0, v.singleAt.Sub(now))
 }
 
 // update applies a snapshot.
@@ -286,36 +298,48 @@
 		return version, nil
 	}
 	if valid(stream) {
-		if version, ok := t.ask(ctx, versionBody{Service: service, Stream: stream}); ok {
+		version, known, err := t.ask(ctx, versionBody{Service: service, Stream: stream})
+		switch {
+		case known:
 			return version, nil
+		case err != nil:
+			return "", errUnknown
 		}
 	}
-	return "", errUnknown
+	return "", errUnknown.WithRetryAfter(v.unknownFor(t.clk.Now()))
 }
 
-var errUnknown error = fault.New(fault.NoRunner, "the version that began the stream isn't known")
+var errUnknown = fault.New(fault.NoRunner, "the version that began the stream isn't known")
 
-// ask asks the keepers of a stream for its version.
-func (t *tracker) ask(ctx context.Context, b versionBody) (string, bool) {
+// ask asks the keepers of a stream for its version. The error is that of a keeper that
+// didn't answer, and may know it.
+func (t *tracker) ask(ctx context.Context, b versionBody) (version string, known bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	names := t.owners.Ranked(ownerKeyPrefix+b.Stream, askedKeepers)
-	answers := make(chan versionAnswer, len(names))
+	type reply struct {
+		versionAnswer
+		err error
+	}
+	replies := make(chan reply, len(names))
 	for _, name := range names {
 		t.group.Go(func() {
-			var a versionAnswer
+			var r reply
 			if name != t.self {
-				if err := t.mesh.Call(instance.MarkIdempotent(ctx), name, methodVersion, b, &a); err != nil {
-					t.log.Debug("keeper of a stream doesn't answer", "instance", name, "stream", b.Stream, "error", err)
-				}
+				r.err = t.mesh.Call(instance.MarkIdempotent(ctx), name, methodVersion, b, &r.versionAnswer)
 			}
-			answers <- a
+			replies <- r
 		})
 	}
 	for range names {
-		if a := <-answers; a.Known {
-			return a.Version, true
+		r := <-replies
+		if r.Known {
+			return r.Version, true, nil
+		}
+		if r.err != nil {
+			t.log.Debug("keeper of a stream doesn't answer", "stream", b.Stream, "error", r.err)
+			err = r.err
 		}
 	}
-	return "", false
+	return "", false, err
 }
--- a/router/continuity/tracker_test.go
+++ b/router/continuity/tracker_test.go
@@ -310,6 +310,24 @@
 	}
 }
 
+// TestRefusalsSayWhenToComeBack guards against callers that come back in vain, and against
+// some that wait although a keeper may know their stream.
+func TestRefusalsSayWhenToComeBack(t *testing.T) {
+	test(t, []string{"v1", "v2"}, func(is *is.I, f *fleet) {
+		after := func() time.Duration {
+			_, err := f.trackers["i0"].VersionOf(f.t.Context(), "s", "stream")
+			return fault.Of(err).RetryAfter()
+		}
+		pass(5 * time.Second)
+		is.Equal(after(), 30*time.Second) // several versions serve
+		f.serve("v2")
+		pass(10 * time.Second)
+		is.Equal(after().Round(time.Second), 20*time.Second)
+		f.kill(f.keeper("stream"))
+		is.True(after() < 5*time.Second)
+	})
+}
+
 // TestSingleVersionCostsNothing guards fleets with one version against messages and writes.
 func TestSingleVersionCostsNothing(t *testing.T) {
 	test(t, []string{"v1"}, func(is *is.I, f *fleet) {
--- a/router/continuity/versions.go
+++ b/router/continuity/versions.go
@@ -96,11 +96,20 @@
 // view returns what calls need to know.
 func (v *serviceVersions) view() serviceView {
 	out := serviceView{retention: v.retention, single: len(v.seen) == 1, beginsAt: make(map[string]time.Time, len(v.seen))}
+	present := 0
 	for version, s := range v.seen {
 		out.only, out.beginsAt[version] = version, s.since
 		if !s.since.IsZero() {
 			out.beginsAt[version] = s.since.Add(settleTime)
 		}
+		if s.absentSince.IsZero() {
+			present++
+		} else if at := s.absentSince.Add(v.retention); at.After(out.singleAt) {
+			out.singleAt = at
+		}
+	}
+	if present > 1 {
+		out.singleAt = time.Time{}
 	}
 	return out
 }
