Remember streams for the longest retention of all services

Callers would have been refused when they take up a stream of a service with a long time limit: one memory serves all services, and its periods ended with the retention of whichever service began a stream, 30 s at least. Found by reading. The period is now the longest retention.

TestStreamsAreRememberedForTheLongestRetention was red on the code before (the version isn't known after 94 s, with a retention of 120 s) and is green.

--- a/router/continuity/tracker.go
+++ b/router/continuity/tracker.go
@@ -77,6 +77,7 @@
 		clk: clk, self: self, owners: owners, mesh: mesh, records: records, log: log,
 		services: make(map[string]*serviceVersions),
 	}
+	t.view.Store(&view{retention: minRetention})
 	mesh.Handle(methodBegan, t.serveBegan)
 	mesh.Handle(methodVersion, t.serveVersion)
 	current.Subscribe(t.update)
@@ -94,8 +95,8 @@
 	streams memory
 	// group tracks the messages in flight.
 	group sync.WaitGroup
-	// view has what calls need to know of each service.
-	view atomic.Pointer[map[string]serviceView]
+	// view has what calls need to know.
+	view atomic.Pointer[view]
 
 	mu       sync.Mutex
 	services map[string]*serviceVersions
@@ -104,6 +105,13 @@
 	resumable map[string]time.Duration
 }
 
+// view is what calls need to know. It is immutable.
+type view struct {
+	services map[string]serviceView
+	// retention is the longest one of the services, for which all streams are remembered.
+	retention time.Duration
+}
+
 // serviceView is what calls need to know of the versions of a service. It is immutable.
 type serviceView struct {
 	retention time.Duration
@@ -159,14 +167,15 @@
 // the streams before that are told. The caller holds mu.
 func (t *tracker) renew(now time.Time) {
 	old := t.view.Load()
-	next := make(map[string]serviceView, len(t.services))
+	next := &view{services: make(map[string]serviceView, len(t.services)), retention: minRetention}
 	for service, v := range t.services {
 		v.forget(now)
-		next[service] = v.view()
+		next.services[service] = v.view()
+		next.retention = max(next.retention, v.retention)
 	}
-	t.view.Store(&next)
-	for service, v := range next {
-		if old == nil || v.single || !(*old)[service].single {
+	t.view.Store(next)
+	for service, v := range next.services {
+		if v.single || !old.services[service].single {
 			continue
 		}
 		t.log.Info("several versions serve streams", "service", service, "versions", len(v.beginsAt))
@@ -177,11 +186,13 @@
 }
 
 func (t *tracker) viewOf(service string) (serviceView, bool) {
-	if views := t.view.Load(); views != nil {
-		v, ok := (*views)[service]
-		return v, ok
-	}
-	return serviceView{}, false
+	v, ok := t.view.Load().services[service]
+	return v, ok
+}
+
+// note remembers the version that began a stream.
+func (t *tracker) note(service, stream, version string) {
+	t.streams.note(streamKey{service: service, id: stream}, version, t.clk.Now(), t.view.Load().retention)
 }
 
 func (t *tracker) MayBegin(service string) func(version string) bool {
@@ -204,7 +215,7 @@
 	if !known || !valid(stream) {
 		return
 	}
-	t.streams.note(streamKey{service: service, id: stream}, version, t.clk.Now(), v.retention)
+	t.note(service, stream, version)
 	if !v.single {
 		t.tell(service, version, []string{stream})
 	}
@@ -254,12 +265,8 @@
 	if len(b.Streams) > maxTold {
 		return nil, fault.New(fault.BadRequest, "found %d streams, at most %d are allowed", len(b.Streams), maxTold).WithField("streams")
 	}
-	retention := minRetention
-	if v, known := t.viewOf(b.Service); known {
-		retention = v.retention
-	}
 	for _, id := range b.Streams {
-		t.streams.note(streamKey{service: b.Service, id: id}, b.Version, t.clk.Now(), retention)
+		t.note(b.Service, id, b.Version)
 	}
 	return nil, nil
 }
--- a/router/continuity/tracker_test.go
+++ b/router/continuity/tracker_test.go
@@ -48,16 +48,8 @@
 
 func newFleet(t *testing.T, instances int, versions ...string) *fleet {
 	t.Helper()
-	table, err := routing.NewTable(routing.Config{
-		Version: 1, Services: []routing.Service{{Name: "s"}},
-		Routes: []routing.Route{{
-			Name: "r", Host: "h", Prefix: "/", Kind: routing.Streaming, Resumable: true, Timeout: 10 * time.Second, Objective: time.Second,
-			Shares: []routing.Share{{Service: "s", Weight: 1}}, MaxAttempts: 2, Open: true,
-		}},
-	})
-	is.New(t).NoErr(err)
 	f := &fleet{
-		t: t, table: table, versions: versions, trackers: make(map[string]continuity.Tracker), currents: make(map[string]*inventory.Current),
+		t: t, table: tableOf(t, 1, route("s", 10*time.Second), route("patient", time.Minute)), versions: versions, trackers: make(map[string]continuity.Tracker), currents: make(map[string]*inventory.Current),
 		cancels: make(map[string]context.CancelFunc), handlers: make(map[string]map[string]instance.Handler), lost: make(map[string]bool),
 		records: make(map[string]inventory.ServiceVersions),
 	}
@@ -70,6 +62,21 @@
 	return f
 }
 
+// route returns a route to a service, whose streams callers may take up.
+func route(service string, timeout time.Duration) routing.Route {
+	return routing.Route{
+		Name: service, Host: "h", Prefix: "/" + service + "/", Kind: routing.Streaming, Resumable: true, Timeout: timeout, Objective: time.Second,
+		Shares: []routing.Share{{Service: service, Weight: 1}}, MaxAttempts: 2, Open: true,
+	}
+}
+
+func tableOf(t *testing.T, version int64, routes ...routing.Route) *routing.Table {
+	t.Helper()
+	table, err := routing.NewTable(routing.Config{Version: version, Services: []routing.Service{{Name: "s"}, {Name: "patient"}}, Routes: routes})
+	is.New(t).NoErr(err)
+	return table
+}
+
 // start starts an instance, again if it runs, without any memory.
 func (f *fleet) start(name string) {
 	if cancel, ok := f.cancels[name]; ok {
@@ -113,7 +120,9 @@
 		s.Instances[n] = inventory.Instance{Name: n}
 	}
 	for _, version := range f.versions {
-		s.Runners[version] = &inventory.Runner{ID: version, Service: "s", Version: version}
+		for _, service := range []string{"s", "patient"} {
+			s.Runners[service+version] = &inventory.Runner{ID: service + version, Service: service, Version: version}
+		}
 	}
 	f.mu.Unlock()
 	f.currents[name].Advance(s)
@@ -264,6 +273,27 @@
 	})
 }
 
+// TestStreamsAreRememberedForTheLongestRetention guards streams of a service with a long
+// time limit against those of another one.
+func TestStreamsAreRememberedForTheLongestRetention(t *testing.T) {
+	test(t, []string{"v1", "v2"}, func(is *is.I, f *fleet) {
+		first := f.trackers["i0"]
+		first.Began("patient", "stream", "v1")
+		for range 3 {
+			pass(31 * time.Second)
+			for n := range 20 { // so that all instances are told of some
+				first.Began("s", fmt.Sprint(n), "v1")
+			}
+		}
+		pass(time.Second)
+		for _, name := range f.names {
+			version, err := f.trackers[name].VersionOf(f.t.Context(), "patient", "stream")
+			is.NoErr(err)
+			is.Equal(version, "v1")
+		}
+	})
+}
+
 // TestStreamsBeginAtVersionsThatAllInstancesKnow guards against streams of a version that
 // another instance doesn't know, which takes the other one for the only one.
 func TestStreamsBeginAtVersionsThatAllInstancesKnow(t *testing.T) {
