--- a/router/continuity/tracker.go
+++ b/router/continuity/tracker.go
@@ -141,8 +141,18 @@
 	if s.Table != t.table {
 		t.table, t.resumable = s.Table, resumableServices(s.Table)
 	}
-	present := make(map[string]map[string]bool, len(t.resumable))
-	for service := range t.resumable {
+	now := t.clk.Now()
+	first := make(map[string]bool)
+	for service, retention := range t.resumable {
+		if t.services[service] == nil {
+			t.services[service], first[service] = &serviceVersions{seen: make(map[string]sighting)}, true
+		}
+		v := t.services[service]
+		v.retention = max(v.retention, retention)
+	}
+	// Services without such a route any more may still have a record.
+	present := make(map[string]map[string]bool, len(t.services))
+	for service := range t.services {
 		present[service] = make(map[string]bool)
 	}
 	for _, r := range s.Runners {
@@ -150,15 +160,8 @@
 			versions[r.Version] = true
 		}
 	}
-	now := t.clk.Now()
-	for service, retention := range t.resumable {
-		v, known := t.services[service]
-		if !known {
-			v = &serviceVersions{seen: make(map[string]sighting)}
-			t.services[service] = v
-		}
-		v.retention = max(v.retention, retention)
-		v.update(present[service], s.Versions[service], !known, now)
+	for service, v := range t.services {
+		v.update(present[service], s.Versions[service], first[service], now)
 	}
 	t.renew(now)
 }
--- a/router/continuity/tracker_test.go
+++ b/router/continuity/tracker_test.go
@@ -371,6 +371,18 @@
 	})
 }
 
+// TestServiceWithoutRouteIsForgotten guards against records that stay in the store for ever.
+func TestServiceWithoutRouteIsForgotten(t *testing.T) {
+	test(t, []string{"v1", "v2"}, func(is *is.I, f *fleet) {
+		pass(5 * time.Second)
+		is.Equal(f.recorded(), []string{"v1", "v2"})
+		f.table = tableOf(f.t, 2, route("patient", time.Minute))
+		f.serve("v2")
+		pass(35 * time.Second)
+		is.Equal(f.recorded(), nil)
+	})
+}
+
 // TestLongIdentifiersAreNotSent guards the memory of other instances against callers.
 func TestLongIdentifiersAreNotSent(t *testing.T) {
 	test(t, []string{"v1", "v2"}, func(is *is.I, f *fleet) {
