--- a/router/continuity/tracker.go
+++ b/router/continuity/tracker.go
@@ -182,9 +182,11 @@
 			continue
 		}
 		t.log.Info("several versions serve streams", "service", service, "versions", len(v.beginsAt))
-		for version, ids := range t.streams.all(service) {
-			t.tell(service, version, ids)
-		}
+		t.group.Go(func() { // choosing the keepers of many streams takes time
+			for version, ids := range t.streams.all(service) {
+				t.tell(service, version, ids)
+			}
+		})
 	}
 }
 
