--- a/router/placement/placer.go
+++ b/router/placement/placer.go
@@ -211,7 +211,7 @@
 	a := l.criteria(b, r)
 	costOf := func(t *target.Target) time.Duration {
 		if !r.accepts(t) {
-			return target.Excluded
+			return target.ExcludedCost
 		}
 		return b.cost(t, a)
 	}
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -39,8 +39,8 @@
 	crossZoneCost = 2 * time.Millisecond
 )
 
-// Excluded is the cost of a target that must not be chosen.
-const Excluded time.Duration = math.MinInt64
+// ExcludedCost is the cost of a target that must not be chosen.
+const ExcludedCost time.Duration = math.MinInt64
 
 // candidate is a target with the cost of choosing it.
 type candidate struct {
@@ -98,7 +98,7 @@
 		if slices.Contains(avoid, t) || t.PausedFor(now) != 0 {
 			continue
 		}
-		if c := cost(t); c != Excluded {
+		if c := cost(t); c != ExcludedCost {
 			list = append(list, candidate{target: t, cost: c, backedOff: s.backOff && t.inBackoff(now)})
 		}
 	}
--- a/router/target/set.go
+++ b/router/target/set.go
@@ -39,9 +39,9 @@
 	// costs more.
 	LeastLoaded(service, zone string, avoid []*Target) *Target
 	// Choose returns the target of a shard with the least cost, or nil. Targets in
-	// avoid, paused ones and those whose cost is Excluded are left out, and targets in backoff come last. If permit
-	// is set, targets without a permit are passed over, and the permit of a cold one
-	// is taken. During a rollout the share of the choices with permit that is decided
+	// avoid, paused ones and those whose cost is ExcludedCost are left out, and targets in
+	// backoff come last. If permit is set, targets without a permit are passed over, and
+	// the permit of a cold one is taken. During a rollout the share of the choices with permit that is decided
 	// for the target version is among its runners, those of other shards included; all
 	// others are among the other versions.
 	Choose(s shard.Shard, avoid []*Target, permit bool, cost func(*Target) time.Duration) *Target
