Find streams at their runners after a loss of all instances

Cause: the versions that began streams were known to instances alone.

Runners outlive them and hold the last part of each prompt for a while, which no other stream has. An instance asks the runners of a service what they hold as it starts with several versions, and then once in 2 s at most for a stream that nobody remembers. A part at runners of one version alone began there. Lists delay the runners' work: services with more than 64 runners, and fleets of more than 32 instances, aren't searched. With one version nothing is asked.

--- a/router/continuity/tracker.go
+++ b/router/continuity/tracker.go
@@ -5,7 +5,8 @@
 // While a single version serves, it began all streams, and nothing is kept or sent. While
 // several do, the instance that begins a stream remembers its version and tells two others,
 // which are chosen by the stream, so that any instance finds it when the caller takes the
-// stream up. The store has the versions that served recently, so that instances that have
+// stream up. Runners are asked what they hold once no instance remembers a stream, as after
+// a loss of all of them. The store has the versions that served recently, so that instances that have
 // just started know whether there was only one.
 package continuity
 
@@ -51,9 +52,10 @@
 	MayBegin(service string) func(version string) bool
 	// Began records the version that began a stream.
 	Began(service, stream, version string)
-	// VersionOf returns the version that began a stream. The error says that this isn't
-	// known, and that the call has not run.
-	VersionOf(ctx context.Context, service, stream string) (string, error)
+	// VersionOf returns the version that began a stream. The last part of its prompt, which
+	// no other stream has, may be known at the runner that began it. The error says that the
+	// version isn't known, and that the call has not run.
+	VersionOf(ctx context.Context, service, stream, lastPart string) (string, error)
 	// Run keeps the record of the versions in the store until ctx ends.
 	Run(ctx context.Context) error
 }
@@ -65,6 +67,12 @@
 	Write(ctx context.Context, v inventory.ServiceVersions) error
 }
 
+// Contents tells what the memory of runners holds.
+type Contents interface {
+	// Parts returns the identifiers of the prompt parts that a runner holds.
+	Parts(ctx context.Context, r *inventory.Runner) ([]string, error)
+}
+
 // Owners finds the instances that keep a stream, or write a record. owner.Finder implements
 // it.
 type Owners interface {
@@ -72,9 +80,9 @@
 }
 
 // New returns the tracker of an instance and handles the messages of other instances.
-func New(clk clock.Clock, self string, current *inventory.Current, owners Owners, mesh instance.Mesh, records Records, log hclog.Logger) Tracker {
+func New(clk clock.Clock, self string, current *inventory.Current, owners Owners, mesh instance.Mesh, records Records, contents Contents, log hclog.Logger) Tracker {
 	t := &tracker{
-		clk: clk, self: self, owners: owners, mesh: mesh, records: records, log: log,
+		clk: clk, self: self, owners: owners, mesh: mesh, records: records, log: log, search: newSearch(clk, current, contents, log),
 		services: make(map[string]*serviceVersions),
 	}
 	t.view.Store(&view{retention: minRetention})
@@ -90,6 +98,7 @@
 	owners  Owners
 	mesh    instance.Mesh
 	records Records
+	search  *search
 	log     hclog.Logger
 	// streams has those that began here, and those that this instance was told of.
 	streams memory
@@ -164,6 +173,11 @@
 		v.update(present[service], s.Versions[service], first[service], now)
 	}
 	t.renew(now)
+	for service := range first {
+		if v := t.view.Load().services[service]; !v.single && len(v.beginsAt) > 0 {
+			t.group.Go(func() { t.search.find(context.Background(), service) })
+		}
+	}
 }
 
 // renew publishes what calls need to know. Once there are several versions, the keepers of
@@ -298,7 +312,7 @@
 	return a, nil
 }
 
-func (t *tracker) VersionOf(ctx context.Context, service, stream string) (string, error) {
+func (t *tracker) VersionOf(ctx context.Context, service, stream, lastPart string) (string, error) {
 	v, known := t.viewOf(service)
 	switch {
 	case !known:
@@ -318,6 +332,10 @@
 			return "", errUnknown
 		}
 	}
+	if version, ok := t.search.versionOf(ctx, service, lastPart); ok {
+		t.Began(service, stream, version)
+		return version, nil
+	}
 	return "", errUnknown.WithRetryAfter(v.unknownFor(t.clk.Now()))
 }
 
--- a/router/continuity/tracker_test.go
+++ b/router/continuity/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -43,7 +44,10 @@
 	messages, writes int
 	versions         []string
 	records          map[string]inventory.ServiceVersions
-	revision         int64
+	// held has the prompt parts that runners hold, and asked counts the questions for them.
+	held     map[string][]string
+	asked    int
+	revision int64
 }
 
 func newFleet(t *testing.T, instances int, versions ...string) *fleet {
@@ -89,7 +93,7 @@
 	current := inventory.NewCurrent(clock.System())
 	ctx, cancel := context.WithCancel(f.t.Context())
 	f.currents[name], f.cancels[name] = current, cancel
-	tracker := continuity.New(clock.System(), name, current, owner.NewFinder(clock.System(), current), mesh{f, name}, f, hclog.NewNullLogger())
+	tracker := continuity.New(clock.System(), name, current, owner.NewFinder(clock.System(), current), mesh{f, name}, f, f, hclog.NewNullLogger())
 	f.trackers[name] = tracker
 	f.publish(name)
 	f.group.Go(func() { _ = tracker.Run(ctx) })
@@ -165,6 +169,26 @@
 	return nil
 }
 
+func (f *fleet) Parts(_ context.Context, r *inventory.Runner) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked++
+	if f.lost[r.ID] {
+		return nil, errors.New("the runner doesn't answer")
+	}
+	return f.held[r.ID], nil
+}
+
+// hold sets what runners hold, and which of them don't answer.
+func (f *fleet) hold(held map[string][]string, lost ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held = held
+	for _, id := range lost {
+		f.lost[id] = true
+	}
+}
+
 // recorded returns the versions in the store.
 func (f *fleet) recorded() []string {
 	f.mu.Lock()
@@ -174,7 +198,7 @@
 
 // versionOf returns what an instance answers for a stream, and "" if it doesn't know.
 func (f *fleet) versionOf(name, stream string) string {
-	version, err := f.trackers[name].VersionOf(f.t.Context(), "s", stream)
+	version, err := f.trackers[name].VersionOf(f.t.Context(), "s", stream, "part of "+stream)
 	if err != nil {
 		is.New(f.t).True(fault.Is(err, fault.NoRunner))
 		return ""
@@ -287,7 +311,7 @@
 		}
 		pass(time.Second)
 		for _, name := range f.names {
-			version, err := f.trackers[name].VersionOf(f.t.Context(), "patient", "stream")
+			version, err := f.trackers[name].VersionOf(f.t.Context(), "patient", "stream", "")
 			is.NoErr(err)
 			is.Equal(version, "v1")
 		}
@@ -340,12 +364,62 @@
 	}
 }
 
+// TestRunnersKnowStreamsAfterLossOfAllInstances guards against refusals of streams whose
+// runner still holds their prompt, and against guesses.
+func TestRunnersKnowStreamsAfterLossOfAllInstances(t *testing.T) {
+	test(t, []string{"v1", "v2", "v3"}, func(is *is.I, f *fleet) {
+		f.hold(map[string][]string{"sv1": {"part of one", "part of both", "part of late"}, "sv2": {"part of two", "part of both"}, "sv3": {"part of three"}}, "sv3")
+		pass(3 * time.Second)
+		f.mu.Lock()
+		f.asked = 0
+		f.mu.Unlock()
+		for _, name := range f.names {
+			f.start(name)
+		}
+		pass(3 * time.Second)
+		for range 20 {
+			is.Equal(f.versionOf("i0", "one"), "v1")
+			is.Equal(f.versionOf("i0", "two"), "v2")
+			is.Equal(f.versionOf("i0", "both"), "")
+			is.Equal(f.versionOf("i0", "three"), "")
+			is.Equal(f.versionOf("i0", "never"), "")
+		}
+		is.Equal(f.asked, 6*2*3+3) // of both services at the start of each instance, and once since
+		pass(3 * time.Second)
+		f.hold(nil) // runners drop parts by and by
+		is.Equal(f.versionOf("i1", "late"), "v1")
+	})
+}
+
+// TestManyRunnersAreNotSearched guards large services, whose runners the lists delay.
+func TestManyRunnersAreNotSearched(t *testing.T) {
+	var versions []string
+	for n := range 65 {
+		versions = append(versions, fmt.Sprint("v", n))
+	}
+	test(t, versions, func(is *is.I, f *fleet) {
+		is.Equal(f.versionOf("i0", "one"), "")
+		is.Equal(f.asked, 0)
+	})
+}
+
+// TestManyInstancesDontSearch guards runners against lists for each of them.
+func TestManyInstancesDontSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 33, "v1", "v2")
+		defer f.stop()
+		pass(time.Second)
+		is.New(t).Equal(f.versionOf("i0", "one"), "")
+		is.New(t).Equal(f.asked, 0)
+	})
+}
+
 // TestRefusalsSayWhenToComeBack guards against callers that come back in vain, and against
 // some that wait although a keeper may know their stream.
 func TestRefusalsSayWhenToComeBack(t *testing.T) {
 	test(t, []string{"v1", "v2"}, func(is *is.I, f *fleet) {
 		after := func() time.Duration {
-			_, err := f.trackers["i0"].VersionOf(f.t.Context(), "s", "stream")
+			_, err := f.trackers["i0"].VersionOf(f.t.Context(), "s", "stream", "")
 			return fault.Of(err).RetryAfter()
 		}
 		pass(5 * time.Second)
--- a/router/relay/version.go
+++ b/router/relay/version.go
@@ -14,9 +14,9 @@
 	MayBegin(service string) func(version string) bool
 	// Began records the version that began a stream.
 	Began(service, stream, version string)
-	// VersionOf returns the version that began a stream, or an error that says that the
-	// call has not run.
-	VersionOf(ctx context.Context, service, stream string) (string, error)
+	// VersionOf returns the version that began a stream whose prompt ends with a part, or
+	// an error that says that the call has not run.
+	VersionOf(ctx context.Context, service, stream, lastPart string) (string, error)
 }
 
 // anyVersion lets streams begin at any version, and knows of none where it began.
@@ -26,7 +26,7 @@
 
 func (anyVersion) Began(string, string, string) {}
 
-func (anyVersion) VersionOf(context.Context, string, string) (string, error) {
+func (anyVersion) VersionOf(context.Context, string, string, string) (string, error) {
 	return "", errAnyVersion
 }
 
@@ -42,7 +42,7 @@
 	if x.Current.Age() > maxDenyAge {
 		x.refresh(p.ctx, p.call)
 	}
-	version, err := x.Streams.VersionOf(p.ctx, p.service, p.call.Resumes)
+	version, err := x.Streams.VersionOf(p.ctx, p.service, p.call.Resumes, p.call.Prompt.LastPart())
 	switch {
 	case errors.Is(err, errAnyVersion):
 	case err != nil:
--- a/router/relay/version_test.go
+++ b/router/relay/version_test.go
@@ -33,7 +33,7 @@
 	}
 }
 
-func (f *fakeStreams) VersionOf(_ context.Context, _, stream string) (string, error) {
+func (f *fakeStreams) VersionOf(_ context.Context, _, stream, _ string) (string, error) {
 	if version, ok := f.known[stream]; ok {
 		return version, nil
 	}
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -18,6 +18,14 @@
 	Tokens int
 }
 
+// LastPart returns the identifier of the last part, which no other prompt has, or "".
+func (p Prompt) LastPart() string {
+	if len(p.Parts) == 0 {
+		return ""
+	}
+	return p.Parts[len(p.Parts)-1].ID
+}
+
 // SharedKey identifies the parts that the prompt shares with others, all but the
 // last. It is empty if there are none.
 func (p Prompt) SharedKey() string {
