--- a/router/continuity/internal_test.go
+++ b/router/continuity/internal_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cicadawell.dev/fleet/golden"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"github.com/matryer/is"
 )
@@ -79,7 +80,7 @@
 		for _, version := range strings.Fields(c.present) {
 			present[version] = true
 		}
-		v.update(present, inventory.ServiceVersions{Versions: strings.Fields(c.written), Revision: int64(n)}, n == 0, now)
+		v.update(present, inventory.ServiceVersions{Versions: strings.Fields(c.written), Revision: era.New(0, int64(n))}, n == 0, now)
 		v.forget(now)
 		view := v.view()
 		fmt.Fprintf(&out, "%v: runners of %q, recorded %q\n", c.at, c.present, c.written)
@@ -117,13 +118,13 @@
 		strings.Repeat(" ", maxRecordBytes) + "{}":       "record",
 		`{"versions":[` + strings.Join(many, ",") + `]}`: "versions",
 	} {
-		_, err := Decode("s", []byte(data), 1)
+		_, err := Decode("s", []byte(data), era.New(0, 1))
 		is.True(err != nil)
 		is.True(strings.Contains(err.Error(), field))
 	}
 	data, err := Encode(inventory.ServiceVersions{Service: "s", Versions: []string{"v2", "v1", "v2"}})
 	is.NoErr(err)
-	v, err := Decode("s", data, 7)
+	v, err := Decode("s", data, era.New(0, 7))
 	is.NoErr(err)
-	is.Equal(*v, inventory.ServiceVersions{Service: "s", Versions: []string{"v1", "v2"}, Revision: 7})
+	is.Equal(*v, inventory.ServiceVersions{Service: "s", Versions: []string{"v1", "v2"}, Revision: era.New(0, 7)})
 }
--- a/router/continuity/record.go
+++ b/router/continuity/record.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 )
 
@@ -31,7 +32,7 @@
 
 // Decode decodes the record of a service, written at a revision. The error names the invalid
 // field.
-func Decode(service string, data []byte, revision int64) (*inventory.ServiceVersions, error) {
+func Decode(service string, data []byte, revision era.Revision) (*inventory.ServiceVersions, error) {
 	if len(data) > maxRecordBytes {
 		return nil, fault.New(fault.TooLarge, "found %d bytes, the maximum is %d", len(data), maxRecordBytes).WithField("record")
 	}
--- a/router/continuity/tracker_test.go
+++ b/router/continuity/tracker_test.go
@@ -16,6 +16,7 @@
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/router/continuity"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/owner"
@@ -117,7 +118,7 @@
 func (f *fleet) publish(name string) {
 	f.mu.Lock()
 	s := &inventory.Snapshot{
-		Table: f.table, Revision: f.revision, Instances: make(map[string]inventory.Instance), Runners: make(map[string]*inventory.Runner),
+		Table: f.table, Revision: era.New(0, f.revision), Instances: make(map[string]inventory.Instance), Runners: make(map[string]*inventory.Runner),
 		Versions: maps.Clone(f.records),
 	}
 	for _, n := range f.names {
@@ -161,7 +162,7 @@
 		return fault.New(fault.Conflict, "the record has changed")
 	}
 	f.changed()
-	v.Revision = f.revision
+	v.Revision = era.New(0, f.revision)
 	f.records[v.Service] = v
 	if len(v.Versions) == 0 {
 		delete(f.records, v.Service)
--- a/router/continuity/versions.go
+++ b/router/continuity/versions.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/routing"
 )
@@ -35,7 +36,7 @@
 	seen      map[string]sighting
 	// recorded are the versions in the store, at a revision; zero without a record.
 	recorded []string
-	revision int64
+	revision era.Revision
 	// dueSince is since when the record differs from what it should be; zero if it doesn't.
 	dueSince time.Time
 	// writtenAt is when this instance last wrote the record.
--- a/router/inventory/change.go
+++ b/router/inventory/change.go
@@ -5,13 +5,14 @@
 	"maps"
 	"time"
 
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/rollout"
 	"cicadawell.dev/router/routing"
 )
 
 // Change is one change of an item in the store. One kind of item is set.
 type Change struct {
-	Revision int64
+	Revision era.Revision
 	// Table is a new configuration.
 	Table *routing.Table
 	// Runner is a new description of a runner. RemovedRunner is the identifier of
@@ -53,18 +54,18 @@
 type Source interface {
 	// List returns all items of the store as changes, and a revision up to which
 	// the list is complete.
-	List(ctx context.Context) ([]Change, int64, error)
+	List(ctx context.Context) ([]Change, era.Revision, error)
 	// Changes waits for changes after a revision, for at most wait, and returns
 	// them with the revision up to which they are complete. It returns none if
 	// the wait ends without changes.
-	Changes(ctx context.Context, after int64, wait time.Duration) ([]Change, int64, error)
+	Changes(ctx context.Context, after era.Revision, wait time.Duration) ([]Change, era.Revision, error)
 }
 
 // with returns a copy of the snapshot with changes up to a revision applied.
 // Changes that the snapshot already includes have no effect.
-func (s *Snapshot) with(changes []Change, revision int64) *Snapshot {
+func (s *Snapshot) with(changes []Change, revision era.Revision) *Snapshot {
 	next := &Snapshot{
-		Table: s.Table, Revision: max(s.Revision, revision),
+		Table: s.Table, Revision: era.Max(s.Revision, revision),
 		Runners: clone(s.Runners), ZonesOut: clone(s.ZonesOut), ReturnedZones: clone(s.ReturnedZones), Instances: clone(s.Instances),
 		HeldRemovals: clone(s.HeldRemovals), Quarantines: clone(s.Quarantines),
 		RolloutOrders: clone(s.RolloutOrders), Rollouts: clone(s.Rollouts), Versions: clone(s.Versions),
@@ -127,14 +128,14 @@
 func (s *Snapshot) applyRollout(c Change) {
 	switch {
 	case c.RolloutOrder != nil:
-		if old := s.RolloutOrders[c.RolloutOrder.Service]; old.Revision < c.RolloutOrder.Revision {
+		if old := s.RolloutOrders[c.RolloutOrder.Service]; old.Revision.Before(c.RolloutOrder.Revision) {
 			s.RolloutOrders[c.RolloutOrder.Service] = *c.RolloutOrder
 		}
 	case c.WithdrawnRollout != "":
 		delete(s.RolloutOrders, c.WithdrawnRollout)
 	case c.Rollout != nil:
 		old, known := s.Rollouts[c.Rollout.Service]
-		if !known || old.Step < c.Rollout.Step || (old.Step == c.Rollout.Step && old.Revision < c.Rollout.Revision) {
+		if !known || old.Step < c.Rollout.Step || (old.Step == c.Rollout.Step && old.Revision.Before(c.Rollout.Revision)) {
 			s.Rollouts[c.Rollout.Service] = *c.Rollout
 		}
 	case c.EndedRollout != "":
@@ -154,10 +155,10 @@
 // applyRunner sets a runner's description unless the known one is as new.
 func (s *Snapshot) applyRunner(c Change) {
 	id := c.Runner.ID
-	if old := s.Runners[id]; old != nil && (old.Revision >= c.Revision || old.supersedes(c.Runner)) {
+	if old := s.Runners[id]; old != nil && (!old.Revision.Before(c.Revision) || old.supersedes(c.Runner)) {
 		return
 	}
-	if s.HeldRemovals[id] < c.Revision {
+	if s.HeldRemovals[id].Before(c.Revision) {
 		s.Runners[id] = c.Runner
 		delete(s.HeldRemovals, id)
 	}
@@ -169,10 +170,10 @@
 func (s *Snapshot) applyRunnerRemoval(c Change) {
 	old := s.Runners[c.RemovedRunner]
 	switch {
-	case old == nil || old.Revision >= c.Revision:
+	case old == nil || !old.Revision.Before(c.Revision):
 		return
 	case c.Held:
-		s.HeldRemovals[c.RemovedRunner] = max(s.HeldRemovals[c.RemovedRunner], c.Revision)
+		s.HeldRemovals[c.RemovedRunner] = era.Max(s.HeldRemovals[c.RemovedRunner], c.Revision)
 		return
 	}
 	delete(s.Runners, c.RemovedRunner)
--- a/router/inventory/current.go
+++ b/router/inventory/current.go
@@ -64,7 +64,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	old := c.snapshot.Load()
-	if next.Revision < old.Revision {
+	if next.Revision.Before(old.Revision) {
 		return false
 	}
 	if old.Table != nil && (next.Table == nil || next.Table.Version() < old.Table.Version()) {
--- a/router/inventory/exchange.go
+++ b/router/inventory/exchange.go
@@ -11,6 +11,7 @@
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/random"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/progress"
 	"cicadawell.dev/router/rollout"
@@ -135,6 +136,9 @@
 	// store without an outage.
 	SteadyMicros int64 `json:"steadyMicros"`
 	Revision     int64 `json:"revision"`
+	// Era is that of all revisions in the response. It is missing in the answers of older
+	// builds.
+	Era int64 `json:"era,omitempty"`
 	// Mark is the position after the changes or the snapshot, for the next
 	// request.
 	Mark mark `json:"mark,omitzero"`
@@ -148,7 +152,7 @@
 	Runners   []wireRunner     `json:"runners,omitempty"`
 	ZonesOut  []string         `json:"zonesOut,omitempty"`
 	ZonesBack []wireZoneReturn `json:"zonesBack,omitempty"`
-	Instances []Instance       `json:"instances,omitempty"`
+	Instances []wireInstance   `json:"instances,omitempty"`
 	// Quarantines is missing in the answers of older builds.
 	Quarantines []wireQuarantine `json:"quarantines,omitempty"`
 	// HasRollouts is set if the changes, or RolloutOrders and Rollouts, include all
@@ -158,8 +162,8 @@
 	Rollouts      []wireRollout      `json:"rollouts,omitempty"`
 	// HasVersions is set if the changes, or Versions, include all records of versions.
 	// Older builds have neither.
-	HasVersions bool              `json:"hasVersions,omitempty"`
-	Versions    []ServiceVersions `json:"versions,omitempty"`
+	HasVersions bool           `json:"hasVersions,omitempty"`
+	Versions    []wireVersions `json:"versions,omitempty"`
 	// Compressed is a whole response, compressed. All other fields are empty then.
 	Compressed []byte `json:"compressed,omitempty"`
 }
@@ -168,6 +172,7 @@
 // of its cold start at the time of the answer.
 type wireRunner struct {
 	Runner
+	Revision   int64 `json:"Revision"`
 	ColdMicros int64 `json:"coldMicros"`
 	// LapsedAt is the revision at which the description was removed, if the
 	// removal is held back, as in Snapshot.HeldRemovals.
@@ -182,10 +187,23 @@
 	AgoMicros int64  `json:"agoMicros"`
 }
 
+// wireInstance is the wire form of a registration.
+type wireInstance struct {
+	Instance
+	Revision int64 `json:"Revision"`
+}
+
+// wireVersions is the wire form of a record of versions.
+type wireVersions struct {
+	ServiceVersions
+	Revision int64 `json:"revision"`
+}
+
 // wireQuarantine is the wire form of a quarantine. AgoMicros is the time since the
 // answering instance read it.
 type wireQuarantine struct {
 	Quarantine
+	Revision  int64 `json:"Revision"`
 	AgoMicros int64 `json:"agoMicros"`
 }
 
@@ -193,6 +211,7 @@
 // answering instance read it.
 type wireRolloutOrder struct {
 	rollout.Order
+	Revision  int64 `json:"revision"`
 	AgoMicros int64 `json:"agoMicros"`
 }
 
@@ -274,7 +293,7 @@
 		if err != nil {
 			return err
 		}
-		e.follower.AdoptChanges(name, changes, resp.Revision, freshness)
+		e.follower.AdoptChanges(name, changes, resp.at(resp.Revision), freshness)
 		return nil
 	}
 	s, err := resp.snapshot(own, now)
@@ -313,7 +332,7 @@
 		resp.Mark = u.mark
 		return resp
 	}
-	resp := getResponse{Revision: u.snapshot.Revision, Mark: u.mark, Complete: true, HasRollouts: true, HasVersions: true}
+	resp := getResponse{Revision: u.snapshot.Revision.Number, Era: u.snapshot.Revision.Era, Mark: u.mark, Complete: true, HasRollouts: true, HasVersions: true}
 	resp.setFreshness(u.freshness, now)
 	for _, c := range u.changes {
 		wire := newWireChange(c, now)
@@ -342,22 +361,28 @@
 // snapshotResponse returns the response with a snapshot.
 func (e *exchange) snapshotResponse(s *Snapshot, freshness Freshness, req getRequest, now time.Time) getResponse {
 	resp := getResponse{
-		Revision: s.Revision, ZonesOut: slices.Sorted(maps.Keys(s.ZonesOut)), Instances: slices.Collect(maps.Values(s.Instances)),
+		Revision: s.Revision.Number, Era: s.Revision.Era, ZonesOut: slices.Sorted(maps.Keys(s.ZonesOut)),
 	}
 	resp.setFreshness(freshness, now)
 	resp.Config, resp.Patch = e.configFor(s.Table, req)
 	for zone, back := range s.ReturnedZones {
-		resp.ZonesBack = append(resp.ZonesBack, wireZoneReturn{Zone: zone, Revision: back.Revision, AgoMicros: now.Sub(back.SeenAt).Microseconds()})
+		resp.ZonesBack = append(resp.ZonesBack, wireZoneReturn{Zone: zone, Revision: back.Revision.Number, AgoMicros: now.Sub(back.SeenAt).Microseconds()})
 	}
 	for id, r := range s.Runners {
 		wire := newWireRunner(r, now)
-		wire.LapsedAt = s.HeldRemovals[id]
+		wire.LapsedAt = s.HeldRemovals[id].Number
 		resp.Runners = append(resp.Runners, wire)
 	}
 	for _, q := range s.Quarantines {
 		resp.Quarantines = append(resp.Quarantines, newWireQuarantine(q, now))
 	}
-	resp.HasVersions, resp.Versions = true, slices.Collect(maps.Values(s.Versions))
+	for _, i := range s.Instances {
+		resp.Instances = append(resp.Instances, newWireInstance(i))
+	}
+	resp.HasVersions = true
+	for _, v := range s.Versions {
+		resp.Versions = append(resp.Versions, newWireVersions(v))
+	}
 	resp.HasRollouts = true
 	for _, o := range s.RolloutOrders {
 		resp.RolloutOrders = append(resp.RolloutOrders, newWireRolloutOrder(o, now))
@@ -380,55 +405,78 @@
 func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
 func newWireRunner(r *Runner, now time.Time) wireRunner {
-	return wireRunner{Runner: *r, ColdMicros: (r.Cold - now.Sub(r.SeenAt)).Microseconds()}
+	return wireRunner{Runner: *r, Revision: r.Revision.Number, ColdMicros: (r.Cold - now.Sub(r.SeenAt)).Microseconds()}
 }
 
+// at returns a revision of the response.
+func (resp getResponse) at(number int64) era.Revision { return era.New(resp.Era, number) }
+
 // runner converts the description, as if this instance had read it now.
-func (r wireRunner) runner(now time.Time) *Runner {
+func (resp getResponse) runner(r wireRunner, now time.Time) *Runner {
 	out := r.Runner
-	out.Cold, out.SeenAt = micros(r.ColdMicros), now
+	out.Revision, out.Cold, out.SeenAt = resp.at(r.Revision), micros(r.ColdMicros), now
 	return &out
 }
 
+func newWireInstance(i Instance) wireInstance {
+	return wireInstance{Instance: i, Revision: i.Revision.Number}
+}
+
+func (resp getResponse) instance(i wireInstance) Instance {
+	out := i.Instance
+	out.Revision = resp.at(i.Revision)
+	return out
+}
+
+func newWireVersions(v ServiceVersions) wireVersions {
+	return wireVersions{ServiceVersions: v, Revision: v.Revision.Number}
+}
+
+func (resp getResponse) serviceVersions(v wireVersions) ServiceVersions {
+	out := v.ServiceVersions
+	out.Revision = resp.at(v.Revision)
+	return out
+}
+
 func newWireQuarantine(q *Quarantine, now time.Time) wireQuarantine {
-	return wireQuarantine{Quarantine: *q, AgoMicros: now.Sub(q.SeenAt).Microseconds()}
+	return wireQuarantine{Quarantine: *q, Revision: q.Revision.Number, AgoMicros: now.Sub(q.SeenAt).Microseconds()}
 }
 
 // quarantine converts the quarantine, as if this instance had read it itself.
-func (q wireQuarantine) quarantine(now time.Time) *Quarantine {
+func (resp getResponse) quarantine(q wireQuarantine, now time.Time) *Quarantine {
 	out := q.Quarantine
-	out.SeenAt = now.Add(-micros(q.AgoMicros))
+	out.Revision, out.SeenAt = resp.at(q.Revision), now.Add(-micros(q.AgoMicros))
 	return &out
 }
 
 func newWireRolloutOrder(o rollout.Order, now time.Time) wireRolloutOrder {
-	return wireRolloutOrder{Order: o, AgoMicros: now.Sub(o.SeenAt).Microseconds()}
+	return wireRolloutOrder{Order: o, Revision: o.Revision.Number, AgoMicros: now.Sub(o.SeenAt).Microseconds()}
 }
 
 // order converts the order, as if this instance had read it itself.
-func (o wireRolloutOrder) order(now time.Time) rollout.Order {
+func (resp getResponse) order(o wireRolloutOrder, now time.Time) rollout.Order {
 	out := o.Order
-	out.SeenAt = now.Add(-micros(o.AgoMicros))
+	out.Revision, out.SeenAt = resp.at(o.Revision), now.Add(-micros(o.AgoMicros))
 	return out
 }
 
 func newWireRollout(st rollout.State, now time.Time) wireRollout {
-	return wireRollout{State: st, Revision: st.Revision, AgoMicros: now.Sub(st.SeenAt).Microseconds()}
+	return wireRollout{State: st, Revision: st.Revision.Number, AgoMicros: now.Sub(st.SeenAt).Microseconds()}
 }
 
 // state converts the decision, as if this instance had read it itself.
-func (s wireRollout) state(now time.Time) rollout.State {
-	out := s.State
-	out.Revision, out.SeenAt = s.Revision, now.Add(-micros(s.AgoMicros))
+func (resp getResponse) state(s wireRollout, now time.Time) rollout.State {
+	out := s.InEra(resp.Era)
+	out.Revision, out.SeenAt = resp.at(s.Revision), now.Add(-micros(s.AgoMicros))
 	return out
 }
 
 // snapshot converts the response, with the given configuration if it has none.
 func (resp getResponse) snapshot(table *routing.Table, now time.Time) (*Snapshot, error) {
 	s := &Snapshot{
-		Table: table, Revision: resp.Revision, Runners: make(map[string]*Runner, len(resp.Runners)),
+		Table: table, Revision: resp.at(resp.Revision), Runners: make(map[string]*Runner, len(resp.Runners)),
 		ZonesOut: make(map[string]bool), ReturnedZones: make(map[string]ZoneReturn), Instances: make(map[string]Instance),
-		HeldRemovals: make(map[string]int64), Quarantines: make(map[string]*Quarantine),
+		HeldRemovals: make(map[string]era.Revision), Quarantines: make(map[string]*Quarantine),
 	}
 	if t, err := newTable(table, resp.Config, resp.Patch); err != nil {
 		return nil, err
@@ -436,27 +484,27 @@
 		s.Table = t
 	}
 	for _, r := range resp.Runners {
-		s.Runners[r.ID] = r.runner(now)
+		s.Runners[r.ID] = resp.runner(r, now)
 		if r.LapsedAt > 0 {
-			s.HeldRemovals[r.ID] = r.LapsedAt
+			s.HeldRemovals[r.ID] = resp.at(r.LapsedAt)
 		}
 	}
 	for _, b := range resp.ZonesBack {
-		s.ReturnedZones[b.Zone] = ZoneReturn{Revision: b.Revision, SeenAt: now.Add(-micros(b.AgoMicros))}
+		s.ReturnedZones[b.Zone] = ZoneReturn{Revision: resp.at(b.Revision), SeenAt: now.Add(-micros(b.AgoMicros))}
 	}
 	for _, z := range resp.ZonesOut {
 		s.ZonesOut[z] = true
 	}
 	for _, i := range resp.Instances {
-		s.Instances[i.Name] = i
+		s.Instances[i.Name] = resp.instance(i)
 	}
 	for _, q := range resp.Quarantines {
-		s.applyQuarantine(Change{Quarantine: q.quarantine(now)})
+		s.applyQuarantine(Change{Quarantine: resp.quarantine(q, now)})
 	}
 	if resp.HasVersions {
 		s.Versions = make(map[string]ServiceVersions)
 		for _, v := range resp.Versions {
-			s.Versions[v.Service] = v
+			s.Versions[v.Service] = resp.serviceVersions(v)
 		}
 	}
 	if !resp.HasRollouts {
@@ -464,10 +512,10 @@
 	}
 	s.RolloutOrders, s.Rollouts = make(map[string]rollout.Order), make(map[string]rollout.State)
 	for _, o := range resp.RolloutOrders {
-		s.RolloutOrders[o.Service] = o.order(now)
+		s.RolloutOrders[o.Service] = resp.order(o, now)
 	}
 	for _, st := range resp.Rollouts {
-		s.Rollouts[st.Service] = st.state(now)
+		s.Rollouts[st.Service] = resp.state(st, now)
 	}
 	return s, nil
 }
--- a/router/inventory/exchange_test.go
+++ b/router/inventory/exchange_test.go
@@ -9,6 +9,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/random"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/inventory"
 	"github.com/hashicorp/go-hclog"
@@ -37,9 +38,9 @@
 	// Revision n is confirmed n milliseconds after the start.
 	adopt := func(n int64) {
 		at := start.Add(time.Duration(n) * time.Millisecond)
-		follower.AdoptChanges("b", nil, n, inventory.Freshness{ConfirmedAt: at, ConnectedSince: start})
+		follower.AdoptChanges("b", nil, era.New(0, n), inventory.Freshness{ConfirmedAt: at, ConnectedSince: start})
 	}
-	follower.AdoptSnapshot("b", &inventory.Snapshot{Revision: 1, Table: config(t, 1)}, inventory.Freshness{ConfirmedAt: start.Add(time.Millisecond), ConnectedSince: start})
+	follower.AdoptSnapshot("b", &inventory.Snapshot{Revision: era.New(0, 1), Table: config(t, 1)}, inventory.Freshness{ConfirmedAt: start.Add(time.Millisecond), ConnectedSince: start})
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() {
--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -8,6 +8,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/progress"
 	"github.com/hashicorp/go-hclog"
 )
@@ -26,7 +27,7 @@
 	// AdoptChanges applies the changes that another instance received up to a
 	// revision. In a grace period, removals of runners are held back. The
 	// confirmation time is updated unless the revision is older than the snapshot.
-	AdoptChanges(from string, changes []Change, revision int64, freshness Freshness)
+	AdoptChanges(from string, changes []Change, revision era.Revision, freshness Freshness)
 	// View returns this instance's view, and how current and how reliable it is.
 	View() (*Snapshot, Freshness)
 	// UpdateSince returns the changes that this instance received after a mark if
@@ -250,7 +251,7 @@
 	defer f.current.EndArrival()
 	start := f.clk.Now()
 	var changes []Change
-	var revision int64
+	var revision era.Revision
 	var err error
 	if relist {
 		listing, cancel := f.limit(ctx, listTimeout, f.current.BeginArrival)
@@ -297,30 +298,30 @@
 	defer f.mu.Unlock()
 	if fault.Is(err, fault.HistoryGone) {
 		f.relist = true
-		f.log.Info("history lost, reading everything again", "revision", f.current.Load().Revision, "error", err)
+		f.log.Info("history lost, reading everything again", "revision", f.current.Load().Revision.Number, "error", err)
 		return
 	}
 	if f.failingSince.IsZero() {
 		f.failingSince = start
-		f.log.Warn("store lost", "revision", f.current.Load().Revision, "afterMillis", f.clk.Now().Sub(start).Milliseconds(), "error", err)
+		f.log.Warn("store lost", "revision", f.current.Load().Revision.Number, "afterMillis", f.clk.Now().Sub(start).Milliseconds(), "error", err)
 	}
 }
 
 // applyAnswer applies the answer to a call made at start. If all is set, the
 // changes are a complete list.
-func (f *follower) applyAnswer(start time.Time, changes []Change, revision int64, all bool) {
+func (f *follower) applyAnswer(start time.Time, changes []Change, revision era.Revision, all bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clk.Now()
 	if !f.failingSince.IsZero() {
-		f.log.Info("store regained", "awayMillis", now.Sub(f.failingSince).Milliseconds(), "revision", revision)
+		f.log.Info("store regained", "awayMillis", now.Sub(f.failingSince).Milliseconds(), "revision", revision.Number)
 		f.failingSince = time.Time{}
 	}
 	f.noteAnswer(now, now)
 	old := f.current.Load()
 	switch {
-	case all && revision < old.Revision:
-		f.log.Info("list is older than what another instance told, reading again", "revision", revision, "known", old.Revision)
+	case all && revision.Before(old.Revision):
+		f.log.Info("list is older than what another instance told, reading again", "revision", revision.Number, "known", old.Revision.Number)
 		return
 	case all:
 		changes = append(changes, impliedRemovals(old, changes, revision, now)...)
@@ -328,7 +329,7 @@
 	default:
 		// Changes from another instance may have advanced the snapshot during
 		// the call.
-		changes = slices.DeleteFunc(changes, func(c Change) bool { return c.Revision <= old.Revision })
+		changes = slices.DeleteFunc(changes, func(c Change) bool { return !c.Revision.After(old.Revision) })
 	}
 	f.history.add(changes)
 	f.advance(old, f.outages.markRemovals(now, changes), revision)
@@ -336,14 +337,14 @@
 }
 
 // advance logs and applies changes. The caller holds mu.
-func (f *follower) advance(old *Snapshot, changes []Change, revision int64) {
+func (f *follower) advance(old *Snapshot, changes []Change, revision era.Revision) {
 	f.logChanges(old, changes)
 	f.current.Advance(old.with(changes, revision))
 }
 
 // impliedRemovals returns removals of the items that a complete list no longer
 // contains.
-func impliedRemovals(old *Snapshot, list []Change, revision int64, now time.Time) []Change {
+func impliedRemovals(old *Snapshot, list []Change, revision era.Revision, now time.Time) []Change {
 	listed := make(map[string]bool, len(list))
 	for _, c := range list {
 		switch {
@@ -357,7 +358,7 @@
 	}
 	var out []Change
 	for id, r := range old.Runners {
-		if !listed["runner "+id] && r.Revision <= revision {
+		if !listed["runner "+id] && !r.Revision.After(revision) {
 			out = append(out, Change{Revision: revision, RemovedRunner: id})
 		}
 	}
@@ -378,7 +379,7 @@
 
 // impliedVersionsEnds returns the ends of the records of versions that a complete list no
 // longer contains.
-func impliedVersionsEnds(old *Snapshot, list []Change, revision int64) []Change {
+func impliedVersionsEnds(old *Snapshot, list []Change, revision era.Revision) []Change {
 	listed := make(map[string]bool)
 	for _, c := range list {
 		if c.Versions != nil {
@@ -396,7 +397,7 @@
 
 // impliedRolloutEnds returns the ends of the orders and decisions that a complete list
 // no longer contains. An order that was replaced by an invalid one stays.
-func impliedRolloutEnds(old *Snapshot, list []Change, revision int64) []Change {
+func impliedRolloutEnds(old *Snapshot, list []Change, revision era.Revision) []Change {
 	orders, decisions := make(map[string]bool), make(map[string]bool)
 	for _, c := range list {
 		switch {
@@ -424,7 +425,7 @@
 
 // impliedEnds returns the ends of the quarantines that a complete list no longer
 // contains.
-func impliedEnds(old *Snapshot, list []Change, revision int64) []Change {
+func impliedEnds(old *Snapshot, list []Change, revision era.Revision) []Change {
 	var out []Change
 	for id := range old.Quarantines {
 		if !slices.ContainsFunc(list, func(c Change) bool { return c.Quarantine != nil && c.Quarantine.ID == id }) {
@@ -439,23 +440,23 @@
 	for _, c := range changes {
 		switch {
 		case c.Table != nil && (old.Table == nil || c.Table.Version() > old.Table.Version()):
-			f.log.Info("configuration in force", "version", c.Table.Version(), "routes", len(c.Table.Config().Routes), "revision", c.Revision,
+			f.log.Info("configuration in force", "version", c.Table.Version(), "routes", len(c.Table.Config().Routes), "revision", c.Revision.Number,
 				"viewMillis", f.current.Age().Milliseconds())
 		case c.Runner != nil:
 			f.logRunner(old, c)
 		case c.Held:
-			f.log.Info("removal of a runner held back", "runner", c.RemovedRunner, "revision", c.Revision, "known", old.Runners[c.RemovedRunner] != nil)
+			f.log.Info("removal of a runner held back", "runner", c.RemovedRunner, "revision", c.Revision.Number, "known", old.Runners[c.RemovedRunner] != nil)
 		case c.RemovedRunner != "":
-			f.log.Info("runner gone", "runner", c.RemovedRunner, "revision", c.Revision, "known", old.Runners[c.RemovedRunner] != nil,
+			f.log.Info("runner gone", "runner", c.RemovedRunner, "revision", c.Revision.Number, "known", old.Runners[c.RemovedRunner] != nil,
 				"viewMillis", f.current.Age().Milliseconds())
 		case c.ZoneOut != "":
-			f.log.Info("zone out", "zone", c.ZoneOut, "revision", c.Revision)
+			f.log.Info("zone out", "zone", c.ZoneOut, "revision", c.Revision.Number)
 		case c.ReturnedZone != "":
-			f.log.Info("zone back", "zone", c.ReturnedZone, "revision", c.Revision)
+			f.log.Info("zone back", "zone", c.ReturnedZone, "revision", c.Revision.Number)
 		case c.RemovedInstance != "":
-			f.log.Info("instance gone", "instance", c.RemovedInstance, "revision", c.Revision)
+			f.log.Info("instance gone", "instance", c.RemovedInstance, "revision", c.Revision.Number)
 		case c.Instance != nil:
-			f.log.Info("instance seen", "instance", c.Instance.Name, "zone", c.Instance.Zone, "cpuShare", c.Instance.CPUShare, "revision", c.Revision)
+			f.log.Info("instance seen", "instance", c.Instance.Name, "zone", c.Instance.Zone, "cpuShare", c.Instance.CPUShare, "revision", c.Revision.Number)
 		default:
 			f.logQuarantine(c)
 			f.logRollout(old, c)
@@ -467,9 +468,9 @@
 func (f *follower) logQuarantine(c Change) {
 	switch {
 	case c.Quarantine != nil:
-		f.log.Warn("prompt parts in quarantine", "quarantine", c.Quarantine.ID, "service", c.Quarantine.Service, "parts", c.Quarantine.Parts, "revision", c.Revision)
+		f.log.Warn("prompt parts in quarantine", "quarantine", c.Quarantine.ID, "service", c.Quarantine.Service, "parts", c.Quarantine.Parts, "revision", c.Revision.Number)
 	case c.EndedQuarantine != "":
-		f.log.Info("quarantine ended", "quarantine", c.EndedQuarantine, "revision", c.Revision)
+		f.log.Info("quarantine ended", "quarantine", c.EndedQuarantine, "revision", c.Revision.Number)
 	}
 }
 
@@ -478,34 +479,34 @@
 	switch {
 	case c.RolloutOrder != nil:
 		o := c.RolloutOrder
-		if old.RolloutOrders[o.Service].Revision >= o.Revision {
+		if !old.RolloutOrders[o.Service].Revision.Before(o.Revision) {
 			return
 		}
-		f.log.Info("rollout ordered", "service", o.Service, "target", o.Target, "durationMillis", o.Duration.Milliseconds(), "revision", c.Revision)
+		f.log.Info("rollout ordered", "service", o.Service, "target", o.Target, "durationMillis", o.Duration.Milliseconds(), "revision", c.Revision.Number)
 		if old.Table != nil && old.Table.Service(o.Service) == nil {
-			f.log.Warn("rollout of an unknown service ordered", "field", "service", "service", o.Service, "revision", c.Revision)
+			f.log.Warn("rollout of an unknown service ordered", "field", "service", "service", o.Service, "revision", c.Revision.Number)
 		}
 	case c.WithdrawnRollout != "":
-		f.log.Info("rollout order withdrawn", "service", c.WithdrawnRollout, "revision", c.Revision)
+		f.log.Info("rollout order withdrawn", "service", c.WithdrawnRollout, "revision", c.Revision.Number)
 	case c.Rollout != nil:
 		if st := c.Rollout; old.Rollouts[st.Service].Step < st.Step {
 			f.log.Info("rollout decision read", "service", st.Service, "target", st.Target, "step", st.Step, "phase", st.Phase, "share", st.Share,
-				"barred", st.Barred, "revision", c.Revision)
+				"barred", st.Barred, "revision", c.Revision.Number)
 		}
 	case c.EndedRollout != "":
-		f.log.Info("rollout decision removed", "service", c.EndedRollout, "revision", c.Revision)
+		f.log.Info("rollout decision removed", "service", c.EndedRollout, "revision", c.Revision.Number)
 	}
 }
 
 func (f *follower) logRunner(old *Snapshot, c Change) {
 	was, r := old.Runners[c.Runner.ID], c.Runner
 	if was != nil && was.supersedes(r) {
-		f.log.Info("older description of a runner not taken", "runner", r.ID, "revision", c.Revision, "count", r.Count, "known", was.Count)
+		f.log.Info("older description of a runner not taken", "runner", r.ID, "revision", c.Revision.Number, "count", r.Count, "known", was.Count)
 		return
 	}
 	if was == nil || was.Draining != r.Draining || was.Born != r.Born {
 		f.log.Info("runner seen", "runner", r.ID, "service", r.Service, "zone", r.Zone, "draining", r.Draining,
-			"coldMillis", r.Cold.Milliseconds(), "revision", c.Revision, "viewRevision", old.Revision, "viewMillis", f.current.Age().Milliseconds())
+			"coldMillis", r.Cold.Milliseconds(), "revision", c.Revision.Number, "viewRevision", old.Revision.Number, "viewMillis", f.current.Age().Milliseconds())
 	}
 }
 
@@ -527,7 +528,7 @@
 		kept.Versions = old.Versions
 		s = &kept
 	}
-	if s.Revision > old.Revision {
+	if s.Revision.After(old.Revision) {
 		next := s.with(s.removalChanges(), s.Revision)
 		if f.outages.inGrace(now) {
 			next = s.keepRunners(old)
@@ -535,16 +536,16 @@
 		if f.current.Advance(next) {
 			f.history.restart()
 			f.relist = f.relist || (unknown && f.rollouts)
-			f.log.Info("taken over from another instance", "instance", from, "revision", s.Revision, "was", old.Revision,
+			f.log.Info("taken over from another instance", "instance", from, "revision", s.Revision.Number, "was", old.Revision.Number,
 				"ageMillis", now.Sub(freshness.ConfirmedAt).Milliseconds(), "lapsed", len(next.HeldRemovals))
 		}
 	}
-	if s.Revision >= old.Revision {
+	if !s.Revision.Before(old.Revision) {
 		f.current.Confirm(freshness.ConfirmedAt)
 	}
 }
 
-func (f *follower) AdoptChanges(from string, changes []Change, revision int64, freshness Freshness) {
+func (f *follower) AdoptChanges(from string, changes []Change, revision era.Revision, freshness Freshness) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clk.Now()
@@ -553,14 +554,14 @@
 	changes = slices.DeleteFunc(changes, func(c Change) bool {
 		// An older removal is safe to apply, since it is compared with the
 		// revision of the runner itself.
-		return c.Revision <= old.Revision && c.RemovedRunner == ""
+		return !c.Revision.After(old.Revision) && c.RemovedRunner == ""
 	})
-	if len(changes) > 0 || revision > old.Revision {
-		f.log.Debug("changes taken over from another instance", "instance", from, "changes", len(changes), "revision", revision, "was", old.Revision)
+	if len(changes) > 0 || revision.After(old.Revision) {
+		f.log.Debug("changes taken over from another instance", "instance", from, "changes", len(changes), "revision", revision.Number, "was", old.Revision.Number)
 		f.history.add(changes)
 		f.advance(old, f.outages.markRemovals(now, changes), revision)
 	}
-	if revision >= old.Revision {
+	if !revision.Before(old.Revision) {
 		f.current.Confirm(freshness.ConfirmedAt)
 	}
 }
--- a/router/inventory/follower_test.go
+++ b/router/inventory/follower_test.go
@@ -9,6 +9,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/routing"
 	"github.com/hashicorp/go-hclog"
@@ -18,10 +19,11 @@
 // step is an answer of a scripted source.
 type step struct {
 	// after is how long the answer takes.
-	after    time.Duration
-	changes  []inventory.Change
-	revision int64
-	err      error
+	after   time.Duration
+	changes []inventory.Change
+	// era and revision are the revision of the answer.
+	era, revision int64
+	err           error
 }
 
 // script is a Source that answers each call with the next step. After the last
@@ -31,26 +33,26 @@
 	listed       int
 }
 
-func (s *script) List(ctx context.Context) ([]inventory.Change, int64, error) {
+func (s *script) List(ctx context.Context) ([]inventory.Change, era.Revision, error) {
 	s.listed++
 	return answer(ctx, &s.lists)
 }
 
-func (s *script) Changes(ctx context.Context, _ int64, _ time.Duration) ([]inventory.Change, int64, error) {
+func (s *script) Changes(ctx context.Context, _ era.Revision, _ time.Duration) ([]inventory.Change, era.Revision, error) {
 	return answer(ctx, &s.steps)
 }
 
-func answer(ctx context.Context, steps *[]step) ([]inventory.Change, int64, error) {
+func answer(ctx context.Context, steps *[]step) ([]inventory.Change, era.Revision, error) {
 	if len(*steps) == 0 {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, era.Revision{}, ctx.Err()
 	}
 	next := (*steps)[0]
 	*steps = (*steps)[1:]
 	if err := clock.System().Sleep(ctx, next.after); err != nil {
-		return nil, 0, err
+		return nil, era.Revision{}, err
 	}
-	return next.changes, next.revision, next.err
+	return next.changes, era.New(next.era, next.revision), next.err
 }
 
 var errUnavailable = errors.New("store is unavailable")
@@ -63,11 +65,11 @@
 }
 
 func runner(id string, revision int64) inventory.Change {
-	return inventory.Change{Revision: revision, Runner: &inventory.Runner{ID: id, Service: "s", Zone: "z", Revision: revision}}
+	return inventory.Change{Revision: era.New(0, revision), Runner: &inventory.Runner{ID: id, Service: "s", Zone: "z", Revision: era.New(0, revision)}}
 }
 
 func runnerRemoval(id string, revision int64) inventory.Change {
-	return inventory.Change{Revision: revision, RemovedRunner: id}
+	return inventory.Change{Revision: era.New(0, revision), RemovedRunner: id}
 }
 
 // runFollower runs a follower with a scripted source for d.
@@ -91,14 +93,14 @@
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &script{
-			lists: []step{{changes: []inventory.Change{{Revision: 5, Table: config(t, 7)}}, revision: 5}},
-			steps: []step{{changes: []inventory.Change{{Revision: 6, Table: config(t, 3)}}, revision: 6}},
+			lists: []step{{changes: []inventory.Change{{Revision: era.New(0, 5), Table: config(t, 7)}}, revision: 5}},
+			steps: []step{{changes: []inventory.Change{{Revision: era.New(0, 6), Table: config(t, 3)}}, revision: 6}},
 		}
 		current, f := runFollower(t, s, 100*time.Millisecond)
 		is.New(t).Equal(current.Load().Table.Version(), int64(7))
-		f.AdoptSnapshot("other", &inventory.Snapshot{Table: config(t, 4), Revision: 9}, confirmedNow())
+		f.AdoptSnapshot("other", &inventory.Snapshot{Table: config(t, 4), Revision: era.New(0, 9)}, confirmedNow())
 		is.New(t).Equal(current.Load().Table.Version(), int64(7))
-		f.AdoptSnapshot("other", &inventory.Snapshot{Table: config(t, 9), Revision: 2}, confirmedNow())
+		f.AdoptSnapshot("other", &inventory.Snapshot{Table: config(t, 9), Revision: era.New(0, 2)}, confirmedNow())
 		is.New(t).Equal(current.Load().Table.Version(), int64(7)) // an older snapshot is ignored
 	})
 }
@@ -179,7 +181,7 @@
 		is := is.New(t)
 		s := &script{
 			lists: []step{
-				{changes: []inventory.Change{runner("a", 1), runner("b", 2), {Revision: 3, ZoneOut: "z"}}, revision: 3},
+				{changes: []inventory.Change{runner("a", 1), runner("b", 2), {Revision: era.New(0, 3), ZoneOut: "z"}}, revision: 3},
 				{changes: []inventory.Change{runner("b", 2)}, revision: 9},
 			},
 			steps: []step{{err: fault.New(fault.HistoryGone, "compacted")}},
@@ -188,7 +190,7 @@
 		is.Equal(s.listed, 2)
 		is.Equal(len(current.Load().Runners), 1)
 		is.Equal(len(current.Load().ZonesOut), 0)
-		is.Equal(current.Load().ReturnedZones["z"].Revision, int64(9))
+		is.Equal(current.Load().ReturnedZones["z"].Revision, era.New(0, 9))
 		is.Equal(f.FailingFor(), time.Duration(0)) // the store answered
 	})
 }
@@ -239,7 +241,7 @@
 		},
 		"changes": {
 			lists: []step{{changes: []inventory.Change{runner("stays", 2)}, revision: 2}},
-			steps: []step{{after: time.Second, changes: []inventory.Change{runner("left", 3), {Revision: 4, ZoneOut: "z"}}, revision: 4}},
+			steps: []step{{after: time.Second, changes: []inventory.Change{runner("left", 3), {Revision: era.New(0, 4), ZoneOut: "z"}}, revision: 4}},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -252,14 +254,14 @@
 				go func() { done <- f.Run(ctx) }()
 				sleep(t, 600*time.Millisecond)
 				newer := map[string]*inventory.Runner{"stays": runner("stays", 2).Runner}
-				f.AdoptSnapshot("other", &inventory.Snapshot{Revision: 6, Runners: newer}, confirmedNow())
+				f.AdoptSnapshot("other", &inventory.Snapshot{Revision: era.New(0, 6), Runners: newer}, confirmedNow())
 				sleep(t, time.Second)
 				cancel()
 				is.NoErr(<-done)
 				is.Equal(len(current.Load().Runners), 1)
 				is.True(current.Load().Runners["stays"] != nil)
 				is.True(!current.Load().ZonesOut["z"])
-				is.Equal(current.Load().Revision, int64(6))
+				is.Equal(current.Load().Revision, era.New(0, 6))
 			})
 		})
 	}
@@ -268,10 +270,10 @@
 func TestOlderChangesFromOtherInstancesAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &script{lists: []step{{changes: []inventory.Change{{Revision: 9, ReturnedZone: "z"}, runner("a", 8), runner("b", 3)}, revision: 9}}}
+		s := &script{lists: []step{{changes: []inventory.Change{{Revision: era.New(0, 9), ReturnedZone: "z"}, runner("a", 8), runner("b", 3)}, revision: 9}}}
 		current, f := runFollower(t, s, 100*time.Millisecond)
-		older := []inventory.Change{{Revision: 5, ZoneOut: "z"}, {Revision: 6, Instance: &inventory.Instance{Name: "i"}}, runnerRemoval("a", 7), runnerRemoval("b", 7)}
-		f.AdoptChanges("other", older, 9, confirmedNow())
+		older := []inventory.Change{{Revision: era.New(0, 5), ZoneOut: "z"}, {Revision: era.New(0, 6), Instance: &inventory.Instance{Name: "i"}}, runnerRemoval("a", 7), runnerRemoval("b", 7)}
+		f.AdoptChanges("other", older, era.New(0, 9), confirmedNow())
 		is.True(!current.Load().ZonesOut["z"])
 		is.Equal(len(current.Load().Instances), 0)
 		is.True(current.Load().Runners["a"] != nil)
--- a/router/inventory/history_test.go
+++ b/router/inventory/history_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/routing"
 	"github.com/matryer/is"
 )
@@ -53,7 +54,7 @@
 	for version := range int64(100) {
 		table, err := routing.NewTable(routing.Config{Version: version + 1})
 		is.NoErr(err)
-		h.add([]Change{{Revision: 2 * version, Table: table}, {Revision: 2*version + 1, ZoneOut: fmt.Sprint("z", version)}})
+		h.add([]Change{{Revision: era.New(0, 2*version), Table: table}, {Revision: era.New(0, 2*version+1), ZoneOut: fmt.Sprint("z", version)}})
 	}
 	changes, ok := h.since(begin)
 	is.True(ok)
@@ -65,7 +66,7 @@
 		}
 	}
 	is.Equal(tables, 1)
-	snapshot = snapshot.with(changes, 200)
+	snapshot = snapshot.with(changes, era.New(0, 200))
 	is.Equal(snapshot.Table.Version(), int64(100))
 	is.Equal(len(snapshot.ZonesOut), 100)
 }
@@ -75,13 +76,13 @@
 func TestDroppedConfigurationHasNoEffectAtOtherInstances(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(100, 0)
-	data, err := json.Marshal(getResponse{Changes: []wireChange{newWireChange(Change{Revision: 3}, now)}})
+	data, err := json.Marshal(getResponse{Changes: []wireChange{newWireChange(Change{Revision: era.New(0, 3)}, now)}})
 	is.NoErr(err)
 	var resp getResponse
 	is.NoErr(json.Unmarshal(data, &resp))
 	changes, err := resp.changes(nil, now)
 	is.NoErr(err)
 	is.Equal(len(changes), 1)
-	before := &Snapshot{Revision: 3}
-	is.Equal(before.with(changes, 3), before.with(nil, 3))
+	before := &Snapshot{Revision: era.New(0, 3)}
+	is.Equal(before.with(changes, era.New(0, 3)), before.with(nil, era.New(0, 3)))
 }
--- a/router/inventory/lead.go
+++ b/router/inventory/lead.go
@@ -22,7 +22,7 @@
 	ZoneOut      string          `json:"zoneOut,omitempty"`
 	ZoneBack     string          `json:"zoneBack,omitempty"`
 	AgoMicros    int64           `json:"agoMicros,omitempty"`
-	Instance     *Instance       `json:"instance,omitempty"`
+	Instance     *wireInstance   `json:"instance,omitempty"`
 	InstanceGone string          `json:"instanceGone,omitempty"`
 	// Quarantine and QuarantineOver are unknown to older builds, which ignore them.
 	Quarantine     *wireQuarantine `json:"quarantine,omitempty"`
@@ -33,21 +33,27 @@
 	Rollout          *wireRollout      `json:"rollout,omitempty"`
 	RolloutOver      string            `json:"rolloutOver,omitempty"`
 	// Versions and VersionsOver are unknown to older builds, too.
-	Versions     *ServiceVersions `json:"versions,omitempty"`
-	VersionsOver string           `json:"versionsOver,omitempty"`
+	Versions     *wireVersions `json:"versions,omitempty"`
+	VersionsOver string        `json:"versionsOver,omitempty"`
 }
 
 // newWireChange converts a change. The configuration is left out.
 func newWireChange(c Change, now time.Time) wireChange {
 	wire := wireChange{
-		Revision: c.Revision, RunnerGone: c.RemovedRunner, ZoneOut: c.ZoneOut, ZoneBack: c.ReturnedZone,
-		Instance: c.Instance, InstanceGone: c.RemovedInstance, QuarantineOver: c.EndedQuarantine,
-		RolloutWithdrawn: c.WithdrawnRollout, RolloutOver: c.EndedRollout, Versions: c.Versions, VersionsOver: c.EndedVersions,
+		Revision: c.Revision.Number, RunnerGone: c.RemovedRunner, ZoneOut: c.ZoneOut, ZoneBack: c.ReturnedZone,
+		InstanceGone: c.RemovedInstance, QuarantineOver: c.EndedQuarantine,
+		RolloutWithdrawn: c.WithdrawnRollout, RolloutOver: c.EndedRollout, VersionsOver: c.EndedVersions,
 	}
 	switch {
 	case c.Runner != nil:
 		r := newWireRunner(c.Runner, now)
 		wire.Runner = &r
+	case c.Instance != nil:
+		i := newWireInstance(*c.Instance)
+		wire.Instance = &i
+	case c.Versions != nil:
+		v := newWireVersions(*c.Versions)
+		wire.Versions = &v
 	case c.ReturnedZone != "":
 		wire.AgoMicros = now.Sub(c.SeenAt).Microseconds()
 	case c.Quarantine != nil:
@@ -85,28 +91,36 @@
 	out := make([]Change, 0, len(resp.Changes))
 	for _, wire := range resp.Changes {
 		c := Change{
-			Revision: wire.Revision, RemovedRunner: wire.RunnerGone, ZoneOut: wire.ZoneOut, ReturnedZone: wire.ZoneBack,
-			Instance: wire.Instance, RemovedInstance: wire.InstanceGone, SeenAt: now.Add(-micros(wire.AgoMicros)),
+			Revision: resp.at(wire.Revision), RemovedRunner: wire.RunnerGone, ZoneOut: wire.ZoneOut, ReturnedZone: wire.ZoneBack,
+			RemovedInstance: wire.InstanceGone, SeenAt: now.Add(-micros(wire.AgoMicros)),
 			EndedQuarantine: wire.QuarantineOver, WithdrawnRollout: wire.RolloutWithdrawn, EndedRollout: wire.RolloutOver,
-			Versions: wire.Versions, EndedVersions: wire.VersionsOver,
+			EndedVersions: wire.VersionsOver,
 		}
 		table, err := newTable(own, wire.Config, wire.Patch)
 		if err != nil {
 			return nil, err
 		}
 		c.Table = table
+		if wire.Instance != nil {
+			i := resp.instance(*wire.Instance)
+			c.Instance = &i
+		}
+		if wire.Versions != nil {
+			v := resp.serviceVersions(*wire.Versions)
+			c.Versions = &v
+		}
 		if wire.Runner != nil {
-			c.Runner = wire.Runner.runner(now)
+			c.Runner = resp.runner(*wire.Runner, now)
 		}
 		if wire.Quarantine != nil {
-			c.Quarantine = wire.Quarantine.quarantine(now)
+			c.Quarantine = resp.quarantine(*wire.Quarantine, now)
 		}
 		if wire.RolloutOrder != nil {
-			o := wire.RolloutOrder.order(now)
+			o := resp.order(*wire.RolloutOrder, now)
 			c.RolloutOrder = &o
 		}
 		if wire.Rollout != nil {
-			st := wire.Rollout.state(now)
+			st := resp.state(*wire.Rollout, now)
 			c.Rollout = &st
 		}
 		out = append(out, c)
--- a/router/inventory/lead_test.go
+++ b/router/inventory/lead_test.go
@@ -14,6 +14,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/random"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/owner"
@@ -31,7 +32,7 @@
 func (l *sharedLog) add(c inventory.Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c.Revision = int64(len(l.changes) + 1)
+	c.Revision = era.New(0, int64(len(l.changes)+1))
 	if c.Runner != nil {
 		c.Runner.Revision = c.Revision
 	}
@@ -86,20 +87,20 @@
 	return f.nodes[name]
 }
 
-func (n *node) List(ctx context.Context) ([]inventory.Change, int64, error) {
-	return n.Changes(ctx, 0, 0)
+func (n *node) List(ctx context.Context) ([]inventory.Change, era.Revision, error) {
+	return n.Changes(ctx, era.Revision{}, 0)
 }
 
-func (n *node) Changes(ctx context.Context, after int64, wait time.Duration) ([]inventory.Change, int64, error) {
+func (n *node) Changes(ctx context.Context, after era.Revision, wait time.Duration) ([]inventory.Change, era.Revision, error) {
 	n.reads.Add(1)
 	if n.isolated.Load() || n.sourceBlocks.Load() {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, era.Revision{}, ctx.Err()
 	}
 	if n.sourceRefuses.Load() {
-		return nil, 0, errors.New("refused")
+		return nil, era.Revision{}, errors.New("refused")
 	}
-	changes, revision, more := n.fleet.log.after(after)
+	changes, revision, more := n.fleet.log.after(after.Number)
 	if len(changes) == 0 && wait > 0 {
 		timer, cancel := context.WithTimeout(ctx, wait)
 		defer cancel()
@@ -110,9 +111,9 @@
 		if n.sourceBlocks.Load() {
 			<-ctx.Done()
 		}
-		changes, revision, _ = n.fleet.log.after(after)
+		changes, revision, _ = n.fleet.log.after(after.Number)
 	}
-	return changes, revision, ctx.Err()
+	return changes, era.New(0, revision), ctx.Err()
 }
 
 func (n *node) Handle(method string, h instance.Handler) { n.handlers[method] = h }
@@ -266,7 +267,7 @@
 		sleep(t, propagationBound)
 		for _, n := range f.nodes {
 			is.True(!n.current.Load().ZonesOut["y"])
-			is.True(n.current.Load().ReturnedZones["y"].Revision > 0)
+			is.True(n.current.Load().ReturnedZones["y"].Revision.Stored())
 		}
 	})
 }
--- a/router/inventory/narrow_links_test.go
+++ b/router/inventory/narrow_links_test.go
@@ -14,6 +14,7 @@
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/pipe"
 	"cicadawell.dev/fleet/random"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/owner"
@@ -129,13 +130,13 @@
 	return limit(s.group, c, nil, s.out), nil
 }
 
-func (s *site) List(ctx context.Context) ([]inventory.Change, int64, error) {
-	return s.Changes(ctx, 0, 0)
+func (s *site) List(ctx context.Context) ([]inventory.Change, era.Revision, error) {
+	return s.Changes(ctx, era.Revision{}, 0)
 }
 
 // Changes reads the store over the instance's link.
-func (s *site) Changes(ctx context.Context, after int64, wait time.Duration) ([]inventory.Change, int64, error) {
-	changes, revision, more := s.log.after(after)
+func (s *site) Changes(ctx context.Context, after era.Revision, wait time.Duration) ([]inventory.Change, era.Revision, error) {
+	changes, revision, more := s.log.after(after.Number)
 	if len(changes) == 0 && wait > 0 {
 		timer, cancel := context.WithTimeout(ctx, wait)
 		defer cancel()
@@ -143,16 +144,16 @@
 		case <-more:
 		case <-timer.Done():
 		}
-		changes, revision, _ = s.log.after(after)
+		changes, revision, _ = s.log.after(after.Number)
 	}
 	for _, c := range changes {
 		for n := storeBytes(c); n > 0; n -= packetBytes {
 			if err := s.in.carry(ctx, min(n, packetBytes)); err != nil {
-				return nil, 0, err
+				return nil, era.Revision{}, err
 			}
 		}
 	}
-	return changes, revision, ctx.Err()
+	return changes, era.New(0, revision), ctx.Err()
 }
 
 // storeBytes is the approximate size of a change in an answer of the store.
--- a/router/inventory/outage_test.go
+++ b/router/inventory/outage_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
@@ -152,12 +153,12 @@
 				for len(current.Load().HeldRemovals) == 0 {
 					sleep(t, 10*time.Millisecond)
 				}
-				peerSnapshot := &inventory.Snapshot{Revision: c.view.revision, Runners: map[string]*inventory.Runner{}, HeldRemovals: map[string]int64{}}
+				peerSnapshot := &inventory.Snapshot{Revision: era.New(0, c.view.revision), Runners: map[string]*inventory.Runner{}, HeldRemovals: map[string]era.Revision{}}
 				for _, id := range c.view.runners {
 					peerSnapshot.Runners[id] = runner(id, 3).Runner
 				}
 				if c.view.heldRemoval != "" {
-					peerSnapshot.HeldRemovals[c.view.heldRemoval] = 4
+					peerSnapshot.HeldRemovals[c.view.heldRemoval] = era.New(0, 4)
 				}
 				now := clock.System().Now()
 				f.AdoptSnapshot("other", peerSnapshot, inventory.Freshness{ConfirmedAt: now.Add(-c.view.confirmedAgo), ConnectedSince: now.Add(-c.view.connectedAgo)})
@@ -192,7 +193,7 @@
 			done := make(chan error, 1)
 			go func() { done <- f.Run(ctx) }()
 			const step = time.Millisecond // both moments are seen up to a step late
-			for current.Load().Revision < 2 {
+			for current.Load().Revision.Number < 2 {
 				sleep(t, step)
 			}
 			since := clock.System().Now()
--- a/router/inventory/quarantine_test.go
+++ b/router/inventory/quarantine_test.go
@@ -8,6 +8,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"github.com/matryer/is"
 )
@@ -57,7 +58,7 @@
 		var many []inventory.Change
 		for n := range 2000 {
 			c := quarantined(fmt.Sprint("q", n))
-			c.Revision = int64(n + 1)
+			c.Revision = era.New(0, int64(n+1))
 			many = append(many, c)
 		}
 		s := &script{
--- a/router/inventory/rollout_test.go
+++ b/router/inventory/rollout_test.go
@@ -10,6 +10,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/rollout"
 	"github.com/hashicorp/go-hclog"
@@ -17,15 +18,15 @@
 )
 
 func orderOf(service string, revision int64) inventory.Change {
-	return inventory.Change{Revision: revision, RolloutOrder: &rollout.Order{
-		Service: service, Target: "v2", Duration: 12 * time.Second, Revision: revision, SeenAt: clock.System().Now(),
+	return inventory.Change{Revision: era.New(0, revision), RolloutOrder: &rollout.Order{
+		Service: service, Target: "v2", Duration: 12 * time.Second, Revision: era.New(0, revision), SeenAt: clock.System().Now(),
 	}}
 }
 
 func decisionOf(service string, step, revision int64) inventory.Change {
-	return inventory.Change{Revision: revision, Rollout: &rollout.State{
+	return inventory.Change{Revision: era.New(0, revision), Rollout: &rollout.State{
 		Service: service, Target: "v2", OrderRevision: 1, Step: step, Phase: rollout.Running, Share: 0.05, Runners: 2,
-		Elapsed: time.Second, Duration: 12 * time.Second, Barred: []string{"v0"}, Revision: revision, SeenAt: clock.System().Now(),
+		Elapsed: time.Second, Duration: 12 * time.Second, Barred: []string{"v0"}, Revision: era.New(0, revision), SeenAt: clock.System().Now(),
 	}}
 }
 
@@ -82,7 +83,7 @@
 			},
 		}
 		current, _ := runFollower(t, s, 500*time.Millisecond)
-		is.Equal(current.Load().Revision, int64(3))
+		is.Equal(current.Load().Revision, era.New(0, 3))
 		is.Equal(current.Load().Rollouts["s"].Step, int64(4))
 		s.lists = []step{{changes: []inventory.Change{decisionOf("s", 4, 2)}, revision: 2}}
 		s.steps = []step{{changes: []inventory.Change{rewritten}, revision: 5}}
@@ -99,7 +100,7 @@
 		s := &script{
 			lists: []step{
 				{changes: []inventory.Change{orderOf("s", 1), decisionOf("s", 4, 2), orderOf("t", 3), decisionOf("t", 1, 4), orderOf("u", 5)}, revision: 5},
-				{changes: []inventory.Change{orderOf("t", 3), decisionOf("t", 1, 4), {Revision: 6, IgnoredRollout: "u"}}, revision: 6},
+				{changes: []inventory.Change{orderOf("t", 3), decisionOf("t", 1, 4), {Revision: era.New(0, 6), IgnoredRollout: "u"}}, revision: 6},
 			},
 			steps: []step{{err: fault.New(fault.HistoryGone, "gone")}},
 		}
@@ -118,14 +119,14 @@
 func TestSnapshotOfAnOlderBuildKeepsRollouts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &script{lists: []step{{changes: []inventory.Change{{Revision: 1, Table: config(t, 1)}, orderOf("s", 1), decisionOf("s", 4, 2)}, revision: 2}}}
+		s := &script{lists: []step{{changes: []inventory.Change{{Revision: era.New(0, 1), Table: config(t, 1)}, orderOf("s", 1), decisionOf("s", 4, 2)}, revision: 2}}}
 		current, f := runFollower(t, s, 100*time.Millisecond)
-		f.AdoptSnapshot("older", &inventory.Snapshot{Table: config(t, 1), Revision: 9}, confirmedNow())
-		is.Equal(current.Load().Revision, int64(9))
+		f.AdoptSnapshot("older", &inventory.Snapshot{Table: config(t, 1), Revision: era.New(0, 9)}, confirmedNow())
+		is.Equal(current.Load().Revision, era.New(0, 9))
 		is.Equal(current.Load().Rollouts["s"].Step, int64(4))
 		is.Equal(current.Load().RolloutOrders["s"].Target, "v2")
 		f.AdoptSnapshot("same", &inventory.Snapshot{
-			Table: config(t, 1), Revision: 10, RolloutOrders: map[string]rollout.Order{}, Rollouts: map[string]rollout.State{},
+			Table: config(t, 1), Revision: era.New(0, 10), RolloutOrders: map[string]rollout.Order{}, Rollouts: map[string]rollout.State{},
 		}, confirmedNow())
 		is.Equal(len(current.Load().Rollouts), 0)
 		is.Equal(len(current.Load().RolloutOrders), 0)
@@ -175,8 +176,8 @@
 		for _, enabled := range []bool{true, false} {
 			is := is.New(t)
 			s := &script{lists: []step{
-				{changes: []inventory.Change{{Revision: 1, Table: config(t, 1)}}, revision: 1},
-				{changes: []inventory.Change{{Revision: 1, Table: config(t, 1)}, orderOf("s", 5)}, revision: 9},
+				{changes: []inventory.Change{{Revision: era.New(0, 1), Table: config(t, 1)}}, revision: 1},
+				{changes: []inventory.Change{{Revision: era.New(0, 1), Table: config(t, 1)}, orderOf("s", 5)}, revision: 9},
 			}}
 			current := inventory.NewCurrent(clock.System())
 			f := inventory.NewFollower(clock.System(), s, current, hclog.NewNullLogger(), inventory.WithRollouts(enabled))
@@ -184,7 +185,7 @@
 			var group sync.WaitGroup
 			group.Go(func() { _ = f.Run(ctx) })
 			sleep(t, time.Second)
-			f.AdoptSnapshot("older", &inventory.Snapshot{Table: config(t, 1), Revision: 9}, confirmedNow())
+			f.AdoptSnapshot("older", &inventory.Snapshot{Table: config(t, 1), Revision: era.New(0, 9)}, confirmedNow())
 			sleep(t, 5*time.Second)
 			is.Equal(len(current.Load().RolloutOrders) == 1, enabled)
 			cancel()
--- a/router/inventory/snapshot.go
+++ b/router/inventory/snapshot.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/rollout"
 	"cicadawell.dev/router/routing"
 )
@@ -31,7 +32,7 @@
 	// SeenAt is when this instance read the description.
 	SeenAt time.Time
 	// Revision is the store's revision of the description.
-	Revision int64
+	Revision era.Revision `json:"-"`
 }
 
 // supersedes reports whether the description is a later one of the same
@@ -53,7 +54,7 @@
 	CPUShare float64 `json:",omitempty"`
 	// Revision is the store's revision of the registration. A new one shows that
 	// the instance has restarted or lost its lease.
-	Revision int64
+	Revision era.Revision `json:"-"`
 }
 
 // ZoneReturn is a zone's return to service after it was taken out. A runner's
@@ -62,7 +63,7 @@
 // one. Runner.ColdAt only considers the description.
 type ZoneReturn struct {
 	// Revision is the store's revision of the return.
-	Revision int64
+	Revision era.Revision
 	// SeenAt is when this instance read the return.
 	SeenAt time.Time
 }
@@ -79,7 +80,7 @@
 	// SeenAt is when this instance read the quarantine.
 	SeenAt time.Time
 	// Revision is the store's revision of the quarantine.
-	Revision int64
+	Revision era.Revision `json:"-"`
 }
 
 // ServiceVersions are the versions of a service's runners that served recently. There is a
@@ -89,7 +90,7 @@
 	// Versions are sorted.
 	Versions []string `json:"versions"`
 	// Revision is the store's revision of the record; zero if there is none.
-	Revision int64 `json:"revision"`
+	Revision era.Revision `json:"-"`
 }
 
 // Snapshot is the view of the fleet at one revision. It is immutable.
@@ -101,7 +102,7 @@
 	// HeldRemovals has the runners whose removals are held back after an outage
 	// of the store, with the revisions of the removals. They stay in Runners
 	// until they describe themselves again or the removals are applied.
-	HeldRemovals map[string]int64
+	HeldRemovals map[string]era.Revision
 	// ZonesOut has the zones that are taken out; their runners get no new calls.
 	ZonesOut map[string]bool
 	// ReturnedZones has the zones that were returned to service, with the latest
@@ -118,7 +119,7 @@
 	// Versions has the records of versions by service.
 	Versions map[string]ServiceVersions
 	// Revision is the store's revision up to which the snapshot is complete.
-	Revision int64
+	Revision era.Revision
 }
 
 // Usable returns the runners of a service that accept new calls.
--- a/router/inventory/versions_test.go
+++ b/router/inventory/versions_test.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"github.com/matryer/is"
 )
 
 func versionsOf(service string, revision int64) inventory.Change {
-	return inventory.Change{Revision: revision, Versions: &inventory.ServiceVersions{Service: service, Versions: []string{"v1", "v2"}, Revision: revision}}
+	return inventory.Change{Revision: era.New(0, revision), Versions: &inventory.ServiceVersions{Service: service, Versions: []string{"v1", "v2"}, Revision: era.New(0, revision)}}
 }
 
 // TestVersionsReachInstancesThatDontReadTheStore has records in a zone with one lead, and in
@@ -59,11 +60,11 @@
 func TestSnapshotOfAnOlderBuildKeepsVersions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		s := &script{lists: []step{{changes: []inventory.Change{{Revision: 1, Table: config(t, 1)}, versionsOf("s", 2)}, revision: 2}}}
+		s := &script{lists: []step{{changes: []inventory.Change{{Revision: era.New(0, 1), Table: config(t, 1)}, versionsOf("s", 2)}, revision: 2}}}
 		current, f := runFollower(t, s, 100*time.Millisecond)
-		f.AdoptSnapshot("older", &inventory.Snapshot{Table: config(t, 1), Revision: 9}, confirmedNow())
+		f.AdoptSnapshot("older", &inventory.Snapshot{Table: config(t, 1), Revision: era.New(0, 9)}, confirmedNow())
 		is.Equal(len(current.Load().Versions), 1)
-		f.AdoptSnapshot("same", &inventory.Snapshot{Table: config(t, 1), Revision: 10, Versions: map[string]inventory.ServiceVersions{}}, confirmedNow())
+		f.AdoptSnapshot("same", &inventory.Snapshot{Table: config(t, 1), Revision: era.New(0, 10), Versions: map[string]inventory.ServiceVersions{}}, confirmedNow())
 		is.Equal(len(current.Load().Versions), 0)
 	})
 }
--- a/router/membership/membership_test.go
+++ b/router/membership/membership_test.go
@@ -11,6 +11,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/membership"
 	"cicadawell.dev/router/routing"
@@ -124,7 +125,7 @@
 	table, err := routing.NewTable(routing.Config{Version: 1})
 	is.New(t).NoErr(err)
 	w.revision++
-	s := &inventory.Snapshot{Table: table, Revision: w.revision, Instances: map[string]inventory.Instance{}}
+	s := &inventory.Snapshot{Table: table, Revision: era.New(0, w.revision), Instances: map[string]inventory.Instance{}}
 	for _, name := range names {
 		s.Instances[name] = inventory.Instance{Name: name}
 	}
--- a/router/owner/owner.go
+++ b/router/owner/owner.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/shard"
 )
@@ -79,7 +80,7 @@
 // revision.
 type unavailability struct {
 	until    time.Time
-	revision int64
+	revision era.Revision
 }
 
 func (f *finder) Of(key string) string { return f.first(key, f.zone) }
--- a/router/owner/owner_test.go
+++ b/router/owner/owner_test.go
@@ -8,6 +8,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/golden"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/owner"
 	"cicadawell.dev/router/routing"
@@ -18,7 +19,7 @@
 func newFinder(names ...string) (owner.Finder, *clock.Manual) {
 	clk := clock.NewManual(time.Unix(1000, 0))
 	current := inventory.NewCurrent(clk)
-	s := &inventory.Snapshot{Revision: 1, Instances: map[string]inventory.Instance{}}
+	s := &inventory.Snapshot{Revision: era.New(0, 1), Instances: map[string]inventory.Instance{}}
 	for _, name := range names {
 		s.Instances[name] = inventory.Instance{Name: name}
 	}
@@ -65,7 +66,7 @@
 	clk := clock.NewManual(time.Unix(1000, 0))
 	current := inventory.NewCurrent(clk)
 	register := func(revision int64) {
-		current.Advance(&inventory.Snapshot{Revision: revision, Instances: map[string]inventory.Instance{"a": {Name: "a", Revision: revision}}})
+		current.Advance(&inventory.Snapshot{Revision: era.New(0, revision), Instances: map[string]inventory.Instance{"a": {Name: "a", Revision: era.New(0, revision)}}})
 	}
 	register(1)
 	f := owner.NewFinder(clk, current)
@@ -79,7 +80,7 @@
 func TestShardsAreOwnedInTheirZone(t *testing.T) {
 	is := is.New(t)
 	current := inventory.NewCurrent(clock.NewManual(time.Unix(1000, 0)))
-	s := &inventory.Snapshot{Revision: 1, Instances: map[string]inventory.Instance{}}
+	s := &inventory.Snapshot{Revision: era.New(0, 1), Instances: map[string]inventory.Instance{}}
 	for i := range 12 {
 		name := fmt.Sprint("instance", i)
 		s.Instances[name] = inventory.Instance{Name: name, Zone: fmt.Sprint("z", i%3)}
@@ -108,7 +109,7 @@
 	var out strings.Builder
 	fmt.Fprintf(&out, "%9s %5s %7s %6s %17s %23s\n", "instances", "zones", "runners", "owners", "most work, of all", "most work, of the mean")
 	for _, f := range []struct{ instances, zones, perStage, engines int }{{5, 4, 5, 9}, {30, 4, 18, 90}, {118, 6, 42, 240}, {450, 17, 150, 1050}} {
-		s := &inventory.Snapshot{Revision: 1, Instances: map[string]inventory.Instance{}, Runners: map[string]*inventory.Runner{}}
+		s := &inventory.Snapshot{Revision: era.New(0, 1), Instances: map[string]inventory.Instance{}, Runners: map[string]*inventory.Runner{}}
 		zone := func(i int) string { return fmt.Sprint("z", i%f.zones) }
 		for i := range f.instances {
 			name := fmt.Sprint("instance", i)
--- a/router/owner/weight_test.go
+++ b/router/owner/weight_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/owner"
 	"cicadawell.dev/router/shard"
@@ -19,7 +20,7 @@
 func fleet(shares map[string]float64, opts ...owner.Option) owner.Finder {
 	clk := clock.NewManual(time.Unix(1000, 0))
 	current := inventory.NewCurrent(clk)
-	s := &inventory.Snapshot{Revision: 1, Instances: map[string]inventory.Instance{}}
+	s := &inventory.Snapshot{Revision: era.New(0, 1), Instances: map[string]inventory.Instance{}}
 	for name, share := range shares {
 		s.Instances[name] = inventory.Instance{Name: name, Zone: "z", CPUShare: share}
 	}
--- a/router/placement/placer_test.go
+++ b/router/placement/placer_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/owner"
@@ -42,7 +43,7 @@
 	w.current = inventory.NewCurrent(w.clk)
 	w.set = target.NewSet(w.clk, func(string, float64) float64 { return 1 }, time.Second)
 	w.current.Subscribe(w.set.Update)
-	s := &inventory.Snapshot{Table: table, Revision: 1, Runners: map[string]*inventory.Runner{}, Instances: map[string]inventory.Instance{}}
+	s := &inventory.Snapshot{Table: table, Revision: era.New(0, 1), Runners: map[string]*inventory.Runner{}, Instances: map[string]inventory.Instance{}}
 	for i := range engines {
 		id := fmt.Sprint("e", i)
 		s.Runners[id] = &inventory.Runner{ID: id, Service: "s", Zone: []string{"x", "y"}[i%2], Slots: 64}
@@ -147,7 +148,7 @@
 	}
 	out := func(zones map[string]bool) {
 		s := *w.current.Load()
-		s.Revision++
+		s.Revision.Number++
 		s.ZonesOut = zones
 		w.current.Advance(&s)
 		w.clk.Advance(2 * time.Second)
@@ -178,7 +179,7 @@
 		r := *first.Target().Runner()
 		r.Draining = on
 		s.Runners[r.ID] = &r
-		s.Revision++
+		s.Revision.Number++
 		w.current.Advance(&s)
 	}
 	setDraining(true)
--- a/router/placement/speed_test.go
+++ b/router/placement/speed_test.go
@@ -12,6 +12,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/router/cost"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/placement"
@@ -66,7 +67,7 @@
 	current := inventory.NewCurrent(clk)
 	set := target.NewSet(clk, func(string, float64) float64 { return 1 }, time.Second)
 	current.Subscribe(set.Update)
-	s := &inventory.Snapshot{Table: table, Revision: 1, Runners: map[string]*inventory.Runner{}}
+	s := &inventory.Snapshot{Table: table, Revision: era.New(0, 1), Runners: map[string]*inventory.Runner{}}
 	index := map[string]int{}
 	for i := range l.engines {
 		id := fmt.Sprint("e", i)
--- a/router/placement/version_test.go
+++ b/router/placement/version_test.go
@@ -17,7 +17,7 @@
 // withVersions gives every second engine another version.
 func withVersions(w *fixture) {
 	s := *w.current.Load()
-	s.Revision++
+	s.Revision.Number++
 	s.Runners = make(map[string]*inventory.Runner)
 	for id, r := range w.current.Load().Runners {
 		next := *r
--- a/router/quarantine/guard_test.go
+++ b/router/quarantine/guard_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/owner"
@@ -109,7 +110,7 @@
 // publish gives an instance the content of the store.
 func (f *fleet) publish(name string) {
 	f.mu.Lock()
-	s := &inventory.Snapshot{Revision: f.revision, Instances: map[string]inventory.Instance{}, Quarantines: map[string]*inventory.Quarantine{}}
+	s := &inventory.Snapshot{Revision: era.New(0, f.revision), Instances: map[string]inventory.Instance{}, Quarantines: map[string]*inventory.Quarantine{}}
 	for _, n := range f.names {
 		s.Instances[n] = inventory.Instance{Name: n}
 	}
--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -342,7 +342,7 @@
 	}
 	x.Meter.Attempted(p.service, statusOf(a), now.Sub(start))
 	x.Log.Info("sent", "request", p.call.ID, "route", p.route.Name, "service", p.service, "team", p.team, "runner", d.Runner.ID, "version", d.Runner.Version,
-		"zone", d.Runner.Zone, "runnerRevision", d.Runner.Revision, "configuration", x.Current.Load().Table.Version(), "viewMillis", x.Current.Age().Milliseconds(),
+		"zone", d.Runner.Zone, "runnerRevision", d.Runner.Revision.Number, "configuration", x.Current.Load().Table.Version(), "viewMillis", x.Current.Age().Milliseconds(),
 		"arrivingMillis", x.Current.ArrivingFor().Milliseconds(), "connectedMillis", connected.Sub(start).Milliseconds(), "leftMillis", d.Remaining.Milliseconds(), "resumeAfter", d.ResumeAfter, "inputs", len(d.Inputs), "slowdown", slowdown,
 		"tookMillis", now.Sub(start).Milliseconds(), "status", statusOf(a), "error", err)
 	return a, err
--- a/router/relay/relay_test.go
+++ b/router/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/property"
 	"cicadawell.dev/fleet/random"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/placement"
 	"cicadawell.dev/router/policy"
@@ -297,7 +298,7 @@
 	current := inventory.NewCurrent(clock.System())
 	set := target.NewSet(clock.System(), func(string, float64) float64 { return 100 }, time.Second, target.WithRollouts(f.rollouts != nil))
 	current.Subscribe(set.Update)
-	s := &inventory.Snapshot{Table: table, Revision: 1, Runners: map[string]*inventory.Runner{}}
+	s := &inventory.Snapshot{Table: table, Revision: era.New(0, 1), Runners: map[string]*inventory.Runner{}}
 	for i := range 8 {
 		id := fmt.Sprint("r", i)
 		s.Runners[id] = &inventory.Runner{ID: id, Service: "s", Zone: "z", Slots: 1}
@@ -407,7 +408,7 @@
 						s := *current.Load()
 						s.Runners = maps.Clone(s.Runners)
 						delete(s.Runners, left)
-						s.Revision++
+						s.Revision.Number++
 						current.Advance(&s)
 					}
 				})
@@ -816,7 +817,7 @@
 		id := fmt.Sprint("p", i)
 		s.Runners[id] = &inventory.Runner{ID: id, Service: "p", Zone: fmt.Sprint("zone", i%6), Slots: 1}
 	}
-	s.Revision++
+	s.Revision.Number++
 	current.Advance(&s)
 }
 
@@ -868,7 +869,7 @@
 			f := &fakeRunners{responses: []response{streamOf(one, false)}}
 			w := serveCall(t, "/stream/1", f, &fakePieces{}, func(c *relay.Call, known *inventory.Current) {
 				c.ID = id
-				s := &inventory.Snapshot{Table: table, Revision: 2, Runners: map[string]*inventory.Runner{}}
+				s := &inventory.Snapshot{Table: table, Revision: era.New(0, 2), Runners: map[string]*inventory.Runner{}}
 				for i := range 240 {
 					id := fmt.Sprint("e", i)
 					s.Runners[id] = &inventory.Runner{ID: id, Service: "s", Zone: fmt.Sprint("zone", i%6), Slots: 1}
--- a/router/relay/silence_test.go
+++ b/router/relay/silence_test.go
@@ -68,7 +68,7 @@
 				delete(s.Runners, id)
 			}
 		}
-		s.Revision++
+		s.Revision.Number++
 		current.Advance(&s)
 	}
 }
@@ -143,7 +143,7 @@
 						s.Runners[id] = r
 					}
 				}
-				s.Revision++
+				s.Revision.Number++
 				current.Advance(&s)
 			}}
 		}
--- a/router/relay/version_test.go
+++ b/router/relay/version_test.go
@@ -130,7 +130,7 @@
 		var current *inventory.Current
 		f.connect = func(relay.Dispatch) {
 			s := *current.Load()
-			s.Revision++
+			s.Revision.Number++
 			s.Runners = make(map[string]*inventory.Runner)
 			for n := range 8 {
 				id := fmt.Sprint("r", n)
--- a/router/relay/where_test.go
+++ b/router/relay/where_test.go
@@ -15,6 +15,7 @@
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/operatorapi"
 	"cicadawell.dev/fleet/random"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/placement"
 	"cicadawell.dev/router/policy"
@@ -112,7 +113,7 @@
 	current := inventory.NewCurrent(clk)
 	set := target.NewSet(clk, func(_ string, perSecond float64) float64 { return perSecond }, time.Second, target.WithRollouts(true), target.WithRandom(random.NewSeeded(1)))
 	current.Subscribe(set.Update)
-	s := &inventory.Snapshot{Table: table, Revision: 1, Runners: map[string]*inventory.Runner{
+	s := &inventory.Snapshot{Table: table, Revision: era.New(0, 1), Runners: map[string]*inventory.Runner{
 		"p0": {ID: "p0", Service: "p", Zone: "z", Slots: 1}, "q0": {ID: "q0", Service: "q", Zone: "z", Slots: 1},
 	}}
 	for i := range 4 {
--- a/router/rollout/control/bench_test.go
+++ b/router/rollout/control/bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/owner"
@@ -52,14 +53,14 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	s := &inventory.Snapshot{Table: table, Revision: 3, Instances: map[string]inventory.Instance{}, RolloutOrders: map[string]rollout.Order{}, Rollouts: map[string]rollout.State{}}
+	s := &inventory.Snapshot{Table: table, Revision: era.New(0, 3), Instances: map[string]inventory.Instance{}, RolloutOrders: map[string]rollout.Order{}, Rollouts: map[string]rollout.State{}}
 	for n := range instances {
 		name := fmt.Sprint("i", n)
 		s.Instances[name] = inventory.Instance{Name: name}
 	}
 	now := clock.System().Now()
-	s.RolloutOrders["s"] = rollout.Order{Service: "s", Target: "v2", Duration: time.Hour, Revision: 2, SeenAt: now}
-	s.Rollouts["s"] = rollout.State{Service: "s", Target: "v2", OrderRevision: 2, Step: 1, Phase: rollout.Running, Share: 0.02, Duration: time.Hour, Revision: 3, SeenAt: now}
+	s.RolloutOrders["s"] = rollout.Order{Service: "s", Target: "v2", Duration: time.Hour, Revision: era.New(0, 2), SeenAt: now}
+	s.Rollouts["s"] = rollout.State{Service: "s", Target: "v2", OrderRevision: 2, Step: 1, Phase: rollout.Running, Share: 0.02, Duration: time.Hour, Revision: era.New(0, 3), SeenAt: now}
 	current.Advance(s)
 	owners := owner.NewFinder(clock.System(), current)
 	c := New(clock.System(), owners.Of(ownerKeyPrefix+"s"), current, owners, idleMesh{}, idleTargets{}, rollout.NewRecorder(), nil,
--- a/router/rollout/control/control.go
+++ b/router/rollout/control/control.go
@@ -11,6 +11,7 @@
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
 	"cicadawell.dev/fleet/operatorapi"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/owner"
@@ -39,7 +40,7 @@
 
 // Recorder counts what this instance observes. rollout.Recorder implements it.
 type Recorder interface {
-	Track(service, target string, orderRevision int64)
+	Track(service, target string)
 	Forget(service string)
 	Evidence(service string) rollout.Evidence
 	CallTime(service string) time.Duration
@@ -50,10 +51,10 @@
 	State rollout.State
 	// StateRevision is the revision of the decision that is replaced, or 0 if there is
 	// none.
-	StateRevision int64
+	StateRevision era.Revision
 	// OrderRevision is the revision of the order, or 0 if it was withdrawn. The order
 	// may have any revision if AnyOrder is set.
-	OrderRevision int64
+	OrderRevision era.Revision
 	AnyOrder      bool
 	// Repeated is set if only the elapsed time differs from the decision in the store.
 	Repeated bool
@@ -63,7 +64,7 @@
 type Records interface {
 	// Write replaces a decision if the revisions hold, and returns its revision. The
 	// error is of the kind Conflict if they don't.
-	Write(ctx context.Context, w Write) (int64, error)
+	Write(ctx context.Context, w Write) (era.Revision, error)
 }
 
 // View is what operators see of the rollout of a service.
@@ -163,13 +164,13 @@
 	}
 	for name, svc := range c.services {
 		if st, ok := s.Rollouts[name]; ok {
-			if st.Revision < svc.stored.Revision && svc.stored.Revision <= s.Revision {
+			if st.Revision.Before(svc.stored.Revision) && !svc.stored.Revision.After(s.Revision) {
 				// The answer to the write had the revision of another write of the same
 				// transaction. That of the decision itself is the condition of the next one.
-				svc.stored.Revision = 0
+				svc.stored.Revision = era.Revision{}
 			}
 			c.noteStored(svc, st, "store")
-		} else if svc.stored.Revision <= s.Revision {
+		} else if !svc.stored.Revision.After(s.Revision) {
 			// The decision was removed from the store; the next one is written anew.
 			svc.stored = rollout.State{}
 		}
@@ -191,7 +192,7 @@
 	if s.Table != nil && svc.refused != order.Revision {
 		svc.refused = order.Revision
 		err := fault.New(fault.BadRequest, "service %q is not known", svc.name).WithField("service")
-		c.log.Error("invalid rollout order ignored", "service", svc.name, "field", "service", "order", order.Revision, "error", err)
+		c.log.Error("invalid rollout order ignored", "service", svc.name, "field", "service", "order", order.Revision.Number, "error", err)
 	}
 	return false
 }
--- a/router/rollout/control/decide.go
+++ b/router/rollout/control/decide.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/rollout"
 )
 
@@ -34,7 +35,7 @@
 	// pending is the decision to write; nil if there is none.
 	pending *rollout.State
 	// base is the revision of the decision in the store that pending replaces.
-	base int64
+	base era.Revision
 	// writing is set while a write is in progress.
 	writing bool
 	// writtenAt is when the last write succeeded, failingSince when the first one
@@ -168,7 +169,7 @@
 		return
 	}
 	next.Step = max(next.Step, svc.highestStep()+1)
-	next.Revision, next.SeenAt = 0, now
+	next.Revision, next.SeenAt = era.Revision{}, now
 	c.logDecision(next, g)
 	// A completion that may be in the store has ended the old runners, so that a rollback
 	// counts only once the store has it.
@@ -229,7 +230,7 @@
 }
 
 // noteWrite takes over the outcome of a write.
-func (c *controller) noteWrite(svc *service, w Write, revision int64, err error, began time.Time) {
+func (c *controller) noteWrite(svc *service, w Write, revision era.Revision, err error, began time.Time) {
 	now := c.clk.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -262,7 +263,7 @@
 	cancel()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	orderKnown := w.OrderRevision == 0 && svc.order == nil || svc.order != nil && svc.order.Revision == w.OrderRevision
+	orderKnown := !w.OrderRevision.Stored() && svc.order == nil || svc.order != nil && svc.order.Revision == w.OrderRevision
 	if err != nil || !conflict || !orderKnown || svc.stored.Revision != w.StateRevision {
 		svc.orderConflicts = 0
 		return
@@ -278,7 +279,7 @@
 func (c *controller) settlePending(svc *service) {
 	switch p := svc.pending; {
 	case p == nil || svc.base == svc.stored.Revision:
-	case ended(svc.stored) && svc.stored.OrderRevision >= p.OrderRevision, p.Phase != rollout.RolledBack, svc.stored.OrderRevision > p.OrderRevision:
+	case ended(svc.stored) && !svc.stored.Order().Before(p.Order()), p.Phase != rollout.RolledBack, svc.stored.Order().After(p.Order()):
 		svc.pending = nil
 	default:
 		// The rollback replaces what another decider has written.
--- a/router/rollout/control/evidence.go
+++ b/router/rollout/control/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/rollout"
 )
@@ -17,7 +18,7 @@
 	latest report
 	at     time.Time
 	// registration is the revision of the instance's registration at that time.
-	registration int64
+	registration era.Revision
 	// past is the evidence of earlier incarnations, and pastSent what they sent.
 	past     rollout.Evidence
 	pastSent rollout.Counts
@@ -25,7 +26,7 @@
 
 // accept takes over a report. The caller holds mu.
 func (c *controller) accept(svc *service, r report, now time.Time) {
-	if r.OrderRevision < svc.attempt {
+	if era.New(r.OrderEra, r.OrderRevision).Before(svc.attempt) {
 		return
 	}
 	registration := c.current.Load().Instances[r.Instance].Revision
--- a/router/rollout/control/parts_test.go
+++ b/router/rollout/control/parts_test.go
@@ -10,6 +10,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/rollout"
 	"github.com/matryer/is"
@@ -44,7 +45,7 @@
 		is.Equal(c.newReport("s").RolledBack.Step, int64(2)) // and this instance reports it, too
 		is.True(svc.active())                                // until it is in the store
 		stored := st
-		stored.Revision = 9
+		stored.Revision = era.New(0, 9)
 		c.noteStored(svc, stored, "store")
 		is.True(c.newReport("s").RolledBack == nil)
 		is.True(!svc.active())
@@ -57,7 +58,7 @@
 	inFleet(t, func(is *is.I, c *controller, svc *service) {
 		c.adopt(svc, rollback(2), "report")
 		st := svc.stored
-		st.Step, st.Share, st.Revision = 5, 0.5, 8
+		st.Step, st.Share, st.Revision = 5, 0.5, era.New(0, 8)
 		c.noteStored(svc, st, "store")
 		is.Equal(svc.current.Phase, rollout.RolledBack)
 		is.Equal(svc.current.Step, int64(6))
@@ -130,7 +131,7 @@
 		}
 		is.Equal(gather(s.Instances).unconfirmed, 0)
 		with := func(name string, revision int64) map[string]inventory.Instance {
-			out := map[string]inventory.Instance{name: {Name: name, Revision: revision}}
+			out := map[string]inventory.Instance{name: {Name: name, Revision: era.New(0, revision)}}
 			for n, i := range s.Instances {
 				if n != name {
 					out[n] = i
@@ -162,10 +163,10 @@
 func TestReportsOfEarlierAttemptsDoNotCount(t *testing.T) {
 	inFleet(t, func(is *is.I, c *controller, svc *service) {
 		st := rollback(2)
-		st.Revision = 5
+		st.Revision = era.New(0, 5)
 		c.noteStored(svc, st, "store")
 		again := *svc.order
-		again.Revision = 6
+		again.Revision = era.New(0, 6)
 		c.setOrder(svc, again, true)
 		is.Equal(len(svc.reporters), 0)
 		c.answerTo(exampleReport(1, 2)) // for the order of revision 2
@@ -187,7 +188,7 @@
 		c.setOrder(svc, rollout.Order{}, false)
 		is.True(svc.pending == nil)
 		c.setPending(svc, rollback(2))
-		again := rollout.Order{Service: "s", Target: "v3", Revision: 8}
+		again := rollout.Order{Service: "s", Target: "v3", Revision: era.New(0, 8)}
 		c.setOrder(svc, again, true)
 		is.True(svc.pending != nil) // the rollback stays to be written
 	})
@@ -198,7 +199,7 @@
 func TestOrdersOfUnknownServicesAreIgnored(t *testing.T) {
 	inFleet(t, func(is *is.I, c *controller, _ *service) {
 		s := *c.current.Load()
-		s.RolloutOrders = map[string]rollout.Order{"s": s.RolloutOrders["s"], "misspelt": {Service: "misspelt", Target: "v2", Duration: time.Minute, Revision: 4}}
+		s.RolloutOrders = map[string]rollout.Order{"s": s.RolloutOrders["s"], "misspelt": {Service: "misspelt", Target: "v2", Duration: time.Minute, Revision: era.New(0, 4)}}
 		c.update(&s)
 		is.Equal(len(c.States()), 1)
 		is.Equal(fmt.Sprint(c.reportable()), "[s]")
@@ -209,7 +210,7 @@
 // decider that has left the decisions to its successor.
 func TestDeciderThatLeftTellsOthers(t *testing.T) {
 	inFleet(t, func(is *is.I, c *controller, svc *service) {
-		c.noteWrite(svc, Write{}, 0, fault.New(fault.StoreUnavailable, "refused"), c.clk.Now())
+		c.noteWrite(svc, Write{}, era.Revision{}, fault.New(fault.StoreUnavailable, "refused"), c.clk.Now())
 		is.True(!c.answerTo(exampleReport(1, 2)).WriteFailing)
 		is.NoErr(clock.System().Sleep(context.Background(), writeFailingAfter))
 		a := c.answerTo(exampleReport(1, 3))
@@ -244,8 +245,8 @@
 // refusingRecords takes no writes.
 type refusingRecords struct{}
 
-func (refusingRecords) Write(context.Context, Write) (int64, error) {
-	return 0, fault.New(fault.StoreUnavailable, "refused")
+func (refusingRecords) Write(context.Context, Write) (era.Revision, error) {
+	return era.Revision{}, fault.New(fault.StoreUnavailable, "refused")
 }
 
 // TestStepWaitsForMostReports guards against a step by a decider that hears nobody, at the
@@ -276,11 +277,11 @@
 		st := svc.current
 		st.Step, st.Phase = 2, rollout.Completed
 		c.setPending(svc, st)
-		c.noteWrite(svc, Write{State: st}, 0, fault.New(fault.StoreUnavailable, "no answer").WithOutcome(fault.Unknown), c.clk.Now())
+		c.noteWrite(svc, Write{State: st}, era.Revision{}, fault.New(fault.StoreUnavailable, "no answer").WithOutcome(fault.Unknown), c.clk.Now())
 		is.Equal(svc.pending.Phase, rollout.Completed)
 		c.propose(svc, rollback(3), gathered{}, c.clk.Now())
 		is.Equal(svc.current.Phase, rollout.Running) // until the store has the rollback
-		st.Revision = 7
+		st.Revision = era.New(0, 7)
 		c.noteStored(svc, st, "store")
 		is.True(svc.pending == nil)
 		is.Equal(svc.current.Phase, rollout.Completed)
--- a/router/rollout/control/report.go
+++ b/router/rollout/control/report.go
@@ -1,11 +1,13 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"time"
 
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/rollout"
 )
@@ -54,6 +56,7 @@
 	State *rollout.State `json:"state,omitempty"`
 	// Revision is the store's revision of the state; zero if it isn't in the store.
 	Revision int64 `json:"revision,omitempty"`
+	Era      int64 `json:"era,omitempty"`
 	// InContact is set if the decider hears from the store or from most instances, and
 	// HeardMillis is how long ago it did.
 	InContact   bool  `json:"inContact"`
@@ -62,6 +65,19 @@
 	WriteFailing bool `json:"writeFailing,omitempty"`
 }
 
+// inEra returns the report with the era of its order, which older builds don't state.
+func (r report) inEra(n int64) report {
+	r.OrderEra = cmp.Or(r.OrderEra, n)
+	if r.RolledBack != nil {
+		rolledBack := r.RolledBack.InEra(n)
+		r.RolledBack = &rolledBack
+	}
+	return r
+}
+
+// era returns the era of the store that is known.
+func (c *controller) era() int64 { return c.current.Load().Revision.Era }
+
 // sendReports reports on all services until ctx ends.
 func (c *controller) sendReports(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -165,7 +181,7 @@
 	r := report{Instance: c.self, Incarnation: c.incarnation, Sequence: svc.sequence}
 	r.Service, r.Step = name, svc.current.Step
 	if svc.tracked != nil {
-		r.OrderRevision = svc.tracked.Revision
+		r.OrderRevision, r.OrderEra = svc.tracked.Revision.Number, svc.tracked.Revision.Era
 	}
 	if svc.unstored() {
 		rolledBack := svc.current
@@ -190,8 +206,8 @@
 	}
 	if a.State != nil && (a.Revision > 0 || a.State.Phase == rollout.RolledBack) {
 		// Only rollbacks are in force before they are in the store.
-		st := *a.State
-		st.Revision, st.SeenAt = a.Revision, c.clk.Now()
+		st := a.State.InEra(c.era())
+		st.Revision, st.SeenAt = era.New(cmp.Or(a.Era, c.era()), a.Revision), c.clk.Now()
 		if a.Revision > 0 {
 			c.noteStored(svc, st, from)
 		} else {
@@ -259,17 +275,17 @@
 	if svc == nil {
 		return answer{}
 	}
-	c.accept(svc, r, now)
+	c.accept(svc, r.inEra(c.era()), now)
 	var a answer
 	age, inContact := c.heard(svc, now)
 	a.InContact, a.HeardMillis = inContact, age.Milliseconds()
 	a.WriteFailing = svc.leaves(now)
 	// Most reports are those of instances that apply the decision already.
-	if st := svc.current; known(st) && (st.Revision == 0 || r.RolledBack != nil || r.Step != st.Step) {
+	if st := svc.current; known(st) && (!st.Revision.Stored() || r.RolledBack != nil || r.Step != st.Step) {
 		if st.Phase == rollout.Running {
 			st.Elapsed += now.Sub(st.SeenAt)
 		}
-		a.State, a.Revision = &st, st.Revision
+		a.State, a.Revision, a.Era = &st, st.Revision.Number, st.Revision.Era
 	}
 	return a
 }
--- a/router/rollout/control/service.go
+++ b/router/rollout/control/service.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/rollout"
 )
 
@@ -14,13 +15,13 @@
 	// order is nil if there is none, or if it was withdrawn.
 	order *rollout.Order
 	// refused is the revision of the last order that was invalid.
-	refused int64
+	refused era.Revision
 	// tracked is the order that evidence is recorded for.
 	tracked *rollout.Order
 	// attempt is the revision of the first order of the attempt. It differs from that of
 	// the order if the order was repeated during the rollout. Only reports of the attempt
 	// count.
-	attempt int64
+	attempt era.Revision
 	// stored is the newest decision known to be in the store. Its revision is zero if
 	// there is none.
 	stored rollout.State
@@ -59,34 +60,34 @@
 	switch {
 	case !known(old):
 		return known(next)
-	case next.OrderRevision != old.OrderRevision:
-		return next.OrderRevision > old.OrderRevision
+	case next.Order() != old.Order():
+		return next.Order().After(old.Order())
 	case ended(next) != ended(old):
 		return ended(next)
-	case ended(next) && (next.Revision > 0) != (old.Revision > 0):
-		return next.Revision > 0
+	case ended(next) && next.Revision.Stored() != old.Revision.Stored():
+		return next.Revision.Stored()
 	case next.Step != old.Step:
 		return next.Step > old.Step
 	}
-	return next.Revision > old.Revision
+	return next.Revision.After(old.Revision)
 }
 
 // sameDecision reports whether two states differ at most in the elapsed time and in their
 // revisions.
 func sameDecision(a, b rollout.State) bool {
-	return a.OrderRevision == b.OrderRevision && a.Step == b.Step && a.Phase == b.Phase && a.Share == b.Share &&
+	return a.Order() == b.Order() && a.Step == b.Step && a.Phase == b.Phase && a.Share == b.Share &&
 		a.Runners == b.Runners && a.Target == b.Target && slices.Equal(a.Barred, b.Barred)
 }
 
 // unstored reports whether the rollback that is in force here isn't in the store.
 func (s *service) unstored() bool {
-	if s.current.Phase != rollout.RolledBack || s.current.Revision > 0 {
+	if s.current.Phase != rollout.RolledBack || s.current.Revision.Stored() {
 		return false
 	}
-	if s.stored.Revision == 0 {
+	if !s.stored.Revision.Stored() {
 		return true
 	}
-	return s.stored.OrderRevision < s.current.OrderRevision || s.stored.OrderRevision == s.current.OrderRevision && !ended(s.stored)
+	return s.stored.Order().Before(s.current.Order()) || s.stored.Order() == s.current.Order() && !ended(s.stored)
 }
 
 // active reports whether a decision is still to be made or to be written.
@@ -97,7 +98,7 @@
 	case s.order == nil:
 		return false
 	}
-	return !known(s.current) || s.current.OrderRevision < s.order.Revision
+	return !known(s.current) || s.current.Order().Before(s.order.Revision)
 }
 
 // target returns the version that the calls move to.
@@ -115,7 +116,7 @@
 	if s.order != nil {
 		d = now.Sub(s.order.SeenAt)
 	}
-	if known(s.current) && (s.order == nil || s.current.OrderRevision == s.order.Revision) {
+	if known(s.current) && (s.order == nil || s.current.Order() == s.order.Revision) {
 		d = max(d, s.current.Elapsed+now.Sub(s.current.SeenAt))
 	}
 	return max(d, 0)
@@ -125,7 +126,7 @@
 func (c *controller) setOrder(svc *service, order rollout.Order, ordered bool) {
 	if !ordered {
 		if svc.order != nil {
-			c.log.Info("order of a rollout withdrawn", "service", svc.name, "target", svc.order.Target, "order", svc.order.Revision)
+			c.log.Info("order of a rollout withdrawn", "service", svc.name, "target", svc.order.Target, "order", svc.order.Revision.Number)
 		}
 		svc.setOrder(nil)
 		if svc.tracked != nil && !svc.active() {
@@ -137,7 +138,7 @@
 	if svc.order != nil && svc.order.Revision == order.Revision {
 		return
 	}
-	c.log.Info("order of a rollout", "service", svc.name, "target", order.Target, "order", order.Revision, "durationMillis", order.Duration.Milliseconds())
+	c.log.Info("order of a rollout", "service", svc.name, "target", order.Target, "order", order.Revision.Number, "durationMillis", order.Duration.Milliseconds())
 	svc.setOrder(&order)
 	c.track(svc, order)
 }
@@ -158,22 +159,22 @@
 // the running rollout. The caller holds mu.
 func (c *controller) track(svc *service, order rollout.Order) {
 	running := svc.current.Phase == rollout.Running && svc.current.Target == order.Target
-	undecided := svc.tracked != nil && svc.tracked.Target == order.Target && svc.current.OrderRevision < svc.tracked.Revision
+	undecided := svc.tracked != nil && svc.tracked.Target == order.Target && svc.current.Order().Before(svc.tracked.Revision)
 	switch {
 	case svc.tracked == nil && running:
-		svc.attempt = svc.current.OrderRevision
+		svc.attempt = svc.current.Order()
 	case svc.tracked == nil || !running && !undecided:
 		c.recorder.Forget(svc.name)
 		svc.attempt = order.Revision
 		svc.reporters, svc.history = make(map[string]*reporter), rollout.History{}
 	}
 	svc.tracked = &order
-	c.recorder.Track(svc.name, order.Target, order.Revision)
+	c.recorder.Track(svc.name, order.Target)
 }
 
 // noteStored takes over a decision that is in the store. The caller holds mu.
 func (c *controller) noteStored(svc *service, st rollout.State, source string) {
-	if st.Revision <= svc.stored.Revision {
+	if !st.Revision.After(svc.stored.Revision) {
 		return
 	}
 	svc.stored = st
--- a/router/rollout/control/view.go
+++ b/router/rollout/control/view.go
@@ -37,8 +37,8 @@
 	if svc.order != nil {
 		v.DurationMillis, v.ElapsedMillis = svc.order.Duration.Milliseconds(), svc.elapsed(now).Milliseconds()
 	}
-	if known(st) && (svc.order == nil || st.OrderRevision >= svc.order.Revision) {
-		v.Phase, v.Share, v.Runners, v.Reason, v.Barred, v.Stored = string(st.Phase), st.Share, st.Runners, st.Reason, st.Barred, st.Revision > 0
+	if known(st) && (svc.order == nil || !st.Order().Before(svc.order.Revision)) {
+		v.Phase, v.Share, v.Runners, v.Reason, v.Barred, v.Stored = string(st.Phase), st.Share, st.Runners, st.Reason, st.Barred, st.Revision.Stored()
 		v.DurationMillis, v.ElapsedMillis = st.Duration.Milliseconds(), st.Elapsed.Milliseconds()
 		if st.Phase == rollout.Running {
 			v.ElapsedMillis = svc.elapsed(now).Milliseconds()
--- a/router/rollout/control/world_test.go
+++ b/router/rollout/control/world_test.go
@@ -14,6 +14,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/owner"
@@ -203,9 +204,9 @@
 	}
 	old := n.current.Load()
 	w.mu.Lock()
-	s := &inventory.Snapshot{Table: table(w.t), Revision: w.store.revision, Instances: make(map[string]inventory.Instance), RolloutOrders: maps.Clone(w.store.orders), Rollouts: maps.Clone(w.store.states)}
+	s := &inventory.Snapshot{Table: table(w.t), Revision: era.New(0, w.store.revision), Instances: make(map[string]inventory.Instance), RolloutOrders: maps.Clone(w.store.orders), Rollouts: maps.Clone(w.store.states)}
 	for name, revision := range w.store.registered {
-		s.Instances[name] = inventory.Instance{Name: name, Zone: "z", Revision: revision}
+		s.Instances[name] = inventory.Instance{Name: name, Zone: "z", Revision: era.New(0, revision)}
 	}
 	w.mu.Unlock()
 	for service, o := range s.RolloutOrders {
@@ -233,19 +234,19 @@
 	name string
 }
 
-func (r records) Write(ctx context.Context, write control.Write) (int64, error) {
+func (r records) Write(ctx context.Context, write control.Write) (era.Revision, error) {
 	if err := r.w.reach(ctx, r.name); err != nil {
-		return 0, err
+		return era.Revision{}, err
 	}
 	w := r.w
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := write.State
 	if w.nodes[r.name].killed {
-		return 0, errors.New("killed")
+		return era.Revision{}, errors.New("killed")
 	}
-	if w.store.states[s.Service].Revision != write.StateRevision || !write.AnyOrder && max(w.store.orders[s.Service].Revision, w.store.invalid[s.Service]) != write.OrderRevision {
-		return 0, fault.New(fault.Conflict, "a condition doesn't hold")
+	if w.store.states[s.Service].Revision != write.StateRevision || !write.AnyOrder && era.Max(w.store.orders[s.Service].Revision, era.New(0, w.store.invalid[s.Service])) != write.OrderRevision {
+		return era.Revision{}, fault.New(fault.Conflict, "a condition doesn't hold")
 	}
 	old := w.store.states[s.Service]
 	if ended(old) && old.OrderRevision >= s.OrderRevision {
@@ -255,19 +256,19 @@
 		w.t.Errorf("step %d is written after step %d", s.Step, old.Step)
 	}
 	w.store.revision++
-	s.Revision, s.SeenAt = w.store.revision, time.Time{}
+	s.Revision, s.SeenAt = era.New(0, w.store.revision), time.Time{}
 	w.store.states[s.Service] = s
 	if !write.Repeated {
 		w.noteDecision(s)
 	}
 	if w.store.loseAnswers > 0 {
 		w.store.loseAnswers--
-		return 0, fault.New(fault.StoreUnavailable, "no answer").WithOutcome(fault.Unknown)
+		return era.Revision{}, fault.New(fault.StoreUnavailable, "no answer").WithOutcome(fault.Unknown)
 	}
 	if w.store.numberEach {
 		w.store.revision++
 	}
-	return w.store.revision, nil
+	return era.New(0, w.store.revision), nil
 }
 
 func ended(st rollout.State) bool {
@@ -374,7 +375,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.store.revision++
-	w.store.orders[service] = rollout.Order{Service: service, Target: version, Duration: duration, Revision: w.store.revision}
+	w.store.orders[service] = rollout.Order{Service: service, Target: version, Duration: duration, Revision: era.New(0, w.store.revision)}
 	return clock.System().Now()
 }
 
--- a/router/rollout/decide.go
+++ b/router/rollout/decide.go
@@ -35,14 +35,14 @@
 			return next, false
 		}
 		return rolledBack(in, "the order was withdrawn"), true
-	case in.State != nil && in.Order.Revision < next.OrderRevision:
+	case in.State != nil && in.Order.Revision.Before(next.Order()):
 		return next, false // this instance hasn't read the order of the state yet
-	case in.State == nil || next.Target != in.Order.Target, !running && next.OrderRevision != in.Order.Revision:
+	case in.State == nil || next.Target != in.Order.Target, !running && next.Order() != in.Order.Revision:
 		return started(in), true
 	case !running:
 		return next, false
 	}
-	if next.OrderRevision != in.Order.Revision {
+	if next.Order() != in.Order.Revision {
 		return repeated(in), true
 	}
 	return progress(in, b)
@@ -51,7 +51,7 @@
 // Refresh returns the state with the present Elapsed, and whether it is to be written
 // although nothing was decided. The step stays.
 func Refresh(in Input) (next State, due bool) {
-	if in.State == nil || in.Order == nil || in.State.Phase != Running || in.State.OrderRevision != in.Order.Revision {
+	if in.State == nil || in.Order == nil || in.State.Phase != Running || in.State.Order() != in.Order.Revision {
 		return State{}, false
 	}
 	next = *in.State
@@ -63,7 +63,7 @@
 // before, and that of a rollout that the order replaces.
 func started(in Input) State {
 	o := in.Order
-	next := State{Service: o.Service, Target: o.Target, OrderRevision: o.Revision, Step: 1, Phase: Running}
+	next := State{Service: o.Service, Target: o.Target, Step: 1, Phase: Running}.WithOrder(o.Revision)
 	next.Elapsed, next.Duration, next.ShareSince = in.Elapsed, o.Duration, in.Elapsed
 	next.Reason = "ordered"
 	if prev := in.State; prev != nil {
@@ -90,9 +90,8 @@
 // repeated returns the state with the deadline of a repeated order. The times in it are
 // counted from the new order.
 func repeated(in Input) State {
-	next := *in.State
+	next := in.State.WithOrder(in.Order.Revision)
 	next.Step++
-	next.OrderRevision = in.Order.Revision
 	ran := next.Elapsed
 	next.Before += ran
 	next.ShareSince -= ran
--- a/router/rollout/decide_test.go
+++ b/router/rollout/decide_test.go
@@ -6,12 +6,13 @@
 	"testing"
 	"time"
 
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/rollout"
 	"github.com/matryer/is"
 )
 
 func order(target string, revision int64) *rollout.Order {
-	return &rollout.Order{Service: "s", Target: target, Duration: 12 * time.Second, Revision: revision}
+	return &rollout.Order{Service: "s", Target: target, Duration: 12 * time.Second, Revision: era.New(0, revision)}
 }
 
 // running is the state of a rollout to v2 at a share.
--- a/router/rollout/evidence_test.go
+++ b/router/rollout/evidence_test.go
@@ -87,7 +87,7 @@
 	r.Ended("s", time.Second)
 	is.Equal(r.Evidence("s"), nil)
 	is.Equal(r.CallTime("s"), time.Duration(0))
-	r.Track("s", "v2", 1)
+	r.Track("s", "v2")
 	var workers sync.WaitGroup
 	for range 4 {
 		workers.Go(func() {
@@ -100,14 +100,14 @@
 		})
 	}
 	workers.Wait()
-	r.Track("s", "v2", 2) // a repeated order
+	r.Track("s", "v2") // a repeated order
 	e := r.Evidence("s")
 	is.Equal(len(e), 2)
 	is.Equal(e["a"].Baseline.Answers, int64(400))
 	is.Equal(e["a"].Baseline.Failures, int64(0))
 	is.Equal(e["b"].Candidate.Failures, int64(400))
 	is.True(r.CallTime("s") >= time.Second && r.CallTime("s") < 1200*time.Millisecond)
-	r.Track("s", "v3", 3)
+	r.Track("s", "v3")
 	is.Equal(len(r.Evidence("s")), 0) // another target
 	r.Forget("s")
 	is.Equal(r.Evidence("s"), nil)
@@ -117,7 +117,7 @@
 func TestRecorderBoundsRoutes(t *testing.T) {
 	is := is.New(t)
 	r := rollout.NewRecorder()
-	r.Track("s", "v2", 1)
+	r.Track("s", "v2")
 	for i := range 1000 {
 		r.Answered("s", "v2", time.Duration(i).String(), false, time.Millisecond)
 	}
@@ -132,7 +132,7 @@
 	r := rollout.NewRecorder()
 	count := func() { r.Answered("s", "v1", "a", false, time.Millisecond) }
 	is.Equal(testing.AllocsPerRun(100, count), 0.0)
-	r.Track("s", "v2", 1)
+	r.Track("s", "v2")
 	is.Equal(testing.AllocsPerRun(100, count), 0.0)
 }
 
--- a/router/rollout/model_test.go
+++ b/router/rollout/model_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/rollout"
 )
 
@@ -121,7 +122,7 @@
 		m.until = m.duration + 3*time.Second
 	}
 	m.recorder = rollout.NewRecorder()
-	m.recorder.Track("s", "v2", 1)
+	m.recorder.Track("s", "v2")
 	for i := range m.credits {
 		m.credits[i] = m.rng.Float64()
 	}
@@ -229,7 +230,7 @@
 
 // decide lets the decider decide by a report.
 func (m *model) decide(at time.Duration, r report) {
-	order := &rollout.Order{Service: "s", Target: "v2", Duration: m.duration, Revision: 1}
+	order := &rollout.Order{Service: "s", Target: "v2", Duration: m.duration, Revision: era.New(0, 1)}
 	if m.orderAt != nil {
 		order = m.orderAt(at)
 	}
--- a/router/rollout/record.go
+++ b/router/rollout/record.go
@@ -46,6 +46,7 @@
 		{"phase", slices.Contains(phases, st.Phase)},
 		{"step", st.Step > 0},
 		{"orderRevision", st.OrderRevision >= 0},
+		{"orderEra", st.OrderEra >= 0},
 		{"share", st.Share >= 0 && st.Share <= 1},
 		{"runners", st.Runners >= 0},
 		{"elapsed", st.Elapsed >= 0},
--- a/router/rollout/recorder.go
+++ b/router/rollout/recorder.go
@@ -22,7 +22,7 @@
 	// Track starts to count answers of a service, those of target as the candidate's and
 	// those of all other versions as the baseline's. If target is tracked already, as
 	// after a repeated order, the counts go on.
-	Track(service, target string, orderRevision int64)
+	Track(service, target string)
 	// Forget stops to count and drops the counts.
 	Forget(service string)
 	// Answered counts an answer of a runner with the given version.
@@ -64,7 +64,7 @@
 
 type histogram [buckets]atomic.Int64
 
-func (r *recorder) Track(service, target string, _ int64) {
+func (r *recorder) Track(service, target string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.service(service)
--- a/router/rollout/rollout.go
+++ b/router/rollout/rollout.go
@@ -2,7 +2,11 @@
 // version, by what the runners of both versions answer. It does no I/O.
 package rollout
 
-import "time"
+import (
+	"time"
+
+	"cicadawell.dev/router/era"
+)
 
 // Phase is the progress of a rollout.
 type Phase string
@@ -21,7 +25,7 @@
 	Target   string        `json:"target"`
 	Duration time.Duration `json:"duration"`
 	// Revision is the store's revision of the order. A repeated order has another one.
-	Revision int64 `json:"revision"`
+	Revision era.Revision `json:"-"`
 	// SeenAt is when this instance read the order.
 	SeenAt time.Time `json:"-"`
 }
@@ -30,8 +34,10 @@
 type State struct {
 	Service string `json:"service"`
 	Target  string `json:"target"`
-	// OrderRevision is the revision of the order that the state belongs to.
+	// OrderRevision and OrderEra are the revision of the order that the state belongs to.
+	// The era is missing in what older builds write.
 	OrderRevision int64 `json:"orderRevision"`
+	OrderEra      int64 `json:"orderEra,omitempty"`
 	// Step increases with each decision on the service, also across orders. Of two
 	// states the one with the higher step is in force.
 	Step  int64 `json:"step"`
@@ -59,8 +65,25 @@
 	Barred []string `json:"barred,omitempty"`
 	Reason string   `json:"reason,omitempty"`
 	// Revision is the store's revision of the state, SeenAt when this instance read it.
-	Revision int64     `json:"-"`
-	SeenAt   time.Time `json:"-"`
+	Revision era.Revision `json:"-"`
+	SeenAt   time.Time    `json:"-"`
+}
+
+// Order returns the revision of the order that the state belongs to.
+func (st State) Order() era.Revision { return era.New(st.OrderEra, st.OrderRevision) }
+
+// WithOrder returns the state as one of the order with a revision.
+func (st State) WithOrder(r era.Revision) State {
+	st.OrderEra, st.OrderRevision = r.Era, r.Number
+	return st
+}
+
+// InEra returns the state with the era of its order, if it states none.
+func (st State) InEra(n int64) State {
+	if st.OrderEra == 0 {
+		st.OrderEra = n
+	}
+	return st
 }
 
 // Bounds are the limits that a rollout has to meet.
@@ -108,8 +131,10 @@
 
 // Report is what one instance knows of a rollout, cumulative since its order.
 type Report struct {
-	Service       string `json:"service"`
-	OrderRevision int64  `json:"orderRevision"`
+	Service string `json:"service"`
+	// OrderRevision and OrderEra are as in State.
+	OrderRevision int64 `json:"orderRevision"`
+	OrderEra      int64 `json:"orderEra,omitempty"`
 	// Step is the step that the instance applies.
 	Step     int64    `json:"step"`
 	Evidence Evidence `json:"evidence"`
--- a/router/shard/layout_test.go
+++ b/router/shard/layout_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/rollout"
 	"cicadawell.dev/router/routing"
@@ -21,7 +22,7 @@
 func (f fleet) snapshot(t testing.TB) *inventory.Snapshot {
 	t.Helper()
 	cfg := routing.Config{Version: 1}
-	s := &inventory.Snapshot{Revision: 1, Runners: make(map[string]*inventory.Runner), ZonesOut: make(map[string]bool)}
+	s := &inventory.Snapshot{Revision: era.New(0, 1), Runners: make(map[string]*inventory.Runner), ZonesOut: make(map[string]bool)}
 	for service, zones := range f {
 		svc := routing.Service{Name: service, Batches: &routing.Batches{MaxPieces: 8}}
 		if service == "engines" {
--- a/router/stage/pool_test.go
+++ b/router/stage/pool_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cicadawell.dev/fleet/clock"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/policy"
 	"cicadawell.dev/router/routing"
@@ -67,7 +68,7 @@
 	r.Draining = true
 	s.Runners = maps.Clone(s.Runners)
 	s.Runners[id] = &r
-	s.Revision++
+	s.Revision.Number++
 	current.Advance(&s)
 }
 
@@ -151,7 +152,7 @@
 		Slots: 1, Queue: 2, MaxPieces: 8, CallTime: 150 * time.Millisecond, PieceTime: 10 * time.Millisecond, ResultRoom: 1 << 30, KeepFor: 4 * time.Second,
 	}}}})
 	is.New(t).NoErr(err)
-	s := &inventory.Snapshot{Table: table, Runners: map[string]*inventory.Runner{}, Revision: 1}
+	s := &inventory.Snapshot{Table: table, Runners: map[string]*inventory.Runner{}, Revision: era.New(0, 1)}
 	for i := range runners {
 		id := fmt.Sprint("r", i)
 		s.Runners[id] = &inventory.Runner{ID: id, Service: testService, Zone: "z", Version: b.versions[id], Slots: 1}
--- a/router/stage/rollout_test.go
+++ b/router/stage/rollout_test.go
@@ -105,7 +105,7 @@
 			w := testPools(t, b, 1)
 			s := *b.current.Load()
 			s.Runners = map[string]*inventory.Runner{"r0": {ID: "r0", Service: testService, Zone: "z", Slots: 1, Cold: time.Hour, SeenAt: clock.System().Now()}}
-			s.Revision++
+			s.Revision.Number++
 			b.current.Advance(&s)
 			is.Equal(countMade(w.Make(t.Context(), testOrder("c", 3, time.Second, 2*time.Second))), 3)
 			w.Close(t.Context())
--- a/router/stage/shared_test.go
+++ b/router/stage/shared_test.go
@@ -14,6 +14,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/fault"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/owner"
@@ -86,7 +87,7 @@
 	peer := newPipeMesh()
 	p.mesh.peer = peer
 	current := inventory.NewCurrent(clock.System())
-	current.Advance(&inventory.Snapshot{Revision: 1, Instances: map[string]inventory.Instance{"other": {Name: "other"}}})
+	current.Advance(&inventory.Snapshot{Revision: era.New(0, 1), Instances: map[string]inventory.Instance{"other": {Name: "other"}}})
 	selfPools, otherPools := testPools(t, p.selfRunners, 2), testPools(t, p.otherRunners, 2)
 	newFinder := func() owner.Finder { return owner.NewFinder(clock.System(), current) }
 	p.self = NewShared(clock.System(), "self", newFinder(), p.mesh, selfPools, hclog.NewNullLogger())
@@ -186,7 +187,7 @@
 			r.Zone = "y"
 			s.Runners[id] = &r
 		}
-		s.Revision++
+		s.Revision.Number++
 		b.current.Advance(&s)
 		begin := clock.System().Now()
 		var group sync.WaitGroup
--- a/router/target/limit_test.go
+++ b/router/target/limit_test.go
@@ -6,6 +6,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/random"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/routing"
 	"cicadawell.dev/router/target"
@@ -28,8 +29,8 @@
 	f := &limitedFleet{clk: clock.NewManual(origin), count: n}
 	table, err := routing.NewTable(routing.Config{Version: 1, Services: []routing.Service{{Name: "s"}}})
 	is.New(t).NoErr(err)
-	f.runner = &inventory.Runner{ID: "r", Born: 1, Service: "s", Zone: "z", Address: "a", Revision: 1}
-	f.snapshot = inventory.Snapshot{Table: table, Revision: 1, Runners: map[string]*inventory.Runner{"r": f.runner}}
+	f.runner = &inventory.Runner{ID: "r", Born: 1, Service: "s", Zone: "z", Address: "a", Revision: era.New(0, 1)}
+	f.snapshot = inventory.Snapshot{Table: table, Revision: era.New(0, 1), Runners: map[string]*inventory.Runner{"r": f.runner}}
 	for i := range n {
 		set := target.NewSet(f.clk, twoPerSecond, describeLag, target.WithRandom(random.NewSeeded(seed+uint64(i))),
 			target.WithInstances(func() (int, bool) { return f.count, f.count > 0 }))
@@ -102,7 +103,7 @@
 	set.Observe(f.runner, target.Notice{Unlimited: true})
 	is.True(set.Limited(f.runner))
 	// The description expires in an outage of the store and comes back.
-	set.Update(&inventory.Snapshot{Table: f.snapshot.Table, Revision: 2})
+	set.Update(&inventory.Snapshot{Table: f.snapshot.Table, Revision: era.New(0, 2)})
 	set.Update(&f.snapshot)
 	is.True(set.Limited(f.runner))
 	is.Equal(f.admitAll(), 0)
@@ -115,8 +116,8 @@
 	// A new incarnation begins without a limit.
 	set.Observe(f.runner, target.Notice{Limit: 1})
 	reborn := *f.runner
-	reborn.Born, reborn.Revision = 2, 3
-	set.Update(&inventory.Snapshot{Table: f.snapshot.Table, Revision: 3, Runners: map[string]*inventory.Runner{"r": &reborn}})
+	reborn.Born, reborn.Revision = 2, era.New(0, 3)
+	set.Update(&inventory.Snapshot{Table: f.snapshot.Table, Revision: era.New(0, 3), Runners: map[string]*inventory.Runner{"r": &reborn}})
 	is.True(!set.Limited(&reborn))
 }
 
--- a/router/target/rollout.go
+++ b/router/target/rollout.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync/atomic"
 
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/rollout"
 	"cicadawell.dev/router/shard"
@@ -24,7 +25,7 @@
 	heldTarget string
 	// revision is the highest revision of an order that is known, by itself or from a
 	// decision, and target the version that it is for.
-	revision int64
+	revision era.Revision
 	target   string
 	// noContact is set while there is no contact with the decider or with the store.
 	noContact bool
@@ -45,7 +46,7 @@
 	}
 	for service, o := range next.RolloutOrders {
 		r := s.rolloutOf(service)
-		if o.Revision > r.order.Revision {
+		if o.Revision.After(r.order.Revision) {
 			r.order, r.heldTarget = o, ""
 			if r.holds(old, next, o) {
 				r.heldTarget = o.Target
@@ -64,7 +65,7 @@
 // decision on the order. It does get calls if its rollout is running already, or if it
 // is the only version that does, by runners that were there before the order.
 func (r *serviceRollout) holds(old *view, next *inventory.Snapshot, o rollout.Order) bool {
-	if r.state.OrderRevision >= o.Revision || (r.state.Phase == rollout.Running && r.state.Target == o.Target) {
+	if !r.state.Order().Before(o.Revision) || (r.state.Phase == rollout.Running && r.state.Target == o.Target) {
 		return false
 	}
 	p, before := r.plan(), false
@@ -76,7 +77,7 @@
 			return true
 		}
 		known := old.all[runner.ID]
-		before = before || runner.Revision < o.Revision || (known != nil && incarnationOf(known.runner) == incarnationOf(runner))
+		before = before || runner.Revision.Before(o.Revision) || (known != nil && incarnationOf(known.runner) == incarnationOf(runner))
 	}
 	return !before
 }
@@ -93,8 +94,8 @@
 
 // noteOrder begins to count anew if an order is a new one. An order that is repeated
 // while its rollout runs continues it. The caller holds mu.
-func (s *set) noteOrder(r *serviceRollout, service string, revision int64, target string) {
-	if revision <= r.revision {
+func (s *set) noteOrder(r *serviceRollout, service string, revision era.Revision, target string) {
+	if !revision.After(r.revision) {
 		return
 	}
 	continued := r.state.Phase == rollout.Running && r.target == target
@@ -121,9 +122,9 @@
 	if st.Step <= r.state.Step && !rolledBack {
 		return false
 	}
-	s.noteOrder(r, st.Service, st.OrderRevision, st.Target)
+	s.noteOrder(r, st.Service, st.Order(), st.Target)
 	r.state = st
-	if st.OrderRevision >= r.order.Revision {
+	if !st.Order().Before(r.order.Revision) {
 		r.heldTarget = ""
 	}
 	s.log.Info("rollout decision applied", "service", st.Service, "target", st.Target, "step", st.Step, "phase", st.Phase, "share", st.Share,
--- a/router/target/rollout_test.go
+++ b/router/target/rollout_test.go
@@ -11,6 +11,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/random"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/rollout"
 	"cicadawell.dev/router/shard"
@@ -35,12 +36,12 @@
 func (w *fixture) describe(prefix, version string, n int) {
 	for i := range n {
 		id := fmt.Sprint(prefix, i)
-		w.snapshot.Runners[id] = &inventory.Runner{ID: id, Service: "s", Zone: "z", Version: version, Slots: 1, Revision: 1}
+		w.snapshot.Runners[id] = &inventory.Runner{ID: id, Service: "s", Zone: "z", Version: version, Slots: 1, Revision: era.New(0, 1)}
 	}
 }
 
 func (w *fixture) order(target string, revision int64) {
-	w.snapshot.RolloutOrders = map[string]rollout.Order{"s": {Service: "s", Target: target, Duration: 12 * time.Second, Revision: revision}}
+	w.snapshot.RolloutOrders = map[string]rollout.Order{"s": {Service: "s", Target: target, Duration: 12 * time.Second, Revision: era.New(0, revision)}}
 	w.update()
 }
 
@@ -181,7 +182,7 @@
 		w := newRolloutFixture(t, 0, 0)
 		w.order("v2", 5)
 		w.describe("b", "v2", 2)
-		w.snapshot.Runners["b0"].Revision, w.snapshot.Runners["b1"].Revision = 6, 7
+		w.snapshot.Runners["b0"].Revision, w.snapshot.Runners["b1"].Revision = era.New(0, 6), era.New(0, 7)
 		w.update()
 		is.Equal(len(w.versions()), 0)
 	})
@@ -498,7 +499,7 @@
 	is := is.New(t)
 	w := newRolloutFixture(t, 2, 0)
 	old := w.set.Find("a0")
-	w.snapshot.Runners["a0"] = &inventory.Runner{ID: "a0", Service: "s", Zone: "z", Version: "v2", Slots: 1, Revision: 2}
+	w.snapshot.Runners["a0"] = &inventory.Runner{ID: "a0", Service: "s", Zone: "z", Version: "v2", Slots: 1, Revision: era.New(0, 2)}
 	w.update()
 	is.True(w.set.Find("a0") != old)
 	defer w.set.Find("a0").Begin(false)()
@@ -614,7 +615,7 @@
 		rt.Repeat(map[string]func(*rapid.T){
 			"describe": func(rt *rapid.T) {
 				id := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"}).Draw(rt, "id")
-				w.snapshot.Runners[id] = &inventory.Runner{ID: id, Service: "s", Zone: "z", Version: versions.Draw(rt, "version"), Slots: 1, Revision: 1, Draining: rapid.IntRange(0, 5).Draw(rt, "draining") == 0}
+				w.snapshot.Runners[id] = &inventory.Runner{ID: id, Service: "s", Zone: "z", Version: versions.Draw(rt, "version"), Slots: 1, Revision: era.New(0, 1), Draining: rapid.IntRange(0, 5).Draw(rt, "draining") == 0}
 				w.update()
 			},
 			"remove": func(rt *rapid.T) {
@@ -634,7 +635,7 @@
 				w.snapshot.Rollouts = nil
 			},
 			"order": func(rt *rapid.T) {
-				m.order = rollout.Order{Service: "s", Target: versions.Draw(rt, "target"), Revision: rapid.Int64Range(1, 6).Draw(rt, "revision")}
+				m.order = rollout.Order{Service: "s", Target: versions.Draw(rt, "target"), Revision: era.New(0, rapid.Int64Range(1, 6).Draw(rt, "revision"))}
 				m.allowance++
 				w.snapshot.RolloutOrders = map[string]rollout.Order{"s": m.order}
 				w.update()
--- a/router/target/set_test.go
+++ b/router/target/set_test.go
@@ -7,6 +7,7 @@
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/property"
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 	"cicadawell.dev/router/routing"
 	"cicadawell.dev/router/target"
@@ -103,13 +104,13 @@
 		"said so":         func(*fixture) {},
 		"connection lost": func(w *fixture) { w.set.Find("a").ConnectionFailed(w.clk.Now()) },
 		"zone taken back": func(w *fixture) {
-			w.snapshot.ReturnedZones = map[string]inventory.ZoneReturn{"z": {Revision: 9, SeenAt: w.clk.Now()}}
+			w.snapshot.ReturnedZones = map[string]inventory.ZoneReturn{"z": {Revision: era.New(0, 9), SeenAt: w.clk.Now()}}
 			w.update()
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			r := inventory.Runner{ID: "a", Zone: "z", Revision: 1, SeenAt: origin}
+			r := inventory.Runner{ID: "a", Zone: "z", Revision: era.New(0, 1), SeenAt: origin}
 			if name == "said so" {
 				r.Cold = describeLag
 			}
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/inventory"
 )
 
@@ -27,7 +28,7 @@
 	// connection failed, and suspectSince the time of the failure. The runner may
 	// have restarted, so it counts as cold until it has had the time to publish a
 	// new description.
-	suspectRevision int64
+	suspectRevision era.Revision
 	suspectSince    time.Time
 	// pausedUntil is until when the runner takes no calls of this instance.
 	pausedUntil time.Time
@@ -124,6 +125,6 @@
 func (t *Target) coldAt(now time.Time, back inventory.ZoneReturn, lag time.Duration) bool {
 	r := t.runner
 	return r.ColdAt(now) ||
-		(t.suspectRevision >= r.Revision && now.Before(t.suspectSince.Add(lag))) ||
-		(back.Revision > r.Revision && now.Before(back.SeenAt.Add(lag)))
+		(!t.suspectRevision.Before(r.Revision) && now.Before(t.suspectSince.Add(lag))) ||
+		(back.Revision.After(r.Revision) && now.Before(back.SeenAt.Add(lag)))
 }
