Take the list of a store that came back from a copy

Cause: lists were ordered by their revision alone. After a drill the store's revisions are below the known ones, so that each list counted as older than what another instance had told, and was dropped until the store had counted up again. Instances that follow others dropped their changes for the same reason.

Evidence: TestZoneEvacuatedAfterStoreCameBackGetsNoCalls, red before (the condition did not become true in 10 s, 5 s are allowed), green with it. Its log has 'list is older than what another instance told, reading again' at each poll.

Change: the client states the era of each revision. What an instance passes on carries the era, its history starts anew with it, and a lead in another era is left until it has caught up. Messages to older builds have the same fields as before, with the era beside them (TestRevisionsAreSentAsOlderBuildsReadThem).

--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -25,7 +25,7 @@
 	// the other snapshot is older.
 	AdoptSnapshot(from string, s *Snapshot, freshness Freshness)
 	// AdoptChanges applies the changes that another instance received up to a
-	// revision. In a grace period, removals of runners are held back. The
+	// revision, if it is of the same era as the view. In a grace period, removals of runners are held back. The
 	// confirmation time is updated unless the revision is older than the snapshot.
 	AdoptChanges(from string, changes []Change, revision era.Revision, freshness Freshness)
 	// View returns this instance's view, and how current and how reliable it is.
@@ -312,13 +312,19 @@
 func (f *follower) applyAnswer(start time.Time, changes []Change, revision era.Revision, all bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.clk.Now()
+	now, old := f.clk.Now(), f.current.Load()
+	if revision.Era < old.Revision.Era {
+		f.log.Info("answer of an earlier era ignored", "era", revision.Era, "known", old.Revision.Era)
+		return
+	}
 	if !f.failingSince.IsZero() {
 		f.log.Info("store regained", "awayMillis", now.Sub(f.failingSince).Milliseconds(), "revision", revision.Number)
 		f.failingSince = time.Time{}
 	}
 	f.noteAnswer(now, now)
-	old := f.current.Load()
+	if revision.Era > old.Revision.Era {
+		f.noteEra(old, revision)
+	}
 	switch {
 	case all && revision.Before(old.Revision):
 		f.log.Info("list is older than what another instance told, reading again", "revision", revision.Number, "known", old.Revision.Number)
@@ -336,6 +342,16 @@
 	f.current.Confirm(start)
 }
 
+// noteEra records that the store came back from a copy. Marks of other instances are for
+// changes that the copy may lack. The caller holds mu.
+func (f *follower) noteEra(old *Snapshot, revision era.Revision) {
+	f.history.restart()
+	if old.Revision.Stored() {
+		f.log.Warn("store came back from a copy", "era", revision.Era, "revision", revision.Number, "was", old.Revision.Era, "known", old.Revision.Number,
+			"viewMillis", f.current.Age().Milliseconds())
+	}
+}
+
 // advance logs and applies changes. The caller holds mu.
 func (f *follower) advance(old *Snapshot, changes []Change, revision era.Revision) {
 	f.logChanges(old, changes)
@@ -513,9 +529,13 @@
 func (f *follower) AdoptSnapshot(from string, s *Snapshot, freshness Freshness) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.clk.Now()
+	now, old := f.clk.Now(), f.current.Load()
+	if s.Revision.Era < old.Revision.Era {
+		f.log.Debug("snapshot of an earlier era ignored", "instance", from, "era", s.Revision.Era, "known", old.Revision.Era)
+		return
+	}
 	f.useFreshness(from, freshness, now)
-	old := f.current.Load()
+	old = f.current.Load()
 	unknown := s.RolloutOrders == nil && s.Rollouts == nil
 	if unknown {
 		// An older build knows no rollouts, which says nothing about them.
@@ -529,6 +549,9 @@
 		s = &kept
 	}
 	if s.Revision.After(old.Revision) {
+		if s.Revision.Era > old.Revision.Era {
+			f.noteEra(old, s.Revision)
+		}
 		next := s.with(s.removalChanges(), s.Revision)
 		if f.outages.inGrace(now) {
 			next = s.keepRunners(old)
@@ -548,9 +571,14 @@
 func (f *follower) AdoptChanges(from string, changes []Change, revision era.Revision, freshness Freshness) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.clk.Now()
+	now, old := f.clk.Now(), f.current.Load()
+	if revision.Era != old.Revision.Era {
+		// The changes don't continue this instance's view.
+		f.log.Debug("changes of another era ignored", "instance", from, "era", revision.Era, "known", old.Revision.Era)
+		return
+	}
 	f.useFreshness(from, freshness, now)
-	old := f.current.Load()
+	old = f.current.Load()
 	changes = slices.DeleteFunc(changes, func(c Change) bool {
 		// An older removal is safe to apply, since it is compared with the
 		// revision of the runner itself.
--- a/router/inventory/lead.go
+++ b/router/inventory/lead.go
@@ -194,6 +194,11 @@
 		e.mark = mark{}
 		return false
 	}
+	if known := e.current.Load().Revision.Era; resp.Era < known || resp.Complete && resp.Era > known {
+		e.log.Debug("instance that reads the store for others is in another era", "instance", lead, "era", resp.Era, "known", known)
+		e.mark = mark{}
+		return false
+	}
 	if err := e.adopt(lead, resp, own, start); err != nil {
 		e.log.Warn("invalid answer from another instance", "instance", lead, "error", err)
 		e.mark = mark{}
