--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -229,6 +229,8 @@
 		changed, err := f.poll(ctx)
 		pause := time.Duration(0)
 		switch {
+		case fault.Is(err, fault.HistoryGone):
+			pause, backoff = minBackoff, minBackoff // the store answers
 		case err != nil:
 			pause = backoff
 			backoff = min(2*backoff, maxBackoff)
@@ -286,6 +288,7 @@
 	defer cancel()
 	changes, revision, err := f.source.Changes(ctx, f.current.Load().Revision, 0)
 	if err != nil {
+		f.noteLostHistory(err)
 		return err
 	}
 	f.applyAnswer(start, changes, revision, false)
@@ -294,19 +297,30 @@
 
 // noteFailure records that a call failed.
 func (f *follower) noteFailure(start time.Time, err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if fault.Is(err, fault.HistoryGone) {
-		f.relist = true
-		f.log.Info("history lost, reading everything again", "revision", f.current.Load().Revision.Number, "error", err)
+	if f.noteLostHistory(err) {
 		return
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.failingSince.IsZero() {
 		f.failingSince = start
 		f.log.Warn("store lost", "revision", f.current.Load().Revision.Number, "afterMillis", f.clk.Now().Sub(start).Milliseconds(), "error", err)
 	}
 }
 
+// noteLostHistory has the next call list all items if an error says that changes don't
+// continue the view, and reports whether it does.
+func (f *follower) noteLostHistory(err error) bool {
+	if !fault.Is(err, fault.HistoryGone) {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relist = true
+	f.log.Info("history lost, reading everything again", "revision", f.current.Load().Revision.Number, "error", err)
+	return true
+}
+
 // applyAnswer applies the answer to a call made at start. If all is set, the
 // changes are a complete list.
 func (f *follower) applyAnswer(start time.Time, changes []Change, revision era.Revision, all bool) {
