Carry what a copy of the store lacks into its era

Callers would see: an evacuated zone that gets work again, a deadly prompt part that reaches engines again, a rollout that ends as 'the order was withdrawn', and runners and instances that live and count as gone, each until it is written again.

Cause: the list of a later era was taken like any other, and what it lacks counted as removed. What was written since the copy is missing from it without having been taken back.

Change: what was known is carried into the new era with a revision that each change of the era follows. Runners are dropped after 2.5 s, registrations after 6 s, all else after 30 s, unless the store has shown them. Of a runner the later description counts, of the configuration the later version. Owners write carried quarantines again. An instance that starts after the return learns from others what they carry. A store that stays in one era costs no more calls; messages grow by the era, some ten bytes.

--- /dev/null
+++ b/router/inventory/carried.go
@@ -0,0 +1,222 @@
+package inventory
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"cicadawell.dev/router/era"
+	"cicadawell.dev/router/rollout"
+)
+
+// A store that comes back from a copy lacks what was written since. Those who wrote it write
+// it again, which takes them a moment. What was known until then is carried into the new
+// era, with a revision that any change of the era follows: a zone stays out, a quarantine
+// stays in force. What the store hasn't shown after a period is dropped.
+const (
+	// carryRunnersFor is the time in which runners describe themselves again, and that of a
+	// read.
+	carryRunnersFor = maxRemovalGrace + 500*time.Millisecond
+	// carryInstancesFor is the time in which instances register again: a lease with its
+	// renewal.
+	carryInstancesFor = 6 * time.Second
+	// carryFor is the period for what operators order, and for what instances write under a
+	// lease or after a failure. An order that is carried too long does less harm than one
+	// that is dropped while it is in force.
+	carryFor = 30 * time.Second
+)
+
+// newerThan reports whether the description is a later one than another of the same
+// identifier, as far as runners tell.
+func (r *Runner) newerThan(other *Runner) bool {
+	return r.Born != 0 && other.Born != 0 && (r.Born > other.Born || r.supersedes(other))
+}
+
+// enter returns the first snapshot of an era: s, which is what the store holds, and what
+// only old has. The era has been known since a time.
+func (s *Snapshot) enter(old *Snapshot, since time.Time) *Snapshot {
+	next := s.with(nil, s.Revision)
+	next.EraSince = since
+	for id, r := range old.Runners {
+		listed := next.Runners[id]
+		if listed != nil && !r.newerThan(listed) {
+			continue
+		}
+		carried := *r
+		carried.Revision = era.CarriedInto(s.Revision.Era)
+		if listed != nil {
+			carried.Revision = listed.Revision
+		}
+		next.Runners[id] = &carried
+	}
+	for zone, back := range old.ReturnedZones {
+		if _, known := next.ReturnedZones[zone]; !known && !next.ZonesOut[zone] {
+			next.ReturnedZones[zone] = ZoneReturn{Revision: s.Revision, SeenAt: back.SeenAt}
+		}
+	}
+	next.carry(old, func(era.Revision) bool { return true })
+	return next
+}
+
+// carry adds what another snapshot has of an earlier era and s lacks, except for runners.
+// Of the items with a revision, only those whose revision is accepted are added.
+func (s *Snapshot) carry(other *Snapshot, accept func(era.Revision) bool) {
+	carried := era.CarriedInto(s.Revision.Era)
+	if other.Table != nil && (s.Table == nil || other.Table.Version() > s.Table.Version()) {
+		s.Table = other.Table
+	}
+	for zone := range other.ZonesOut {
+		if !s.ZonesOut[zone] && (other.CarriedZones[zone] || other.Revision.Before(carried)) {
+			s.ZonesOut[zone], s.CarriedZones[zone] = true, true
+		}
+	}
+	carryItems(s.Instances, other.Instances, accept, func(i Instance) (Instance, era.Revision) {
+		known := i.Revision
+		i.Revision = carried
+		return i, known
+	})
+	carryItems(s.Quarantines, other.Quarantines, accept, func(q *Quarantine) (*Quarantine, era.Revision) {
+		kept := *q
+		kept.Revision = carried
+		return &kept, q.Revision
+	})
+	carryItems(s.RolloutOrders, other.RolloutOrders, accept, func(o rollout.Order) (rollout.Order, era.Revision) {
+		known := o.Revision
+		o.Revision = carried
+		return o, known
+	})
+	carryItems(s.Rollouts, other.Rollouts, accept, func(st rollout.State) (rollout.State, era.Revision) {
+		known := st.Revision
+		st.Revision = carried
+		return st, known
+	})
+	for service, o := range other.RolloutOrders {
+		if known := s.RolloutOrders[service]; known.SameAs(o) {
+			known.SeenAt = o.SeenAt
+			s.RolloutOrders[service] = known
+		}
+	}
+}
+
+// carryItems adds the items that only from has, if their revisions are accepted. Of an item,
+// carried returns what is added and its revision so far.
+func carryItems[T any](to, from map[string]T, accept func(era.Revision) bool, carried func(T) (T, era.Revision)) {
+	for key, item := range from {
+		if _, known := to[key]; known {
+			continue
+		}
+		if kept, revision := carried(item); accept(revision) {
+			to[key] = kept
+		}
+	}
+}
+
+// carrying reports whether items of an earlier era may still be carried at a time.
+func (s *Snapshot) carrying(now time.Time) bool {
+	return !s.EraSince.IsZero() && now.Sub(s.EraSince) < carryFor
+}
+
+// merge returns the snapshot with what another one of the same era carries and s lacks, or s
+// itself if that is nothing.
+func (s *Snapshot) merge(other *Snapshot, now time.Time) *Snapshot {
+	if !other.carrying(now) {
+		return s
+	}
+	next := s.with(nil, s.Revision)
+	if next.EraSince.IsZero() || other.EraSince.Before(next.EraSince) {
+		next.EraSince = other.EraSince
+	}
+	next.carry(other, era.Revision.Carried)
+	later := false
+	for id, r := range other.Runners {
+		switch known := next.Runners[id]; {
+		case known == nil && r.Revision.Carried():
+			next.Runners[id] = r
+		case known != nil && known.Revision == r.Revision && r.newerThan(known):
+			next.Runners[id], later = r, true
+		}
+	}
+	next = next.with(next.expired(now), next.Revision)
+	if !later && next.items() == s.items() && next.Table == s.Table {
+		return s
+	}
+	return next
+}
+
+// items returns the number of items that may be carried.
+func (s *Snapshot) items() int {
+	return len(s.Runners) + len(s.ZonesOut) + len(s.Instances) + len(s.Quarantines) + len(s.RolloutOrders) + len(s.Rollouts)
+}
+
+// expired returns the ends of the carried items whose period is over.
+func (s *Snapshot) expired(now time.Time) []Change {
+	if s.EraSince.IsZero() {
+		return nil
+	}
+	var out []Change
+	end := func(after time.Duration, names []string, ended func(name string) Change) {
+		if now.Sub(s.EraSince) < after {
+			return
+		}
+		for _, name := range names {
+			c := ended(name)
+			c.Revision = s.Revision
+			out = append(out, c)
+		}
+	}
+	end(carryRunnersFor, carriedNames(s.Runners, func(r *Runner) era.Revision { return r.Revision }), func(id string) Change { return Change{RemovedRunner: id} })
+	end(carryInstancesFor, carriedNames(s.Instances, func(i Instance) era.Revision { return i.Revision }), func(name string) Change { return Change{RemovedInstance: name} })
+	end(carryFor, slices.Sorted(maps.Keys(s.CarriedZones)), func(zone string) Change { return Change{ReturnedZone: zone, SeenAt: now} })
+	end(carryFor, carriedNames(s.Quarantines, func(q *Quarantine) era.Revision { return q.Revision }), func(id string) Change { return Change{EndedQuarantine: id} })
+	end(carryFor, carriedNames(s.RolloutOrders, func(o rollout.Order) era.Revision { return o.Revision }), func(service string) Change { return Change{WithdrawnRollout: service} })
+	end(carryFor, carriedNames(s.Rollouts, func(st rollout.State) era.Revision { return st.Revision }), func(service string) Change { return Change{EndedRollout: service} })
+	return out
+}
+
+// carriedNames returns the keys of the items that are carried.
+func carriedNames[T any](items map[string]T, revision func(T) era.Revision) []string {
+	var out []string
+	for name, item := range items {
+		if revision(item).Carried() {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// dropExpired drops the carried items whose period is over. The caller holds mu.
+func (f *follower) dropExpired(now time.Time) {
+	old := f.current.Load()
+	if old.EraSince.IsZero() {
+		return
+	}
+	ends := old.expired(now)
+	if over := !old.carrying(now); len(ends) > 0 || over {
+		f.logChanges(old, ends)
+		next := old.with(ends, old.Revision)
+		if over {
+			next.EraSince = time.Time{}
+		}
+		f.current.Advance(next)
+	}
+}
+
+// enterEra replaces the view by what the store holds in a later era. Marks of other
+// instances are for changes that the store may lack, so that they get a snapshot. The caller
+// holds mu.
+func (f *follower) enterEra(old, listed *Snapshot, now time.Time) {
+	next := listed
+	if old.Revision.Stored() {
+		since := now
+		if !listed.EraSince.IsZero() {
+			since = listed.EraSince
+		}
+		next = listed.enter(old, since)
+		f.log.Warn("store came back from a copy", "era", next.Revision.Era, "revision", next.Revision.Number, "was", old.Revision.Era, "known", old.Revision.Number,
+			"viewMillis", f.current.Age().Milliseconds(), "runners", len(listed.Runners), "runnersCarried", len(next.Runners)-len(listed.Runners),
+			"zonesCarried", len(next.CarriedZones), "instancesCarried", len(next.Instances)-len(listed.Instances),
+			"quarantinesCarried", len(next.Quarantines)-len(listed.Quarantines), "ordersCarried", len(next.RolloutOrders)-len(listed.RolloutOrders))
+	}
+	f.history.restart()
+	f.current.Advance(next)
+}
--- a/router/inventory/change.go
+++ b/router/inventory/change.go
@@ -66,9 +66,9 @@
 func (s *Snapshot) with(changes []Change, revision era.Revision) *Snapshot {
 	next := &Snapshot{
 		Table: s.Table, Revision: era.Max(s.Revision, revision),
-		Runners: clone(s.Runners), ZonesOut: clone(s.ZonesOut), ReturnedZones: clone(s.ReturnedZones), Instances: clone(s.Instances),
+		Runners: clone(s.Runners), ZonesOut: clone(s.ZonesOut), CarriedZones: clone(s.CarriedZones), ReturnedZones: clone(s.ReturnedZones), Instances: clone(s.Instances),
 		HeldRemovals: clone(s.HeldRemovals), Quarantines: clone(s.Quarantines),
-		RolloutOrders: clone(s.RolloutOrders), Rollouts: clone(s.Rollouts), Versions: clone(s.Versions),
+		RolloutOrders: clone(s.RolloutOrders), Rollouts: clone(s.Rollouts), Versions: clone(s.Versions), EraSince: s.EraSince,
 	}
 	for _, c := range changes {
 		next.apply(c)
@@ -95,8 +95,10 @@
 		s.applyRunnerRemoval(c)
 	case c.ZoneOut != "":
 		s.ZonesOut[c.ZoneOut] = true
+		delete(s.CarriedZones, c.ZoneOut)
 	case c.ReturnedZone != "":
 		delete(s.ZonesOut, c.ReturnedZone)
+		delete(s.CarriedZones, c.ReturnedZone)
 		s.ReturnedZones[c.ReturnedZone] = ZoneReturn{Revision: c.Revision, SeenAt: c.SeenAt}
 	case c.Instance != nil:
 		s.Instances[c.Instance.Name] = *c.Instance
@@ -128,8 +130,12 @@
 func (s *Snapshot) applyRollout(c Change) {
 	switch {
 	case c.RolloutOrder != nil:
-		if old := s.RolloutOrders[c.RolloutOrder.Service]; old.Revision.Before(c.RolloutOrder.Revision) {
-			s.RolloutOrders[c.RolloutOrder.Service] = *c.RolloutOrder
+		next := *c.RolloutOrder
+		if old := s.RolloutOrders[next.Service]; old.Revision.Before(next.Revision) {
+			if old.Revision.Carried() && next.SameAs(old) {
+				next.SeenAt = old.SeenAt // it was written again
+			}
+			s.RolloutOrders[next.Service] = next
 		}
 	case c.WithdrawnRollout != "":
 		delete(s.RolloutOrders, c.WithdrawnRollout)
--- a/router/inventory/exchange.go
+++ b/router/inventory/exchange.go
@@ -139,6 +139,9 @@
 	// Era is that of all revisions in the response. It is missing in the answers of older
 	// builds.
 	Era int64 `json:"era,omitempty"`
+	// EraMicros is for how long the era has been known, while items of an earlier one are
+	// carried; zero otherwise.
+	EraMicros int64 `json:"eraMicros,omitempty"`
 	// Mark is the position after the changes or the snapshot, for the next
 	// request.
 	Mark mark `json:"mark,omitzero"`
@@ -147,12 +150,14 @@
 	Changes  []wireChange `json:"changes,omitempty"`
 	// Config or Patch is the configuration. Both are omitted if the requesting instance
 	// has that version.
-	Config    *routing.Config  `json:"config,omitempty"`
-	Patch     *routing.Patch   `json:"patch,omitempty"`
-	Runners   []wireRunner     `json:"runners,omitempty"`
-	ZonesOut  []string         `json:"zonesOut,omitempty"`
-	ZonesBack []wireZoneReturn `json:"zonesBack,omitempty"`
-	Instances []wireInstance   `json:"instances,omitempty"`
+	Config   *routing.Config `json:"config,omitempty"`
+	Patch    *routing.Patch  `json:"patch,omitempty"`
+	Runners  []wireRunner    `json:"runners,omitempty"`
+	ZonesOut []string        `json:"zonesOut,omitempty"`
+	// ZonesCarried has those of ZonesOut that are carried.
+	ZonesCarried []string         `json:"zonesCarried,omitempty"`
+	ZonesBack    []wireZoneReturn `json:"zonesBack,omitempty"`
+	Instances    []wireInstance   `json:"instances,omitempty"`
 	// Quarantines is missing in the answers of older builds.
 	Quarantines []wireQuarantine `json:"quarantines,omitempty"`
 	// HasRollouts is set if the changes, or RolloutOrders and Rollouts, include all
@@ -362,8 +367,12 @@
 func (e *exchange) snapshotResponse(s *Snapshot, freshness Freshness, req getRequest, now time.Time) getResponse {
 	resp := getResponse{
 		Revision: s.Revision.Number, Era: s.Revision.Era, ZonesOut: slices.Sorted(maps.Keys(s.ZonesOut)),
+		ZonesCarried: slices.Sorted(maps.Keys(s.CarriedZones)),
 	}
 	resp.setFreshness(freshness, now)
+	if !s.EraSince.IsZero() {
+		resp.EraMicros = max(1, now.Sub(s.EraSince).Microseconds())
+	}
 	resp.Config, resp.Patch = e.configFor(s.Table, req)
 	for zone, back := range s.ReturnedZones {
 		resp.ZonesBack = append(resp.ZonesBack, wireZoneReturn{Zone: zone, Revision: back.Revision.Number, AgoMicros: now.Sub(back.SeenAt).Microseconds()})
@@ -475,7 +484,7 @@
 func (resp getResponse) snapshot(table *routing.Table, now time.Time) (*Snapshot, error) {
 	s := &Snapshot{
 		Table: table, Revision: resp.at(resp.Revision), Runners: make(map[string]*Runner, len(resp.Runners)),
-		ZonesOut: make(map[string]bool), ReturnedZones: make(map[string]ZoneReturn), Instances: make(map[string]Instance),
+		ZonesOut: make(map[string]bool), CarriedZones: make(map[string]bool), ReturnedZones: make(map[string]ZoneReturn), Instances: make(map[string]Instance),
 		HeldRemovals: make(map[string]era.Revision), Quarantines: make(map[string]*Quarantine),
 	}
 	if t, err := newTable(table, resp.Config, resp.Patch); err != nil {
@@ -495,6 +504,12 @@
 	for _, z := range resp.ZonesOut {
 		s.ZonesOut[z] = true
 	}
+	for _, z := range resp.ZonesCarried {
+		s.CarriedZones[z] = true
+	}
+	if resp.EraMicros > 0 {
+		s.EraSince = now.Add(-micros(resp.EraMicros))
+	}
 	for _, i := range resp.Instances {
 		s.Instances[i.Name] = resp.instance(i)
 	}
@@ -507,15 +522,19 @@
 			s.Versions[v.Service] = resp.serviceVersions(v)
 		}
 	}
-	if !resp.HasRollouts {
-		return s, nil
+	if resp.HasRollouts {
+		s.RolloutOrders, s.Rollouts = resp.rollouts(now)
 	}
-	s.RolloutOrders, s.Rollouts = make(map[string]rollout.Order), make(map[string]rollout.State)
+	return s, nil
+}
+
+func (resp getResponse) rollouts(now time.Time) (map[string]rollout.Order, map[string]rollout.State) {
+	orders, states := make(map[string]rollout.Order), make(map[string]rollout.State)
 	for _, o := range resp.RolloutOrders {
-		s.RolloutOrders[o.Service] = resp.order(o, now)
+		orders[o.Service] = resp.order(o, now)
 	}
 	for _, st := range resp.Rollouts {
-		s.Rollouts[st.Service] = resp.state(st, now)
+		states[st.Service] = resp.state(st, now)
 	}
-	return s, nil
+	return orders, states
 }
--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -336,9 +336,17 @@
 		f.failingSince = time.Time{}
 	}
 	f.noteAnswer(now, now)
-	if revision.Era > old.Revision.Era {
-		f.noteEra(old, revision)
+	if revision.Era > old.Revision.Era && old.Revision.Stored() {
+		f.relist = !all // changes alone don't continue the view
+		if all {
+			f.logChanges(old, changes)
+			f.enterEra(old, (&Snapshot{}).with(changes, revision), now)
+			f.current.Confirm(start)
+		}
+		return
 	}
+	f.dropExpired(now)
+	old = f.current.Load()
 	switch {
 	case all && revision.Before(old.Revision):
 		f.log.Info("list is older than what another instance told, reading again", "revision", revision.Number, "known", old.Revision.Number)
@@ -356,16 +364,6 @@
 	f.current.Confirm(start)
 }
 
-// noteEra records that the store came back from a copy. Marks of other instances are for
-// changes that the copy may lack. The caller holds mu.
-func (f *follower) noteEra(old *Snapshot, revision era.Revision) {
-	f.history.restart()
-	if old.Revision.Stored() {
-		f.log.Warn("store came back from a copy", "era", revision.Era, "revision", revision.Number, "was", old.Revision.Era, "known", old.Revision.Number,
-			"viewMillis", f.current.Age().Milliseconds())
-	}
-}
-
 // advance logs and applies changes. The caller holds mu.
 func (f *follower) advance(old *Snapshot, changes []Change, revision era.Revision) {
 	f.logChanges(old, changes)
@@ -373,7 +371,7 @@
 }
 
 // impliedRemovals returns removals of the items that a complete list no longer
-// contains.
+// contains. Those that are carried from an earlier era stay for their period.
 func impliedRemovals(old *Snapshot, list []Change, revision era.Revision, now time.Time) []Change {
 	listed := make(map[string]bool, len(list))
 	for _, c := range list {
@@ -382,31 +380,43 @@
 			listed["runner "+c.Runner.ID] = true
 		case c.ZoneOut != "":
 			listed["zone "+c.ZoneOut] = true
-		case c.Instance != nil:
-			listed["instance "+c.Instance.Name] = true
 		}
 	}
 	var out []Change
 	for id, r := range old.Runners {
-		if !listed["runner "+id] && !r.Revision.After(revision) {
+		if !listed["runner "+id] && !r.Revision.Carried() && !r.Revision.After(revision) {
 			out = append(out, Change{Revision: revision, RemovedRunner: id})
 		}
 	}
 	for zone := range old.ZonesOut {
-		if !listed["zone "+zone] {
+		if !listed["zone "+zone] && !old.CarriedZones[zone] {
 			out = append(out, Change{Revision: revision, ReturnedZone: zone, SeenAt: now})
 		}
 	}
-	for name := range old.Instances {
-		if !listed["instance "+name] {
-			out = append(out, Change{Revision: revision, RemovedInstance: name})
-		}
-	}
+	out = append(out, impliedDepartures(old, list, revision)...)
 	out = append(out, impliedEnds(old, list, revision)...)
 	out = append(out, impliedVersionsEnds(old, list, revision)...)
 	return append(out, impliedRolloutEnds(old, list, revision)...)
 }
 
+// impliedDepartures returns the ends of the registrations that a complete list no longer
+// contains.
+func impliedDepartures(old *Snapshot, list []Change, revision era.Revision) []Change {
+	listed := make(map[string]bool)
+	for _, c := range list {
+		if c.Instance != nil {
+			listed[c.Instance.Name] = true
+		}
+	}
+	var out []Change
+	for name, i := range old.Instances {
+		if !listed[name] && !i.Revision.Carried() {
+			out = append(out, Change{Revision: revision, RemovedInstance: name})
+		}
+	}
+	return out
+}
+
 // impliedVersionsEnds returns the ends of the records of versions that a complete list no
 // longer contains.
 func impliedVersionsEnds(old *Snapshot, list []Change, revision era.Revision) []Change {
@@ -440,13 +450,13 @@
 		}
 	}
 	var out []Change
-	for service := range old.RolloutOrders {
-		if !orders[service] {
+	for service, o := range old.RolloutOrders {
+		if !orders[service] && !o.Revision.Carried() {
 			out = append(out, Change{Revision: revision, WithdrawnRollout: service})
 		}
 	}
-	for service := range old.Rollouts {
-		if !decisions[service] {
+	for service, st := range old.Rollouts {
+		if !decisions[service] && !st.Revision.Carried() {
 			out = append(out, Change{Revision: revision, EndedRollout: service})
 		}
 	}
@@ -457,8 +467,8 @@
 // contains.
 func impliedEnds(old *Snapshot, list []Change, revision era.Revision) []Change {
 	var out []Change
-	for id := range old.Quarantines {
-		if !slices.ContainsFunc(list, func(c Change) bool { return c.Quarantine != nil && c.Quarantine.ID == id }) {
+	for id, q := range old.Quarantines {
+		if !q.Revision.Carried() && !slices.ContainsFunc(list, func(c Change) bool { return c.Quarantine != nil && c.Quarantine.ID == id }) {
 			out = append(out, Change{Revision: revision, EndedQuarantine: id})
 		}
 	}
@@ -549,39 +559,48 @@
 		return
 	}
 	f.useFreshness(from, freshness, now)
+	f.dropExpired(now)
 	old = f.current.Load()
 	unknown := s.RolloutOrders == nil && s.Rollouts == nil
-	if unknown {
-		// An older build knows no rollouts, which says nothing about them.
-		kept := *s
-		kept.RolloutOrders, kept.Rollouts = old.RolloutOrders, old.Rollouts
-		s = &kept
-	}
-	if s.Versions == nil { // the same holds for records of versions
-		kept := *s
-		kept.Versions = old.Versions
-		s = &kept
-	}
-	if s.Revision.After(old.Revision) {
-		if s.Revision.Era > old.Revision.Era {
-			f.noteEra(old, s.Revision)
-		}
+	s = s.completed(old)
+	switch {
+	case s.Revision.Era > old.Revision.Era && old.Revision.Stored():
+		f.log.Info("era learned from another instance", "instance", from, "era", s.Revision.Era)
+		f.enterEra(old, s.with(s.removalChanges(), s.Revision), now)
+	case s.Revision.After(old.Revision):
 		next := s.with(s.removalChanges(), s.Revision)
 		if f.outages.inGrace(now) {
 			next = s.keepRunners(old)
 		}
-		if f.current.Advance(next) {
+		if f.current.Advance(next.merge(old, now)) {
 			f.history.restart()
 			f.relist = f.relist || (unknown && f.rollouts)
 			f.log.Info("taken over from another instance", "instance", from, "revision", s.Revision.Number, "was", old.Revision.Number,
 				"ageMillis", now.Sub(freshness.ConfirmedAt).Milliseconds(), "lapsed", len(next.HeldRemovals))
 		}
+	default:
+		if next := old.merge(s, now); next != old {
+			f.current.Advance(next)
+		}
 	}
 	if !s.Revision.Before(old.Revision) {
 		f.current.Confirm(freshness.ConfirmedAt)
 	}
 }
 
+// completed returns the snapshot with the kinds of items that the older build it is from
+// doesn't know, which says nothing about them.
+func (s *Snapshot) completed(old *Snapshot) *Snapshot {
+	kept := *s
+	if s.RolloutOrders == nil && s.Rollouts == nil {
+		kept.RolloutOrders, kept.Rollouts = old.RolloutOrders, old.Rollouts
+	}
+	if s.Versions == nil {
+		kept.Versions = old.Versions
+	}
+	return &kept
+}
+
 func (f *follower) AdoptChanges(from string, changes []Change, revision era.Revision, freshness Freshness) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -592,6 +611,7 @@
 		return
 	}
 	f.useFreshness(from, freshness, now)
+	f.dropExpired(now)
 	old = f.current.Load()
 	changes = slices.DeleteFunc(changes, func(c Change) bool {
 		// An older removal is safe to apply, since it is compared with the
--- a/router/inventory/snapshot.go
+++ b/router/inventory/snapshot.go
@@ -105,6 +105,8 @@
 	HeldRemovals map[string]era.Revision
 	// ZonesOut has the zones that are taken out; their runners get no new calls.
 	ZonesOut map[string]bool
+	// CarriedZones has those of ZonesOut that the store hasn't shown in its present era.
+	CarriedZones map[string]bool
 	// ReturnedZones has the zones that were returned to service, with the latest
 	// return.
 	ReturnedZones map[string]ZoneReturn
@@ -120,6 +122,9 @@
 	Versions map[string]ServiceVersions
 	// Revision is the store's revision up to which the snapshot is complete.
 	Revision era.Revision
+	// EraSince is when an instance learned of the present era, while items of an earlier one
+	// may be carried; zero otherwise. The revisions of all items are of the present era.
+	EraSince time.Time
 }
 
 // Usable returns the runners of a service that accept new calls.
--- a/router/quarantine/evidence.go
+++ b/router/quarantine/evidence.go
@@ -26,6 +26,9 @@
 	// readDelay is the time after which a write to the store is in the snapshot. It is
 	// repeated otherwise.
 	readDelay = 2 * time.Second
+	// minLife is the life that is left of a quarantine from which it is written again. The
+	// store grants no shorter leases.
+	minLife = 5 * time.Second
 	// maxInForce is the number of quarantines above which no more are written.
 	maxInForce = 64
 )
@@ -108,14 +111,14 @@
 // settleOne makes one write to the store, and reports whether more may be due.
 func (g *guard) settleOne(ctx context.Context) (more bool, err error) {
 	due, old := g.due()
-	if due != nil && g.refutedByAnswers(ctx, *due) {
+	if due != nil && !due.Revision.Carried() && g.refutedByAnswers(ctx, *due) {
 		return true, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	switch {
 	case due != nil:
-		err = g.store.Put(ctx, *due, Life)
+		err = g.store.Put(ctx, *due, lifeOf(*due, g.clk.Now()))
 		g.log.Warn("quarantine written", "quarantine", due.ID, "service", due.Service, "parts", due.Parts, "evidenceMillis", due.Evidence.Milliseconds(), "error", err)
 		if err == nil {
 			g.mu.Lock()
@@ -194,14 +197,19 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	missing := func(q inventory.Quarantine) bool {
-		_, ok := inForce[q.ID]
-		return !ok && now.Sub(g.written[q.ID]) >= readDelay && len(inForce) < maxInForce
+		known := inForce[q.ID]
+		return (known == nil || known.Revision.Carried()) && now.Sub(g.written[q.ID]) >= readDelay && len(inForce) < maxInForce
 	}
 	for _, q := range g.decide(inForce, now) {
 		if missing(q) {
 			return &q, ""
 		}
 	}
+	for _, q := range g.lost(inForce, now) {
+		if missing(*q) {
+			return q, ""
+		}
+	}
 	if len(g.withdrawn) == 0 {
 		return nil, ""
 	}
@@ -212,6 +220,30 @@
 	return nil, id
 }
 
+// lost returns the quarantines that this instance has to write again, since the store came
+// back without them. The caller holds mu.
+func (g *guard) lost(inForce map[string]*inventory.Quarantine, now time.Time) []*inventory.Quarantine {
+	var out []*inventory.Quarantine
+	for id, q := range inForce {
+		if _, withdrawn := g.withdrawn[id]; !withdrawn && q.Revision.Carried() && lifeOf(*q, now) >= minLife && g.owns() {
+			out = append(out, q)
+		}
+	}
+	return out
+}
+
+// lifeOf returns the life that is left of a quarantine: all of it, unless it is written again
+// since the store lost it.
+func lifeOf(q inventory.Quarantine, now time.Time) time.Duration {
+	if !q.Revision.Carried() {
+		return Life
+	}
+	return q.SeenAt.Add(Life).Sub(now)
+}
+
+// owns reports whether this instance collects the evidence.
+func (g *guard) owns() bool { return slices.Contains(g.owners.Ranked(ownerKey, ownerCount), g.self) }
+
 // decide returns the quarantines that the evidence calls for, without the parts
 // that had an answer at this instance. The caller holds mu.
 func (g *guard) decide(inForce map[string]*inventory.Quarantine, now time.Time) []inventory.Quarantine {
@@ -244,7 +276,9 @@
 	inForce := g.current.Load().Quarantines
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	maps.DeleteFunc(g.written, func(id string, at time.Time) bool { return inForce[id] != nil || now.Sub(at) >= 2*readDelay })
+	maps.DeleteFunc(g.written, func(id string, at time.Time) bool {
+		return inForce[id] != nil && !inForce[id].Revision.Carried() || now.Sub(at) >= 2*readDelay
+	})
 	maps.DeleteFunc(g.removed, func(_ string, at time.Time) bool { return now.Sub(at) >= readDelay })
 	return len(g.written) > 0
 }
--- a/router/quarantine/guard_test.go
+++ b/router/quarantine/guard_test.go
@@ -42,6 +42,8 @@
 	items    map[string]*inventory.Quarantine
 	revision int64
 	puts     int
+	// life is that of the last write.
+	life time.Duration
 	// accepting has all runners accept connections.
 	accepting bool
 	// failing is the number of writes that get no answer, although every second one
@@ -136,13 +138,14 @@
 	})
 }
 
-func (f *fleet) Put(ctx context.Context, q inventory.Quarantine, _ time.Duration) error {
+func (f *fleet) Put(ctx context.Context, q inventory.Quarantine, life time.Duration) error {
 	if err := clock.System().Sleep(ctx, f.slow); err != nil {
 		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.puts++
+	f.life = life
 	if f.failing > 0 {
 		f.failing--
 		if f.failing%2 == 0 {
@@ -263,6 +266,42 @@
 }
 
 // TestDeadlyPartBehindManyOthersIsQuarantined guards against looking at the first parts only.
+// TestQuarantineThatTheStoreLostIsWrittenAgain has the store come back from a copy without a
+// quarantine that all instances know, and whose evidence is gone.
+func TestQuarantineThatTheStoreLostIsWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 4)
+		defer f.stop()
+		deadly := prompt("deadly", "own")
+		for n := range 5 {
+			f.guards[f.names[n%4]].Crashed(engine(fmt.Sprint("e", n), "z"), deadly)
+			pass(time.Second)
+		}
+		is.Equal(f.stored(), [][]string{{"deadly"}})
+		pass(5 * time.Minute) // the evidence is forgotten
+		f.mu.Lock()
+		puts := f.puts
+		clear(f.items)
+		f.mu.Unlock()
+		for _, name := range f.names {
+			old := f.currents[name].Load()
+			s := &inventory.Snapshot{Revision: era.New(2, 1), Instances: old.Instances, Quarantines: make(map[string]*inventory.Quarantine)}
+			for id, q := range old.Quarantines {
+				carried := *q
+				carried.Revision = era.CarriedInto(2)
+				s.Quarantines[id] = &carried
+			}
+			f.currents[name].Advance(s)
+		}
+		is.Equal(f.blocked(deadly), 4)
+		pass(time.Second)
+		is.Equal(f.stored(), [][]string{{"deadly"}})
+		is.Equal(f.puts, puts+2) // once by each owner
+		is.True(f.life > 0 && f.life <= quarantine.Life-5*time.Minute)
+	})
+}
+
 func TestDeadlyPartBehindManyOthersIsQuarantined(t *testing.T) {
 	for name, sound := range map[string]int{"few": 40, "more than are reported": 1000} {
 		t.Run(name, func(t *testing.T) {
--- a/router/rollout/rollout.go
+++ b/router/rollout/rollout.go
@@ -30,6 +30,11 @@
 	SeenAt time.Time `json:"-"`
 }
 
+// SameAs reports whether two orders ask for the same.
+func (o Order) SameAs(other Order) bool {
+	return o.Service == other.Service && o.Target == other.Target && o.Duration == other.Duration
+}
+
 // State is the decision in force on the calls of a service.
 type State struct {
 	Service string `json:"service"`
