Have rollouts go on when the store comes back from a copy

Callers would see: a version that was rolled back gets calls again, or a rollout that runs begins anew, seconds after a drill; and the platform, which acts on the status in the store, keeps or loses runners by an earlier one.

Cause: a decision belongs to an order by the order's revision. The operator writes the order again, with another revision, which counted as a repeated order: a rollout that has ended is tried again. A decision that the copy lacks, or has in an earlier step, was written again only when the next one was due, after an end never.

Change: a decision on an order of an earlier era belongs to the order of the present one that asks for the same; a further order of the era is a repeated one, as always. A decision that was in the store of an earlier era counts as not stored until the store shows it, and the decider writes it again with its status.

--- a/router/rollout/control/control.go
+++ b/router/rollout/control/control.go
@@ -162,24 +162,37 @@
 	for name := range s.Rollouts {
 		c.addService(name)
 	}
-	for name, svc := range c.services {
-		if st, ok := s.Rollouts[name]; ok {
-			if st.Revision.Before(svc.stored.Revision) && !svc.stored.Revision.After(s.Revision) {
-				// The answer to the write had the revision of another write of the same
-				// transaction. That of the decision itself is the condition of the next one.
-				svc.stored.Revision = era.Revision{}
-			}
-			c.noteStored(svc, st, "store")
-		} else if !svc.stored.Revision.After(s.Revision) {
-			// The decision was removed from the store; the next one is written anew.
-			svc.stored = rollout.State{}
+	for _, svc := range c.services {
+		c.updateService(svc, s)
+	}
+}
+
+// updateService takes over the order of a service, and the decision on it. The caller holds
+// mu.
+func (c *controller) updateService(svc *service, s *inventory.Snapshot) {
+	order, ordered := s.RolloutOrders[svc.name]
+	svc.enter(s.Revision.Era)
+	if ordered {
+		svc.rebind(order)
+	}
+	if st, ok := s.Rollouts[svc.name]; ok {
+		if ordered {
+			st = st.Rebound(order)
 		}
-		order, ok := s.RolloutOrders[name]
-		if ok && !c.valid(svc, s, order) {
-			continue
+		if st.Revision.Before(svc.stored.Revision) && !svc.stored.Revision.After(s.Revision) {
+			// The answer to the write had the revision of another write of the same
+			// transaction. That of the decision itself is the condition of the next one.
+			svc.stored.Revision = era.Revision{}
 		}
-		c.setOrder(svc, order, ok)
+		c.noteStored(svc, st, "store")
+	} else if !svc.stored.Revision.After(s.Revision) {
+		// The decision was removed from the store; the next one is written anew.
+		svc.stored = rollout.State{}
+	}
+	if ordered && !c.valid(svc, s, order) {
+		return
 	}
+	c.setOrder(svc, order, ordered)
 }
 
 // valid reports whether an order is for a service of the configuration. An order that
--- a/router/rollout/control/report.go
+++ b/router/rollout/control/report.go
@@ -183,7 +183,7 @@
 	if svc.tracked != nil {
 		r.OrderRevision, r.OrderEra = svc.tracked.Revision.Number, svc.tracked.Revision.Era
 	}
-	if svc.unstored() {
+	if svc.current.Phase == rollout.RolledBack && svc.unstored() {
 		rolledBack := svc.current
 		r.RolledBack = &rolledBack
 	}
--- a/router/rollout/control/service.go
+++ b/router/rollout/control/service.go
@@ -79,9 +79,27 @@
 		a.Runners == b.Runners && a.Target == b.Target && slices.Equal(a.Barred, b.Barred)
 }
 
-// unstored reports whether the rollback that is in force here isn't in the store.
+// enter notes the era of the store. The decision in force was in the store of an earlier
+// one, which may have lost it.
+func (s *service) enter(n int64) {
+	if s.current.Revision.Stored() && s.current.Revision.Era < n {
+		s.current.Revision = era.CarriedInto(n)
+	}
+}
+
+// rebind has the decisions follow an order that was written again.
+func (s *service) rebind(order rollout.Order) {
+	s.current, s.stored = s.current.Rebound(order), s.stored.Rebound(order)
+	if s.pending != nil {
+		pending := s.pending.Rebound(order)
+		s.pending = &pending
+	}
+}
+
+// unstored reports whether the decision that is in force here isn't in the store: a rollback
+// that is still to be written, or any decision that the store lost.
 func (s *service) unstored() bool {
-	if s.current.Phase != rollout.RolledBack || s.current.Revision.Stored() {
+	if !known(s.current) || s.current.Revision.Stored() {
 		return false
 	}
 	if !s.stored.Revision.Stored() {
--- a/router/rollout/rollout.go
+++ b/router/rollout/rollout.go
@@ -83,6 +83,16 @@
 	return st
 }
 
+// Rebound returns the state as one of an order that asks for what its own order asked for, if
+// that is of an earlier era: the operator has written the order again, since the store lost it.
+func (st State) Rebound(o Order) State {
+	earlier := st.OrderEra < o.Revision.Era || st.Order().Carried()
+	if !earlier || st.Target != o.Target || st.Duration != o.Duration {
+		return st
+	}
+	return st.WithOrder(o.Revision)
+}
+
 // InEra returns the state with the era of its order, if it states none.
 func (st State) InEra(n int64) State {
 	if st.OrderEra == 0 {
--- a/router/target/rollout.go
+++ b/router/target/rollout.go
@@ -41,11 +41,12 @@
 	if !s.rollouts {
 		return
 	}
-	for _, st := range next.Rollouts {
-		s.applyState(st)
+	for service, st := range next.Rollouts {
+		s.applyState(st.Rebound(next.RolloutOrders[service]))
 	}
 	for service, o := range next.RolloutOrders {
 		r := s.rolloutOf(service)
+		r.state = r.state.Rebound(o)
 		if o.Revision.After(r.order.Revision) {
 			r.order, r.heldTarget = o, ""
 			if r.holds(old, next, o) {
