Show that an order written again holds no version back

TestOrderWrittenAgainHoldsNothingBack, red without the line of router/target that has the decision follow the order: v2 got no calls, and no decision was due.

--- a/router/target/rollout_test.go
+++ b/router/target/rollout_test.go
@@ -676,3 +676,22 @@
 		})
 	})
 }
+
+// TestOrderWrittenAgainHoldsNothingBack guards against a version that gets no calls after a
+// drill: the order of its completed rollout has another revision, and no decision follows.
+func TestOrderWrittenAgainHoldsNothingBack(t *testing.T) {
+	is := is.New(t)
+	w := newRolloutFixture(t, 1, 2)
+	w.order("v2", 5)
+	st := ended(9, rollout.Completed, "v1")
+	st.Duration = 12 * time.Second
+	w.set.ApplyRollout(st)
+	w.describe("c", "v3", 1)
+	w.update()
+	is.Equal(w.versions(), []string{"v2", "v3"})
+	again := w.snapshot.RolloutOrders["s"]
+	again.Revision = era.New(1, 3)
+	w.snapshot.RolloutOrders = map[string]rollout.Order{"s": again}
+	w.update()
+	is.Equal(w.versions(), []string{"v2", "v3"})
+}
