--- a/fleet/jsonfield/jsonfield.go
+++ b/fleet/jsonfield/jsonfield.go
@@ -1,5 +1,5 @@
 // Package jsonfield inserts JSON that is already encoded into an encoded message
-// without parsing it again.
+// without parsing it again, and reads fields that may be invalid.
 package jsonfield
 
 import (
@@ -28,3 +28,17 @@
 	out = append(out, raw...)
 	return append(out, '}'), nil
 }
+
+// LenientBytes is a value in base64 that becomes empty if it can't be decoded. Where anyone
+// may write, one such value must not hide the others of its message.
+type LenientBytes []byte
+
+// UnmarshalJSON never returns an error.
+func (b *LenientBytes) UnmarshalJSON(data []byte) error {
+	var value []byte
+	if err := json.Unmarshal(data, &value); err != nil {
+		value = nil
+	}
+	*b = value
+	return nil
+}
