Send nothing to runners that left before the store came back

Callers would see: requests that reach a runner after it has left, or that wait for a connection to it, as the copy still has its description until that expires.

Cause: the list of the new era brings back what was removed since the copy.

Evidence: TestRunnerThatLeftStaysAwayAlthoughTheCopyHasIt, red with the line in

A runner that lives describes itself again with a higher count, or with a later start.

--- a/router/inventory/carried.go
+++ b/router/inventory/carried.go
@@ -32,11 +32,12 @@
 	return r.Born != 0 && other.Born != 0 && (r.Born > other.Born || r.supersedes(other))
 }
 
-// enter returns the first snapshot of an era: s, which is what the store holds, and what
-// only old has. The era has been known since a time.
-func (s *Snapshot) enter(old *Snapshot, since time.Time) *Snapshot {
+// enter returns the first snapshot of an era: s, which is what the store holds, without the
+// runners that had departed, and what only old has. The era has been known since a time.
+func (s *Snapshot) enter(old *Snapshot, departed map[string]*Runner, since time.Time) *Snapshot {
 	next := s.with(nil, s.Revision)
-	next.EraSince = since
+	next.EraSince, next.Departed = since, departed
+	maps.DeleteFunc(next.Runners, func(id string, r *Runner) bool { return departed[id] != nil && !r.newerThan(departed[id]) })
 	for id, r := range old.Runners {
 		listed := next.Runners[id]
 		if listed != nil && !r.newerThan(listed) {
@@ -195,7 +196,7 @@
 		f.logChanges(old, ends)
 		next := old.with(ends, old.Revision)
 		if over {
-			next.EraSince = time.Time{}
+			next.EraSince, next.Departed = time.Time{}, nil
 		}
 		f.current.Advance(next)
 	}
@@ -211,9 +212,9 @@
 		if !listed.EraSince.IsZero() {
 			since = listed.EraSince
 		}
-		next = listed.enter(old, since)
+		next = listed.enter(old, f.departures.since(now), since)
 		f.log.Warn("store came back from a copy", "era", next.Revision.Era, "revision", next.Revision.Number, "was", old.Revision.Era, "known", old.Revision.Number,
-			"viewMillis", f.current.Age().Milliseconds(), "runners", len(listed.Runners), "runnersCarried", len(next.Runners)-len(listed.Runners),
+			"viewMillis", f.current.Age().Milliseconds(), "runnersListed", len(listed.Runners), "runners", len(next.Runners), "departed", len(next.Departed),
 			"zonesCarried", len(next.CarriedZones), "instancesCarried", len(next.Instances)-len(listed.Instances),
 			"quarantinesCarried", len(next.Quarantines)-len(listed.Quarantines), "ordersCarried", len(next.RolloutOrders)-len(listed.RolloutOrders))
 	}
--- a/router/inventory/carried_test.go
+++ b/router/inventory/carried_test.go
@@ -148,3 +148,24 @@
 		is.Equal(current.Load(), same) // nothing is new
 	})
 }
+
+// TestRunnerThatLeftStaysAwayAlthoughTheCopyHasIt guards against calls to a runner that was
+// gone before the drill. One that lives describes itself again.
+func TestRunnerThatLeftStaysAwayAlthoughTheCopyHasIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &script{
+			lists: []step{
+				{changes: []inventory.Change{description("left", 1, 2, 7, false), description("lapsed", 1, 3, 4, false)}, era: 1, revision: 3},
+				{changes: []inventory.Change{description("left", 2, 2, 6, false), description("lapsed", 2, 3, 4, false), description("other", 2, 1, 1, false)}, era: 2, revision: 3},
+			},
+			steps: []step{
+				{changes: []inventory.Change{{Revision: era.New(1, 8), RemovedRunner: "left"}, {Revision: era.New(1, 9), RemovedRunner: "lapsed"}}, era: 1, revision: 9},
+				{err: fault.New(fault.HistoryGone, "410")},
+				{changes: []inventory.Change{description("lapsed", 2, 4, 5, false), description("left", 2, 5, 7, false)}, era: 2, revision: 5},
+			},
+		}
+		current, _ := runFollower(t, s, time.Second)
+		is.Equal(slices.Sorted(maps.Keys(current.Load().Runners)), []string{"lapsed", "other"})
+	})
+}
--- a/router/inventory/change.go
+++ b/router/inventory/change.go
@@ -66,7 +66,7 @@
 func (s *Snapshot) with(changes []Change, revision era.Revision) *Snapshot {
 	next := &Snapshot{
 		Table: s.Table, Revision: era.Max(s.Revision, revision),
-		Runners: clone(s.Runners), ZonesOut: clone(s.ZonesOut), CarriedZones: clone(s.CarriedZones), ReturnedZones: clone(s.ReturnedZones), Instances: clone(s.Instances),
+		Runners: clone(s.Runners), Departed: s.Departed, ZonesOut: clone(s.ZonesOut), CarriedZones: clone(s.CarriedZones), ReturnedZones: clone(s.ReturnedZones), Instances: clone(s.Instances),
 		HeldRemovals: clone(s.HeldRemovals), Quarantines: clone(s.Quarantines),
 		RolloutOrders: clone(s.RolloutOrders), Rollouts: clone(s.Rollouts), Versions: clone(s.Versions), EraSince: s.EraSince,
 	}
@@ -161,6 +161,9 @@
 // applyRunner sets a runner's description unless the known one is as new.
 func (s *Snapshot) applyRunner(c Change) {
 	id := c.Runner.ID
+	if gone := s.Departed[id]; gone != nil && !c.Runner.newerThan(gone) {
+		return
+	}
 	if old := s.Runners[id]; old != nil && (!old.Revision.Before(c.Revision) || old.supersedes(c.Runner)) {
 		return
 	}
--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -147,6 +147,8 @@
 	// history holds the latest changes received, including removals that are held
 	// back.
 	history history
+	// departures has the runners that left recently.
+	departures departures
 	// suspendedUntil is when reads of the source resume.
 	suspendedUntil time.Time
 	// lastServed is when another instance last requested changes.
@@ -367,7 +369,9 @@
 // advance logs and applies changes. The caller holds mu.
 func (f *follower) advance(old *Snapshot, changes []Change, revision era.Revision) {
 	f.logChanges(old, changes)
-	f.current.Advance(old.with(changes, revision))
+	next := old.with(changes, revision)
+	f.departures.note(old, next, f.clk.Now())
+	f.current.Advance(next)
 }
 
 // impliedRemovals returns removals of the items that a complete list no longer
@@ -572,6 +576,7 @@
 		if f.outages.inGrace(now) {
 			next = s.keepRunners(old)
 		}
+		f.departures.note(old, next, now)
 		if f.current.Advance(next.merge(old, now)) {
 			f.history.restart()
 			f.relist = f.relist || (unknown && f.rollouts)
--- a/router/inventory/snapshot.go
+++ b/router/inventory/snapshot.go
@@ -99,6 +99,9 @@
 	Table *routing.Table
 	// Runners is keyed by identifier.
 	Runners map[string]*Runner
+	// Departed has the last descriptions of runners that were gone when the store came back
+	// from a copy, which may still have them, while items of an earlier era may be carried.
+	Departed map[string]*Runner
 	// HeldRemovals has the runners whose removals are held back after an outage
 	// of the store, with the revisions of the removals. They stay in Runners
 	// until they describe themselves again or the removals are applied.
