Take no stream up by a view that may not know its version

Reported by the users from systems like this one: an instance that was cut off or stood still while runners of a new version joined took streams up that had begun at that version elsewhere, and had them go on at another one (ORDER).

Shown here: TestInstanceOutOfStepTakesNoStreamUpAtTheOnlyVersionThatItKnows, red before (v1 for a stream that began at v2, whether the instance was cut off from the store alone or from all others too).

Cause: an instance that knows one version takes it for the one that began all streams. A take-up had an older view refreshed, and went on by it when that failed.

Change: the version is certain only if the view is confirmed. Otherwise streams that began at this instance, or that a keeper remembers, go on; so do those of which a keeper with a confirmed view, or all keepers, say that a single version has served, as in an outage of the store for all (TestStreamsGoOnWhileNobodyReadsTheStore). All else is refused as not run, to come back at once. With a confirmed view nothing more is asked or sent. The instances of the test's fleet now confirm their views as reads do, and it guards a map that two goroutines used.

--- a/router/continuity/tracker.go
+++ b/router/continuity/tracker.go
@@ -82,7 +82,7 @@
 // New returns the tracker of an instance and handles the messages of other instances.
 func New(clk clock.Clock, self string, current *inventory.Current, owners Owners, mesh instance.Mesh, records Records, contents Contents, log hclog.Logger) Tracker {
 	t := &tracker{
-		clk: clk, self: self, owners: owners, mesh: mesh, records: records, log: log, search: newSearch(clk, current, contents, log),
+		clk: clk, self: self, current: current, owners: owners, mesh: mesh, records: records, log: log, search: newSearch(clk, current, contents, log),
 		services: make(map[string]*serviceVersions),
 	}
 	t.view.Store(&view{retention: minRetention})
@@ -95,6 +95,7 @@
 type tracker struct {
 	clk     clock.Clock
 	self    string
+	current *inventory.Current
 	owners  Owners
 	mesh    instance.Mesh
 	records Records
@@ -300,6 +301,10 @@
 type versionAnswer struct {
 	Version string `json:"version"`
 	Known   bool   `json:"known"`
+	// Only is the version that began all streams, if there is one by the view of the keeper,
+	// which is confirmed if Confirmed is set. Older builds don't tell.
+	Only      string `json:"only,omitempty"`
+	Confirmed bool   `json:"confirmed,omitempty"`
 }
 
 func (t *tracker) serveVersion(_ context.Context, _ string, params json.RawMessage) (any, error) {
@@ -309,22 +314,30 @@
 	}
 	var a versionAnswer
 	a.Version, a.Known = t.streams.versionOf(streamKey{service: b.Service, id: b.Stream})
+	if v, known := t.viewOf(b.Service); known && v.single {
+		a.Only, a.Confirmed = v.only, t.confirmed()
+	}
 	return a, nil
 }
 
+// confirmed reports whether the view is recent enough to know all versions at which streams
+// may have begun.
+func (t *tracker) confirmed() bool { return t.current.Age() <= settleTime }
+
 func (t *tracker) VersionOf(ctx context.Context, service, stream, lastPart string) (string, error) {
+	confirmed := t.confirmed()
 	v, known := t.viewOf(service)
 	switch {
 	case !known:
 		return "", errUnknown
-	case v.single:
+	case v.single && confirmed:
 		return v.only, nil
 	}
 	if version, ok := t.streams.versionOf(streamKey{service: service, id: stream}); ok {
 		return version, nil
 	}
 	if valid(stream) {
-		version, known, err := t.ask(ctx, versionBody{Service: service, Stream: stream})
+		version, known, err := t.ask(ctx, versionBody{Service: service, Stream: stream}, v)
 		switch {
 		case known:
 			return version, nil
@@ -332,6 +345,10 @@
 			return "", errUnknown
 		}
 	}
+	if !confirmed {
+		t.log.Info("version of a stream isn't certain, as the view is old", "service", service, "stream", stream, "viewMillis", t.current.Age().Milliseconds())
+		return "", errUnknown
+	}
 	if version, ok := t.search.versionOf(ctx, service, lastPart); ok {
 		t.Began(service, stream, version)
 		return version, nil
@@ -341,9 +358,11 @@
 
 var errUnknown = fault.New(fault.NoRunner, "the version that began the stream isn't known")
 
-// ask asks the keepers of a stream for its version. The error is that of a keeper that
-// didn't answer, and may know it.
-func (t *tracker) ask(ctx context.Context, b versionBody) (version string, known bool, err error) {
+// ask asks the keepers of a stream for its version. If a single version has begun all streams
+// by this instance's view, that is the version if a keeper with a confirmed view, or all
+// keepers, know no other one either. The error is that of a keeper that didn't answer, and may
+// know the stream.
+func (t *tracker) ask(ctx context.Context, b versionBody, v serviceView) (version string, known bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	names := t.owners.Ranked(ownerKeyPrefix+b.Stream, askedKeepers)
@@ -354,22 +373,31 @@
 	replies := make(chan reply, len(names))
 	for _, name := range names {
 		t.group.Go(func() {
-			var r reply
+			r := reply{versionAnswer: versionAnswer{Only: v.only}}
 			if name != t.self {
+				r.Only = ""
 				r.err = t.mesh.Call(instance.MarkIdempotent(ctx), name, methodVersion, b, &r.versionAnswer)
 			}
 			replies <- r
 		})
 	}
+	agreed := v.single
 	for range names {
 		r := <-replies
 		if r.Known {
 			return r.Version, true, nil
 		}
+		agreed = agreed && r.err == nil && r.Only == v.only
+		if r.Confirmed && r.Only != "" {
+			version, known = r.Only, true
+		}
 		if r.err != nil {
 			t.log.Debug("keeper of a stream doesn't answer", "stream", b.Stream, "error", r.err)
 			err = r.err
 		}
 	}
-	return "", false, err
+	if agreed {
+		return v.only, true, nil
+	}
+	return version, known, err
 }
--- a/router/continuity/tracker_test.go
+++ b/router/continuity/tracker_test.go
@@ -41,6 +41,9 @@
 	mu       sync.Mutex
 	handlers map[string]map[string]instance.Handler
 	lost     map[string]bool
+	// cut has the instances without a path to others, and blind those that can't read the
+	// store.
+	cut, blind map[string]bool
 	// messages counts those between instances, writes those to the store.
 	messages, writes int
 	versions         []string
@@ -56,7 +59,7 @@
 	f := &fleet{
 		t: t, table: tableOf(t, 1, route("s", 10*time.Second), route("patient", time.Minute)), versions: versions, trackers: make(map[string]continuity.Tracker), currents: make(map[string]*inventory.Current),
 		cancels: make(map[string]context.CancelFunc), handlers: make(map[string]map[string]instance.Handler), lost: make(map[string]bool),
-		records: make(map[string]inventory.ServiceVersions),
+		cut: make(map[string]bool), blind: make(map[string]bool), records: make(map[string]inventory.ServiceVersions),
 	}
 	for n := range instances {
 		f.names = append(f.names, fmt.Sprint("i", n))
@@ -93,11 +96,28 @@
 	f.mu.Unlock()
 	current := inventory.NewCurrent(clock.System())
 	ctx, cancel := context.WithCancel(f.t.Context())
+	f.mu.Lock()
 	f.currents[name], f.cancels[name] = current, cancel
+	f.mu.Unlock()
 	tracker := continuity.New(clock.System(), name, current, owner.NewFinder(clock.System(), current), mesh{f, name}, f, f, hclog.NewNullLogger())
 	f.trackers[name] = tracker
 	f.publish(name)
 	f.group.Go(func() { _ = tracker.Run(ctx) })
+	f.group.Go(func() { f.confirm(ctx, name, current) })
+}
+
+// confirm has an instance read the store again and again, until ctx ends. What it knows is as
+// old as a read takes.
+func (f *fleet) confirm(ctx context.Context, name string, current *inventory.Current) {
+	const interval = 400 * time.Millisecond
+	for clock.System().Sleep(ctx, interval) == nil {
+		f.mu.Lock()
+		blind := f.blind[name]
+		f.mu.Unlock()
+		if !blind {
+			current.Confirm(clock.System().Now().Add(-readLag))
+		}
+	}
 }
 
 func (f *fleet) kill(name string) {
@@ -117,6 +137,10 @@
 // publish gives an instance the content of the store.
 func (f *fleet) publish(name string) {
 	f.mu.Lock()
+	if f.blind[name] {
+		f.mu.Unlock()
+		return
+	}
 	s := &inventory.Snapshot{
 		Table: f.table, Revision: era.New(0, f.revision), Instances: make(map[string]inventory.Instance), Runners: make(map[string]*inventory.Runner),
 		Versions: maps.Clone(f.records),
@@ -129,8 +153,18 @@
 			s.Runners[service+version] = &inventory.Runner{ID: service + version, Service: service, Version: version}
 		}
 	}
+	current := f.currents[name]
 	f.mu.Unlock()
-	f.currents[name].Advance(s)
+	current.Advance(s)
+	current.Confirm(clock.System().Now())
+}
+
+// outOfStep has an instance read nothing of the store, and unless it is among others, hear
+// and reach none of them.
+func (f *fleet) outOfStep(name string, amongOthers bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.blind[name], f.cut[name] = true, !amongOthers
 }
 
 // serve changes the versions that have runners.
@@ -230,7 +264,7 @@
 
 func (m mesh) Call(ctx context.Context, to, method string, params, result any) error {
 	m.fleet.mu.Lock()
-	h, lost := m.fleet.handlers[to][method], m.fleet.lost[to]
+	h, lost := m.fleet.handlers[to][method], m.fleet.lost[to] || m.fleet.cut[to] || m.fleet.cut[m.self]
 	m.fleet.messages++
 	m.fleet.mu.Unlock()
 	if lost {
@@ -337,6 +371,45 @@
 	})
 }
 
+// TestInstanceOutOfStepTakesNoStreamUpAtTheOnlyVersionThatItKnows guards against answers of two
+// versions: streams began at a version that an instance hasn't heard of.
+func TestInstanceOutOfStepTakesNoStreamUpAtTheOnlyVersionThatItKnows(t *testing.T) {
+	for _, amongOthers := range []bool{false, true} {
+		t.Run(fmt.Sprint("among others ", amongOthers), func(t *testing.T) {
+			test(t, []string{"v1"}, func(is *is.I, f *fleet) {
+				first, late := f.others("stream")[0], f.others("stream")[1]
+				f.trackers[late].Began("s", "own", "v1")
+				f.outOfStep(late, amongOthers)
+				f.serve("v1", "v2")
+				pass(2 * time.Second)
+				f.trackers[first].Began("s", "stream", "v2")
+				pass(10 * time.Millisecond)
+				want := ""
+				if amongOthers {
+					want = "v2" // the keepers tell
+				}
+				is.Equal(f.versionOf(late, "stream"), want)
+				is.Equal(f.versionOf(late, "never began"), "")
+				is.Equal(f.versionOf(late, "own"), "v1") // it began here
+			})
+		})
+	}
+}
+
+// TestStreamsGoOnWhileNobodyReadsTheStore guards against refusals in an outage of the store,
+// in which no instance knows of another version.
+func TestStreamsGoOnWhileNobodyReadsTheStore(t *testing.T) {
+	test(t, []string{"v1"}, func(is *is.I, f *fleet) {
+		for _, name := range f.names {
+			f.outOfStep(name, true)
+		}
+		pass(8 * time.Second)
+		is.Equal(f.versionOf("i0", "stream"), "v1")
+		f.kill(f.keeper("stream")) // it may know otherwise
+		is.Equal(f.versionOf(f.others("stream")[0], "stream"), "")
+	})
+}
+
 // TestInstancesThatStartKnowVersionsThatLeft guards against instances that take the version
 // that they see for the only one, and against refusals after the retention.
 func TestInstancesThatStartKnowVersionsThatLeft(t *testing.T) {
