Refresh the view once more when a refresh was in flight before a pause

One that was in flight while the process stood still is answered by what the store had before, so that the view is as old after it.

Change: a take-up whose view is still too old after an answer has it refreshed once more, which is a read of its own. If there was no answer it doesn't wait for a second one.

--- a/router/relay/relay.go
+++ b/router/relay/relay.go
@@ -262,13 +262,15 @@
 }
 
 // refresh confirms that the view is the newest, or replaces it, if that takes no longer than
-// refreshTimeout.
-func (x *relay) refresh(ctx context.Context, c *Call) {
+// refreshTimeout. It reports whether there was an answer.
+func (x *relay) refresh(ctx context.Context, c *Call) bool {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
-	if err := x.refresher.Do(ctx, x.Refresh); err != nil {
+	err := x.refresher.Do(ctx, x.Refresh)
+	if err != nil {
 		x.Log.Debug("configuration refresh failed", "request", c.ID, "error", err)
 	}
+	return err == nil
 }
 
 // chooseService picks one of the route's services at random, by weight.
--- a/router/relay/version.go
+++ b/router/relay/version.go
@@ -33,14 +33,20 @@
 // errAnyVersion says that a stream may go on at any version.
 var errAnyVersion = errors.New("versions aren't tracked")
 
+// maxRefreshes is how often the view is refreshed for a call. The answer to the first refresh
+// may be an old one, if that was in flight already while the process stood still.
+const maxRefreshes = 2
+
 // bind binds a stream that its caller takes up to the version that began it.
 func (x *relay) bind(s *streamRun) error {
 	p := s.plan
 	if p.call.ResumeAfter == "" || !p.route.Resumable {
 		return nil
 	}
-	if x.Current.Age() > maxDenyAge {
-		x.refresh(p.ctx, p.call)
+	for range maxRefreshes {
+		if x.Current.Age() <= maxDenyAge || !x.refresh(p.ctx, p.call) {
+			break
+		}
 	}
 	version, err := x.Streams.VersionOf(p.ctx, p.service, p.call.Resumes, p.call.Prompt.LastPart())
 	switch {
