--- a/router/inventory/lead.go
+++ b/router/inventory/lead.go
@@ -194,9 +194,14 @@
 		e.mark = mark{}
 		return false
 	}
-	if known := e.current.Load().Revision.Era; resp.Era < known || resp.Complete && resp.Era > known {
-		e.log.Debug("instance that reads the store for others is in another era", "instance", lead, "era", resp.Era, "known", known)
-		e.mark = mark{}
+	switch known := e.current.Load().Revision.Era; {
+	case resp.Era < known:
+		// It is of an older build, or hasn't learned of the era; then its marks change.
+		e.log.Debug("instance that reads the store for others is in an earlier era", "instance", lead, "era", resp.Era, "known", known)
+		e.mark = resp.Mark
+		return false
+	case resp.Era > known && resp.Complete:
+		e.mark = mark{} // for a snapshot
 		return false
 	}
 	if err := e.adopt(lead, resp, own, start); err != nil {
--- a/router/inventory/wire_era_test.go
+++ b/router/inventory/wire_era_test.go
@@ -1,14 +1,18 @@
 package inventory
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
 
+	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/golden"
 	"cicadawell.dev/router/era"
+	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/rollout"
 	"cicadawell.dev/router/routing"
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 )
 
@@ -55,3 +59,49 @@
 	is.NoErr(err)
 	is.Equal((&Snapshot{Table: table}).with(read, at(8)), s)
 }
+
+// leadMesh is the network of an instance with one lead.
+type leadMesh struct {
+	instance.Mesh
+	answer getResponse
+	asked  []getRequest
+}
+
+func (m *leadMesh) Handle(string, instance.Handler) {}
+
+func (m *leadMesh) Call(_ context.Context, _, _ string, params, result any) error {
+	m.asked = append(m.asked, params.(getRequest))
+	data, err := json.Marshal(m.answer)
+	*result.(*json.RawMessage) = data
+	return err
+}
+
+// noLeads marks nothing as unavailable.
+type noLeads struct{ LeadFinder }
+
+func (noLeads) MarkUnavailable(string) {}
+
+// TestLeadInAnotherEra guards against changes of another era that are applied, and against a
+// lead of an older build that sends its whole view again and again.
+func TestLeadInAnotherEra(t *testing.T) {
+	is := is.New(t)
+	current := NewCurrent(clock.System())
+	current.Advance(&Snapshot{Revision: era.New(2, 5)})
+	f := NewFollower(clock.System(), nil, current, hclog.NewNullLogger())
+	at := mark{Epoch: 3, Count: 4}
+	m := &leadMesh{answer: getResponse{Revision: 900, Complete: true, Mark: at, Changes: []wireChange{{Revision: 900, ZoneOut: "z"}}}}
+	e := NewExchange(clock.System(), "self", current, f, noLeads{}, m, nil, hclog.NewNullLogger()).(*exchange)
+	for range 2 { // an older build states no era
+		is.True(!e.followLeadOnce(t.Context(), "lead"))
+	}
+	is.Equal(m.asked[1].After, at)
+	is.Equal(current.Load().Revision, era.New(2, 5))
+	m.answer.Era = 3
+	is.True(!e.followLeadOnce(t.Context(), "lead"))
+	is.True(!current.Load().ZonesOut["z"])
+	m.answer.Complete, m.answer.Changes, m.answer.ZonesOut = false, nil, []string{"z"}
+	e.followLeadOnce(t.Context(), "lead")
+	is.Equal(m.asked[3].After, mark{}) // for a snapshot
+	is.Equal(current.Load().Revision, era.New(3, 900))
+	is.True(current.Load().ZonesOut["z"])
+}
