Let nothing that ended in an era be carried on by others

Callers would see: a runner that left, or a zone or an order that was taken back after a drill, counts again at an instance, for seconds, as another instance still carries it from before.

Cause: what instances carry was merged by what the other one lacks, without what the store has shown as ended since. The description by which a departed runner is known was the last one of the view, not the last one read.

--- a/router/inventory/carried.go
+++ b/router/inventory/carried.go
@@ -26,6 +26,44 @@
 	carryFor = 30 * time.Second
 )
 
+// itemKey names an item of the store.
+type itemKey struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+}
+
+// The kinds of items that may be carried.
+const (
+	kindRunner     = "runner"
+	kindZone       = "zone"
+	kindInstance   = "instance"
+	kindQuarantine = "quarantine"
+	kindOrder      = "order"
+	kindDecision   = "decision"
+)
+
+// ended returns the item that the change ends, or the zero key.
+func (c Change) ended() itemKey {
+	for _, key := range []itemKey{
+		{kindZone, c.ReturnedZone}, {kindInstance, c.RemovedInstance}, {kindQuarantine, c.EndedQuarantine}, {kindOrder, c.WithdrawnRollout}, {kindDecision, c.EndedRollout},
+	} {
+		if key.Name != "" {
+			return key
+		}
+	}
+	if c.RemovedRunner != "" && !c.Held {
+		return itemKey{kindRunner, c.RemovedRunner}
+	}
+	return itemKey{}
+}
+
+// noteEnd records what a change ends while items of an earlier era may be carried.
+func (s *Snapshot) noteEnd(c Change) {
+	if key := c.ended(); key != (itemKey{}) && !s.EraSince.IsZero() {
+		s.Ended[key] = true
+	}
+}
+
 // newerThan reports whether the description is a later one than another of the same
 // identifier, as far as runners tell.
 func (r *Runner) newerThan(other *Runner) bool {
@@ -59,34 +97,35 @@
 	return next
 }
 
-// carry adds what another snapshot has of an earlier era and s lacks, except for runners.
-// Of the items with a revision, only those whose revision is accepted are added.
+// carry adds what another snapshot has of an earlier era and s lacks, except for runners and
+// for what has ended since. Of the items with a revision, only those whose revision is
+// accepted are added.
 func (s *Snapshot) carry(other *Snapshot, accept func(era.Revision) bool) {
 	carried := era.CarriedInto(s.Revision.Era)
 	if other.Table != nil && (s.Table == nil || other.Table.Version() > s.Table.Version()) {
 		s.Table = other.Table
 	}
 	for zone := range other.ZonesOut {
-		if !s.ZonesOut[zone] && (other.CarriedZones[zone] || other.Revision.Before(carried)) {
+		if !s.ZonesOut[zone] && !s.Ended[itemKey{kindZone, zone}] && (other.CarriedZones[zone] || other.Revision.Before(carried)) {
 			s.ZonesOut[zone], s.CarriedZones[zone] = true, true
 		}
 	}
-	carryItems(s.Instances, other.Instances, accept, func(i Instance) (Instance, era.Revision) {
+	carryItems(s.Ended, kindInstance, s.Instances, other.Instances, accept, func(i Instance) (Instance, era.Revision) {
 		known := i.Revision
 		i.Revision = carried
 		return i, known
 	})
-	carryItems(s.Quarantines, other.Quarantines, accept, func(q *Quarantine) (*Quarantine, era.Revision) {
+	carryItems(s.Ended, kindQuarantine, s.Quarantines, other.Quarantines, accept, func(q *Quarantine) (*Quarantine, era.Revision) {
 		kept := *q
 		kept.Revision = carried
 		return &kept, q.Revision
 	})
-	carryItems(s.RolloutOrders, other.RolloutOrders, accept, func(o rollout.Order) (rollout.Order, era.Revision) {
+	carryItems(s.Ended, kindOrder, s.RolloutOrders, other.RolloutOrders, accept, func(o rollout.Order) (rollout.Order, era.Revision) {
 		known := o.Revision
 		o.Revision = carried
 		return o, known
 	})
-	carryItems(s.Rollouts, other.Rollouts, accept, func(st rollout.State) (rollout.State, era.Revision) {
+	carryItems(s.Ended, kindDecision, s.Rollouts, other.Rollouts, accept, func(st rollout.State) (rollout.State, era.Revision) {
 		known := st.Revision
 		st.Revision = carried
 		return st, known
@@ -99,11 +138,11 @@
 	}
 }
 
-// carryItems adds the items that only from has, if their revisions are accepted. Of an item,
-// carried returns what is added and its revision so far.
-func carryItems[T any](to, from map[string]T, accept func(era.Revision) bool, carried func(T) (T, era.Revision)) {
+// carryItems adds the items that only from has, if they haven't ended and their revisions are
+// accepted. Of an item, carried returns what is added and its revision so far.
+func carryItems[T any](ended map[itemKey]bool, kind string, to, from map[string]T, accept func(era.Revision) bool, carried func(T) (T, era.Revision)) {
 	for key, item := range from {
-		if _, known := to[key]; known {
+		if _, known := to[key]; known || ended[itemKey{kind, key}] {
 			continue
 		}
 		if kept, revision := carried(item); accept(revision) {
@@ -117,60 +156,87 @@
 	return !s.EraSince.IsZero() && now.Sub(s.EraSince) < carryFor
 }
 
-// merge returns the snapshot with what another one of the same era carries and s lacks, or s
-// itself if that is nothing.
-func (s *Snapshot) merge(other *Snapshot, now time.Time) *Snapshot {
-	if !other.carrying(now) {
+// merge returns the snapshot with what another one of the same era carries and s lacks, and
+// without what s carries although it has ended by the other one. departed are runners that are
+// known to have left. It returns s itself if nothing differs.
+func (s *Snapshot) merge(other *Snapshot, departed map[string]*Runner, now time.Time) *Snapshot {
+	if !s.carrying(now) && !other.carrying(now) {
 		return s
 	}
 	next := s.with(nil, s.Revision)
-	if next.EraSince.IsZero() || other.EraSince.Before(next.EraSince) {
-		next.EraSince = other.EraSince
-	}
-	next.carry(other, era.Revision.Carried)
+	maps.Copy(next.Ended, other.Ended)
 	later := false
-	for id, r := range other.Runners {
-		switch known := next.Runners[id]; {
-		case known == nil && r.Revision.Carried():
-			next.Runners[id] = r
-		case known != nil && known.Revision == r.Revision && r.newerThan(known):
-			next.Runners[id], later = r, true
+	if other.carrying(now) {
+		if next.EraSince.IsZero() || other.EraSince.Before(next.EraSince) {
+			next.EraSince = other.EraSince
 		}
+		next.carry(other, era.Revision.Carried)
+		later = next.takeRunners(other)
 	}
-	next = next.with(next.expired(now), next.Revision)
-	if !later && next.items() == s.items() && next.Table == s.Table {
+	next = next.with(next.ends(func(item carriedItem) bool {
+		gone := departed[item.key.Name]
+		left := item.key.Kind == kindRunner && gone != nil && !next.Runners[item.key.Name].newerThan(gone)
+		return left || next.Ended[item.key] || item.expired(next, now)
+	}), next.Revision)
+	if !later && len(next.Ended) == len(s.Ended) && next.items() == s.items() && next.Table == s.Table {
 		return s
 	}
 	return next
 }
 
+// takeRunners adds the runners that another snapshot carries, and its descriptions that are
+// later ones at the same revision. It reports whether there is such a description.
+func (s *Snapshot) takeRunners(other *Snapshot) (later bool) {
+	for id, r := range other.Runners {
+		switch known := s.Runners[id]; {
+		case known == nil && r.Revision.Carried():
+			s.Runners[id] = r
+		case known != nil && known.Revision == r.Revision && r.newerThan(known):
+			s.Runners[id], later = r, true
+		}
+	}
+	return later
+}
+
 // items returns the number of items that may be carried.
 func (s *Snapshot) items() int {
 	return len(s.Runners) + len(s.ZonesOut) + len(s.Instances) + len(s.Quarantines) + len(s.RolloutOrders) + len(s.Rollouts)
 }
 
-// expired returns the ends of the carried items whose period is over.
-func (s *Snapshot) expired(now time.Time) []Change {
+// carriedItem is an item that is carried.
+type carriedItem struct {
+	key itemKey
+	// period is how long it is carried, and end the change that ends it.
+	period time.Duration
+	end    Change
+}
+
+// expired reports whether the item's period is over.
+func (i carriedItem) expired(s *Snapshot, now time.Time) bool {
+	return now.Sub(s.EraSince) >= i.period
+}
+
+// ends returns the ends of the carried items that are chosen.
+func (s *Snapshot) ends(chosen func(carriedItem) bool) []Change {
 	if s.EraSince.IsZero() {
 		return nil
 	}
 	var out []Change
-	end := func(after time.Duration, names []string, ended func(name string) Change) {
-		if now.Sub(s.EraSince) < after {
-			return
-		}
+	end := func(kind string, period time.Duration, names []string, ended func(name string) Change) {
 		for _, name := range names {
-			c := ended(name)
-			c.Revision = s.Revision
-			out = append(out, c)
+			item := carriedItem{key: itemKey{kind, name}, period: period, end: ended(name)}
+			item.end.Revision = s.Revision
+			if chosen(item) {
+				out = append(out, item.end)
+			}
 		}
 	}
-	end(carryRunnersFor, carriedNames(s.Runners, func(r *Runner) era.Revision { return r.Revision }), func(id string) Change { return Change{RemovedRunner: id} })
-	end(carryInstancesFor, carriedNames(s.Instances, func(i Instance) era.Revision { return i.Revision }), func(name string) Change { return Change{RemovedInstance: name} })
-	end(carryFor, slices.Sorted(maps.Keys(s.CarriedZones)), func(zone string) Change { return Change{ReturnedZone: zone, SeenAt: now} })
-	end(carryFor, carriedNames(s.Quarantines, func(q *Quarantine) era.Revision { return q.Revision }), func(id string) Change { return Change{EndedQuarantine: id} })
-	end(carryFor, carriedNames(s.RolloutOrders, func(o rollout.Order) era.Revision { return o.Revision }), func(service string) Change { return Change{WithdrawnRollout: service} })
-	end(carryFor, carriedNames(s.Rollouts, func(st rollout.State) era.Revision { return st.Revision }), func(service string) Change { return Change{EndedRollout: service} })
+	end(kindRunner, carryRunnersFor, carriedNames(s.Runners, func(r *Runner) era.Revision { return r.Revision }), func(id string) Change { return Change{RemovedRunner: id} })
+	end(kindInstance, carryInstancesFor, carriedNames(s.Instances, func(i Instance) era.Revision { return i.Revision }), func(name string) Change { return Change{RemovedInstance: name} })
+	end(kindZone, carryFor, slices.Sorted(maps.Keys(s.CarriedZones)), func(zone string) Change { return Change{ReturnedZone: zone, SeenAt: s.EraSince.Add(carryFor)} })
+	end(kindQuarantine, carryFor, carriedNames(s.Quarantines, func(q *Quarantine) era.Revision { return q.Revision }), func(id string) Change { return Change{EndedQuarantine: id} })
+	end(kindOrder, carryFor, carriedNames(s.RolloutOrders, func(o rollout.Order) era.Revision { return o.Revision }), func(service string) Change { return Change{WithdrawnRollout: service} })
+	end(kindDecision, carryFor, carriedNames(s.Rollouts, func(st rollout.State) era.Revision { return st.Revision }), func(service string) Change { return Change{EndedRollout: service} })
 	return out
 }
 
@@ -191,12 +257,12 @@
 	if old.EraSince.IsZero() {
 		return
 	}
-	ends := old.expired(now)
+	ends := old.ends(func(item carriedItem) bool { return item.expired(old, now) })
 	if over := !old.carrying(now); len(ends) > 0 || over {
 		f.logChanges(old, ends)
 		next := old.with(ends, old.Revision)
 		if over {
-			next.EraSince, next.Departed = time.Time{}, nil
+			next.EraSince, next.Departed, next.Ended = time.Time{}, nil, nil
 		}
 		f.current.Advance(next)
 	}
--- a/router/inventory/change.go
+++ b/router/inventory/change.go
@@ -66,12 +66,13 @@
 func (s *Snapshot) with(changes []Change, revision era.Revision) *Snapshot {
 	next := &Snapshot{
 		Table: s.Table, Revision: era.Max(s.Revision, revision),
-		Runners: clone(s.Runners), Departed: s.Departed, ZonesOut: clone(s.ZonesOut), CarriedZones: clone(s.CarriedZones), ReturnedZones: clone(s.ReturnedZones), Instances: clone(s.Instances),
+		Runners: clone(s.Runners), Departed: s.Departed, Ended: clone(s.Ended), ZonesOut: clone(s.ZonesOut), CarriedZones: clone(s.CarriedZones), ReturnedZones: clone(s.ReturnedZones), Instances: clone(s.Instances),
 		HeldRemovals: clone(s.HeldRemovals), Quarantines: clone(s.Quarantines),
 		RolloutOrders: clone(s.RolloutOrders), Rollouts: clone(s.Rollouts), Versions: clone(s.Versions), EraSince: s.EraSince,
 	}
 	for _, c := range changes {
 		next.apply(c)
+		next.noteEnd(c)
 	}
 	return next
 }
--- a/router/inventory/departures.go
+++ b/router/inventory/departures.go
@@ -20,16 +20,24 @@
 	at     time.Time
 }
 
-// note records the runners that only old has. Those without a time of their start aren't:
-// a later description of them can't be told from an earlier one.
-func (d *departures) note(old, next *Snapshot, now time.Time) {
+// note records the runners that next no longer has after changes of old. Those without a time
+// of their start aren't: a later description of them can't be told from an earlier one.
+func (d *departures) note(old, next *Snapshot, changes []Change, now time.Time) {
 	if d.runners == nil {
 		d.runners = make(map[string]departure)
 	}
 	maps.DeleteFunc(d.runners, func(_ string, gone departure) bool { return now.Sub(gone.at) >= departedFor })
-	for id, r := range old.Runners {
-		if next.Runners[id] == nil && r.Born != 0 {
-			d.runners[id] = departure{runner: r, at: now}
+	note := func(r *Runner) {
+		if gone, known := d.runners[r.ID]; next.Runners[r.ID] == nil && r.Born != 0 && (!known || r.newerThan(gone.runner)) {
+			d.runners[r.ID] = departure{runner: r, at: now}
+		}
+	}
+	for _, r := range old.Runners {
+		note(r)
+	}
+	for _, c := range changes {
+		if c.Runner != nil {
+			note(c.Runner)
 		}
 	}
 }
--- a/router/inventory/exchange.go
+++ b/router/inventory/exchange.go
@@ -155,9 +155,11 @@
 	Runners  []wireRunner    `json:"runners,omitempty"`
 	ZonesOut []string        `json:"zonesOut,omitempty"`
 	// ZonesCarried has those of ZonesOut that are carried.
-	ZonesCarried []string         `json:"zonesCarried,omitempty"`
-	ZonesBack    []wireZoneReturn `json:"zonesBack,omitempty"`
-	Instances    []wireInstance   `json:"instances,omitempty"`
+	ZonesCarried []string `json:"zonesCarried,omitempty"`
+	// Ended has the items that have ended in the era, while EraMicros is set.
+	Ended     []itemKey        `json:"ended,omitempty"`
+	ZonesBack []wireZoneReturn `json:"zonesBack,omitempty"`
+	Instances []wireInstance   `json:"instances,omitempty"`
 	// Quarantines is missing in the answers of older builds.
 	Quarantines []wireQuarantine `json:"quarantines,omitempty"`
 	// HasRollouts is set if the changes, or RolloutOrders and Rollouts, include all
@@ -371,6 +373,7 @@
 	}
 	resp.setFreshness(freshness, now)
 	if !s.EraSince.IsZero() {
+		resp.Ended = slices.Collect(maps.Keys(s.Ended))
 		resp.EraMicros = max(1, now.Sub(s.EraSince).Microseconds())
 	}
 	resp.Config, resp.Patch = e.configFor(s.Table, req)
@@ -504,12 +507,7 @@
 	for _, z := range resp.ZonesOut {
 		s.ZonesOut[z] = true
 	}
-	for _, z := range resp.ZonesCarried {
-		s.CarriedZones[z] = true
-	}
-	if resp.EraMicros > 0 {
-		s.EraSince = now.Add(-micros(resp.EraMicros))
-	}
+	resp.carried(s, now)
 	for _, i := range resp.Instances {
 		s.Instances[i.Name] = resp.instance(i)
 	}
@@ -528,6 +526,21 @@
 	return s, nil
 }
 
+// carried sets what the response says of items that are carried.
+func (resp getResponse) carried(s *Snapshot, now time.Time) {
+	s.Ended = make(map[itemKey]bool, len(resp.Ended))
+	if resp.EraMicros == 0 {
+		return
+	}
+	s.EraSince = now.Add(-micros(resp.EraMicros))
+	for _, z := range resp.ZonesCarried {
+		s.CarriedZones[z] = true
+	}
+	for _, key := range resp.Ended {
+		s.Ended[key] = true
+	}
+}
+
 func (resp getResponse) rollouts(now time.Time) (map[string]rollout.Order, map[string]rollout.State) {
 	orders, states := make(map[string]rollout.Order), make(map[string]rollout.State)
 	for _, o := range resp.RolloutOrders {
--- a/router/inventory/follower.go
+++ b/router/inventory/follower.go
@@ -370,7 +370,7 @@
 func (f *follower) advance(old *Snapshot, changes []Change, revision era.Revision) {
 	f.logChanges(old, changes)
 	next := old.with(changes, revision)
-	f.departures.note(old, next, f.clk.Now())
+	f.departures.note(old, next, changes, f.clk.Now())
 	f.current.Advance(next)
 }
 
@@ -576,15 +576,15 @@
 		if f.outages.inGrace(now) {
 			next = s.keepRunners(old)
 		}
-		f.departures.note(old, next, now)
-		if f.current.Advance(next.merge(old, now)) {
+		f.departures.note(old, next, nil, now)
+		if f.current.Advance(next.merge(old, f.departures.since(now), now)) {
 			f.history.restart()
 			f.relist = f.relist || (unknown && f.rollouts)
 			f.log.Info("taken over from another instance", "instance", from, "revision", s.Revision.Number, "was", old.Revision.Number,
 				"ageMillis", now.Sub(freshness.ConfirmedAt).Milliseconds(), "lapsed", len(next.HeldRemovals))
 		}
 	default:
-		if next := old.merge(s, now); next != old {
+		if next := old.merge(s, f.departures.since(now), now); next != old {
 			f.current.Advance(next)
 		}
 	}
--- a/router/inventory/snapshot.go
+++ b/router/inventory/snapshot.go
@@ -99,6 +99,9 @@
 	Table *routing.Table
 	// Runners is keyed by identifier.
 	Runners map[string]*Runner
+	// Ended has the items that the store has shown as ended in its present era, while items
+	// of an earlier one may be carried.
+	Ended map[itemKey]bool
 	// Departed has the last descriptions of runners that were gone when the store came back
 	// from a copy, which may still have them, while items of an earlier era may be carried.
 	Departed map[string]*Runner
