Show what keeps each era's answers and ends apart

Tests for lines that could be switched off without a test turning red: answers of an earlier era that confirm a view, changes of a later one without a list, the history that is passed on, lists of the same era, and items that have ended.

--- a/router/inventory/carried_test.go
+++ b/router/inventory/carried_test.go
@@ -169,3 +169,58 @@
 		is.Equal(slices.Sorted(maps.Keys(current.Load().Runners)), []string{"lapsed", "other"})
 	})
 }
+
+// afterDrill runs a follower that knew everything in era 1 and the copy in era 2, with further
+// lists and steps of that era.
+func afterDrill(t *testing.T, lists, steps []step) (*inventory.Current, inventory.Follower) {
+	t.Helper()
+	s := &script{
+		lists: append([]step{{changes: everything(t), era: 1, revision: 9}, {changes: older(t), era: 2, revision: 2}}, lists...),
+		steps: append([]step{{err: fault.New(fault.HistoryGone, "410")}}, steps...),
+	}
+	return runFollower(t, s, time.Second)
+}
+
+// TestListsOfTheEraEndNothingThatIsCarried has the store lose its history once more, as it does
+// in calm.
+func TestListsOfTheEraEndNothingThatIsCarried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		want, _ := afterDrill(t, nil, nil)
+		current, _ := afterDrill(t, []step{{changes: older(t), era: 2, revision: 2}}, []step{{err: fault.New(fault.HistoryGone, "410")}})
+		is.New(t).Equal(text(current.Load()), text(want.Load()))
+	})
+}
+
+// TestNothingThatEndedIsCarriedOnByOthers guards against a zone, an instance, a quarantine, an
+// order and a runner that come back from an instance that hasn't read their end.
+func TestNothingThatEndedIsCarriedOnByOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		behind, _ := afterDrill(t, nil, nil)
+		at := func(n int64) era.Revision { return era.New(2, n) }
+		current, f := afterDrill(t, nil, []step{{changes: []inventory.Change{
+			{Revision: at(3), ReturnedZone: "z"}, {Revision: at(4), RemovedInstance: "i"}, {Revision: at(5), EndedQuarantine: "q"},
+			{Revision: at(6), WithdrawnRollout: "s"}, {Revision: at(7), EndedRollout: "s"}, {Revision: at(8), RemovedRunner: "new"},
+		}, era: 2, revision: 8}})
+		want := text(current.Load())
+		f.AdoptSnapshot("behind", behind.Load(), confirmedNow())
+		is.Equal(text(current.Load()), want)
+		is.True(!current.Load().ZonesOut["z"] && current.Load().ZonesOut["twice"])
+		ahead := *behind.Load()
+		ahead.Revision = at(9)
+		f.AdoptSnapshot("ahead", &ahead, confirmedNow()) // it has read more, but carries on what has ended
+		is.Equal(text(current.Load()), strings.Replace(strings.ReplaceAll(want, "2/8", "2/9"), "2/8", "2/9", 1))
+	})
+}
+
+// TestSnapshotOfAnEarlierEraCarriesNothing guards against what an instance carried through the
+// drill before, and told late.
+func TestSnapshotOfAnEarlierEraCarriesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		current, f := afterDrill(t, nil, nil)
+		want := text(current.Load())
+		late := &inventory.Snapshot{Revision: era.New(1, 30), ZonesOut: map[string]bool{"x": true}, CarriedZones: map[string]bool{"x": true}, EraSince: clock.System().Now()}
+		f.AdoptSnapshot("late", late, confirmedNow())
+		is.New(t).Equal(text(current.Load()), want)
+	})
+}
--- a/router/inventory/wire_era_test.go
+++ b/router/inventory/wire_era_test.go
@@ -88,6 +88,7 @@
 	current := NewCurrent(clock.System())
 	current.Advance(&Snapshot{Revision: era.New(2, 5)})
 	f := NewFollower(clock.System(), nil, current, hclog.NewNullLogger())
+	before := f.UpdateSince(mark{}).mark
 	at := mark{Epoch: 3, Count: 4}
 	m := &leadMesh{answer: getResponse{Revision: 900, Complete: true, Mark: at, Changes: []wireChange{{Revision: 900, ZoneOut: "z"}}}}
 	e := NewExchange(clock.System(), "self", current, f, noLeads{}, m, nil, hclog.NewNullLogger()).(*exchange)
@@ -104,4 +105,5 @@
 	is.Equal(m.asked[3].After, mark{}) // for a snapshot
 	is.Equal(current.Load().Revision, era.New(3, 900))
 	is.True(current.Load().ZonesOut["z"])
+	is.True(!f.UpdateSince(before).complete) // those that follow this instance need a snapshot, too
 }
