--- a/router/continuity/tracker_test.go
+++ b/router/continuity/tracker_test.go
@@ -417,6 +417,21 @@
 	}
 }
 
+// TestSearchByOldViewIsNotTaken guards against a stream that is found at a runner which was sent
+// it first, while one of a version that the instance hasn't heard of began it.
+func TestSearchByOldViewIsNotTaken(t *testing.T) {
+	test(t, []string{"v1", "v2"}, func(is *is.I, f *fleet) {
+		f.hold(map[string][]string{"sv1": {"part of one"}})
+		pass(3 * time.Second)
+		is.Equal(f.versionOf("i0", "one"), "v1")
+		f.outOfStep("i1", true)
+		f.hold(map[string][]string{"sv1": {"part of two"}})
+		pass(3 * time.Second)
+		is.Equal(f.versionOf("i1", "two"), "")
+		is.Equal(f.versionOf("i0", "two"), "v1")
+	})
+}
+
 // TestStreamsGoOnWhileNobodyReadsTheStore guards against refusals in an outage of the store,
 // in which no instance knows of another version.
 func TestStreamsGoOnWhileNobodyReadsTheStore(t *testing.T) {
