--- a/router/inventory/carried.go
+++ b/router/inventory/carried.go
@@ -115,11 +115,7 @@
 		i.Revision = carried
 		return i, known
 	})
-	carryItems(s.Ended, kindQuarantine, s.Quarantines, other.Quarantines, accept, func(q *Quarantine) (*Quarantine, era.Revision) {
-		kept := *q
-		kept.Revision = carried
-		return &kept, q.Revision
-	})
+	s.carryQuarantines(other, accept)
 	carryItems(s.Ended, kindOrder, s.RolloutOrders, other.RolloutOrders, accept, func(o rollout.Order) (rollout.Order, era.Revision) {
 		known := o.Revision
 		o.Revision = carried
@@ -138,6 +134,18 @@
 	}
 }
 
+// carryQuarantines is carry for quarantines, of which a snapshot has a bounded number.
+func (s *Snapshot) carryQuarantines(other *Snapshot, accept func(era.Revision) bool) {
+	carryItems(s.Ended, kindQuarantine, s.Quarantines, other.Quarantines, accept, func(q *Quarantine) (*Quarantine, era.Revision) {
+		kept := *q
+		kept.Revision = era.CarriedInto(s.Revision.Era)
+		return &kept, q.Revision
+	})
+	maps.DeleteFunc(s.Quarantines, func(_ string, q *Quarantine) bool {
+		return len(s.Quarantines) > maxQuarantines && q.Revision.Carried()
+	})
+}
+
 // carryItems adds the items that only from has, if they haven't ended and their revisions are
 // accepted. Of an item, carried returns what is added and its revision so far.
 func carryItems[T any](ended map[itemKey]bool, kind string, to, from map[string]T, accept func(era.Revision) bool, carried func(T) (T, era.Revision)) {
@@ -158,21 +166,17 @@
 
 // merge returns the snapshot with what another one of the same era carries and s lacks, and
 // without what s carries although it has ended by the other one. departed are runners that are
-// known to have left. It returns s itself if nothing differs.
+// known to have left. It returns s itself if no item differs.
 func (s *Snapshot) merge(other *Snapshot, departed map[string]*Runner, now time.Time) *Snapshot {
 	if !s.carrying(now) && !other.carrying(now) {
 		return s
 	}
 	next := s.with(nil, s.Revision)
 	maps.Copy(next.Ended, other.Ended)
-	later := false
-	if other.carrying(now) {
-		if next.EraSince.IsZero() || other.EraSince.Before(next.EraSince) {
-			next.EraSince = other.EraSince
-		}
-		next.carry(other, era.Revision.Carried)
-		later = next.takeRunners(other)
+	if next.Departed == nil {
+		next.Departed = other.Departed
 	}
+	later := other.carrying(now) && next.take(other)
 	next = next.with(next.ends(func(item carriedItem) bool {
 		gone := departed[item.key.Name]
 		left := item.key.Kind == kindRunner && gone != nil && !next.Runners[item.key.Name].newerThan(gone)
@@ -184,9 +188,13 @@
 	return next
 }
 
-// takeRunners adds the runners that another snapshot carries, and its descriptions that are
-// later ones at the same revision. It reports whether there is such a description.
-func (s *Snapshot) takeRunners(other *Snapshot) (later bool) {
+// take adds what another snapshot carries, and its descriptions of runners that are later ones
+// at the same revision. It reports whether there is such a description.
+func (s *Snapshot) take(other *Snapshot) (later bool) {
+	if s.EraSince.IsZero() || other.EraSince.Before(s.EraSince) {
+		s.EraSince = other.EraSince
+	}
+	s.carry(other, era.Revision.Carried)
 	for id, r := range other.Runners {
 		switch known := s.Runners[id]; {
 		case known == nil && r.Revision.Carried():
@@ -272,18 +280,19 @@
 // instances are for changes that the store may lack, so that they get a snapshot. The caller
 // holds mu.
 func (f *follower) enterEra(old, listed *Snapshot, now time.Time) {
-	next := listed
-	if old.Revision.Stored() {
-		since := now
-		if !listed.EraSince.IsZero() {
-			since = listed.EraSince
-		}
-		next = listed.enter(old, f.departures.since(now), since)
-		f.log.Warn("store came back from a copy", "era", next.Revision.Era, "revision", next.Revision.Number, "was", old.Revision.Era, "known", old.Revision.Number,
-			"viewMillis", f.current.Age().Milliseconds(), "runnersListed", len(listed.Runners), "runners", len(next.Runners), "departed", len(next.Departed),
-			"zonesCarried", len(next.CarriedZones), "instancesCarried", len(next.Instances)-len(listed.Instances),
-			"quarantinesCarried", len(next.Quarantines)-len(listed.Quarantines), "ordersCarried", len(next.RolloutOrders)-len(listed.RolloutOrders))
+	since := now
+	if !listed.EraSince.IsZero() {
+		since = listed.EraSince
+	}
+	next := listed.enter(old, f.departures.since(now), since)
+	message := "store came back from a copy"
+	if old.Revision.Era == 0 {
+		message = "store states its era"
 	}
+	f.log.Warn(message, "era", next.Revision.Era, "revision", next.Revision.Number, "was", old.Revision.Era, "known", old.Revision.Number,
+		"viewMillis", f.current.Age().Milliseconds(), "runnersListed", len(listed.Runners), "runners", len(next.Runners), "departed", len(next.Departed),
+		"zonesCarried", len(next.CarriedZones), "instancesCarried", len(next.Instances)-len(listed.Instances),
+		"quarantinesCarried", len(next.Quarantines)-len(listed.Quarantines), "ordersCarried", len(next.RolloutOrders)-len(listed.RolloutOrders))
 	f.history.restart()
 	f.current.Advance(next)
 }
--- a/router/inventory/carried_test.go
+++ b/router/inventory/carried_test.go
@@ -199,8 +199,12 @@
 		behind, _ := afterDrill(t, nil, nil)
 		at := func(n int64) era.Revision { return era.New(2, n) }
 		current, f := afterDrill(t, nil, []step{{changes: []inventory.Change{
-			{Revision: at(3), ReturnedZone: "z"}, {Revision: at(4), RemovedInstance: "i"}, {Revision: at(5), EndedQuarantine: "q"},
-			{Revision: at(6), WithdrawnRollout: "s"}, {Revision: at(7), EndedRollout: "s"}, {Revision: at(8), RemovedRunner: "new"},
+			{Revision: at(3), ReturnedZone: "z"},
+			{Revision: at(4), RemovedInstance: "i"},
+			{Revision: at(5), EndedQuarantine: "q"},
+			{Revision: at(6), WithdrawnRollout: "s"},
+			{Revision: at(7), EndedRollout: "s"},
+			{Revision: at(8), RemovedRunner: "new"},
 		}, era: 2, revision: 8}})
 		want := text(current.Load())
 		f.AdoptSnapshot("behind", behind.Load(), confirmedNow())
@@ -213,6 +217,29 @@
 	})
 }
 
+// TestCarriedQuarantinesAreBounded guards against quarantines that add up over drills, as anyone
+// may write them.
+func TestCarriedQuarantinesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const most = 256
+		s := &script{steps: slices.Repeat([]step{{err: fault.New(fault.HistoryGone, "410")}}, 3)}
+		for n := range int64(4) {
+			var list []inventory.Change
+			for i := range most {
+				id := fmt.Sprint(n, "-", i)
+				at := era.New(n+1, int64(i+1))
+				list = append(list, inventory.Change{Revision: at, Quarantine: &inventory.Quarantine{ID: id, Revision: at}})
+			}
+			s.lists = append(s.lists, step{changes: list, era: n + 1, revision: most})
+		}
+		current, _ := runFollower(t, s, 2*time.Second)
+		is.Equal(current.Load().Revision.Era, int64(4))
+		is.Equal(len(current.Load().Quarantines), most)
+		is.True(current.Load().Quarantines["3-0"] != nil) // those of the store stay
+	})
+}
+
 // TestSnapshotOfAnEarlierEraCarriesNothing guards against what an instance carried through the
 // drill before, and told late.
 func TestSnapshotOfAnEarlierEraCarriesNothing(t *testing.T) {
