Have an instance that starts ask another one for what is carried

Callers would see: an instance that starts between a return of the store and the operator's writes lets a key in that was taken away, or calls to an evacuated zone.

Cause: an instance that reads the store asked no other one unless the store failed, so that it knew the copy alone; those that follow it didn't help it.

Shown by TestInstanceThatStartsAsksAnotherOneOnce, red before.

Change: one question for the view of another instance at each start, if the store states an era.

--- a/router/inventory/exchange.go
+++ b/router/inventory/exchange.go
@@ -236,11 +236,17 @@
 		group.Go(func() { e.followLead(ctx) })
 	}
 	defer group.Wait()
+	asked := false
 	for e.clk.Sleep(ctx, fetchEvery) == nil {
-		if e.follower.FailingFor() < fetchAfter && len(e.current.Load().HeldRemovals) == 0 {
+		view := e.current.Load()
+		// The store may have come back from a copy just before this instance started. Another
+		// one knows what that lacks.
+		starting := !asked && view.Revision.Era > 0
+		if !starting && e.follower.FailingFor() < fetchAfter && len(view.HeldRemovals) == 0 {
 			continue
 		}
-		others := slices.Sorted(maps.Keys(e.current.Load().Instances))
+		asked = asked || starting
+		others := slices.Sorted(maps.Keys(view.Instances))
 		others = slices.DeleteFunc(others, func(name string) bool { return name == e.self })
 		if len(others) == 0 {
 			others = e.seeds
--- a/router/inventory/wire_era_test.go
+++ b/router/inventory/wire_era_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cicadawell.dev/fleet/clock"
 	"cicadawell.dev/fleet/golden"
+	"cicadawell.dev/fleet/random"
 	"cicadawell.dev/router/era"
 	"cicadawell.dev/router/instance"
 	"cicadawell.dev/router/rollout"
@@ -107,3 +109,25 @@
 	is.True(current.Load().ZonesOut["z"])
 	is.True(!f.UpdateSince(before).complete) // those that follow this instance need a snapshot, too
 }
+
+// TestInstanceThatStartsAsksAnotherOneOnce guards against an instance that knows the copy alone,
+// such as the lead of a zone.
+func TestInstanceThatStartsAsksAnotherOneOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		current := NewCurrent(clock.System())
+		f := NewFollower(clock.System(), nil, current, hclog.NewNullLogger())
+		m := &leadMesh{answer: getResponse{Revision: 5, Era: 2, EraMicros: 3_000_000, ZonesOut: []string{"z"}, ZonesCarried: []string{"z"}, HasRollouts: true, HasVersions: true}}
+		e := NewExchange(clock.System(), "self", current, f, nil, m, random.NewSeeded(1), hclog.NewNullLogger())
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		done := make(chan error, 1)
+		go func() { done <- e.Run(ctx) }()
+		_ = clock.System().Sleep(ctx, time.Second)
+		is.Equal(len(m.asked), 0) // nothing is known yet
+		current.Advance(&Snapshot{Revision: era.New(2, 5), Instances: map[string]Instance{"self": {Name: "self"}, "other": {Name: "other"}}})
+		is.NoErr(<-done)
+		is.Equal(len(m.asked), 1)
+		is.True(current.Load().ZonesOut["z"])
+	})
+}
