--- a/router/continuity/tracker.go
+++ b/router/continuity/tracker.go
@@ -373,7 +373,7 @@
 	replies := make(chan reply, len(names))
 	for _, name := range names {
 		t.group.Go(func() {
-			r := reply{versionAnswer: versionAnswer{Only: v.only}}
+			r := reply{versionAnswer: versionAnswer{Only: v.only}} // what this instance would answer
 			if name != t.self {
 				r.Only = ""
 				r.err = t.mesh.Call(instance.MarkIdempotent(ctx), name, methodVersion, b, &r.versionAnswer)
