Begin streams at once where a single version has runners at a start

An instance that starts after the old version's runners left refused new streams for 1.5 s, as the record still names that version.

Cause: the versions of the record counted with those of runners. No stream can begin at a version without runners, so that there is nothing to choose from.

Change: only versions with runners count.

--- a/router/continuity/versions.go
+++ b/router/continuity/versions.go
@@ -23,7 +23,8 @@
 
 // sighting is what is known of one version of a service.
 type sighting struct {
-	// since is when the version was first seen; zero if it was the only one at the start.
+	// since is when the version was first seen; zero if it was there at the start, and no other
+	// one had runners.
 	since time.Time
 	// absentSince is when its last runner was found to be gone; zero while there is one.
 	absentSince time.Time
@@ -47,8 +48,8 @@
 func (v *serviceVersions) update(present map[string]bool, record inventory.ServiceVersions, first bool, now time.Time) {
 	v.recorded, v.revision = record.Versions, record.Revision
 	since := now
-	if first && isSingle(present, record.Versions) {
-		since = time.Time{}
+	if first && len(present) <= 1 {
+		since = time.Time{} // of several, this instance can't tell which of them others know
 	}
 	for version := range present {
 		s, known := v.seen[version]
@@ -71,16 +72,6 @@
 	}
 }
 
-// isSingle reports whether there is one version at most. Of several, this instance can't know
-// which of them others may not have seen.
-func isSingle(present map[string]bool, recorded []string) bool {
-	all := maps.Clone(present)
-	for _, version := range recorded {
-		all[version] = true
-	}
-	return len(all) <= 1
-}
-
 // wanted returns the versions that the record should have: none if a single one serves
 // and no other has for the retention.
 func (v *serviceVersions) wanted(now time.Time) []string {
